--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool and measurements, outside the shipped binary."""
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for endpoints, for tests and the demo."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Model-checked specification of the core protocol."""
--- /dev/null
+++ b/src/rattanwick/cli.py
@@ -0,0 +1,31 @@
+"""Command line."""
+
+import argparse
+
+from rattanwick import __version__
+from rattanwick.internal.commands.check import add_check_command
+from rattanwick.internal.commands.serve import add_serve_command
+
+EXIT_OK = 0
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser with all subcommands."""
+    parser = argparse.ArgumentParser(
+        prog="rattanwick",
+        description="Serve language-model and application requests on reclaimable "
+        "instances.",
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"rattanwick {__version__}"
+    )
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
+    add_serve_command(commands)
+    add_check_command(commands)
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a command and return its exit status."""
+    args = build_parser().parse_args(arguments)
+    return args.run(args)
--- /dev/null
+++ b/src/rattanwick/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of rattanwick; nothing here is a public interface."""
--- /dev/null
+++ b/src/rattanwick/internal/base/__init__.py
@@ -0,0 +1,1 @@
+"""Shared building blocks: errors, outcomes, timers, logs, metrics, traces, settings."""
--- /dev/null
+++ b/src/rattanwick/internal/base/fields.py
@@ -0,0 +1,134 @@
+"""Value types of settings: how each is read and what to write instead."""
+
+import ipaddress
+import os
+import re
+from collections.abc import Callable
+from dataclasses import MISSING, field
+from urllib.parse import urlsplit
+
+IDENTIFIER = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
+SHA256_HEX = re.compile(r"^[0-9a-f]{64}$")
+
+Parser = Callable[[str], object]
+
+
+class ValueFault(ValueError):
+    """Tell what is wrong with a value and what to write instead."""
+
+    def __init__(self, wrong: str, instead: str):
+        super().__init__(f"{wrong}; write {instead}")
+        self.wrong = wrong
+        self.instead = instead
+
+
+def setting(parse: Parser, help: str, default: object = MISSING, unit: str = ""):
+    """Declare a setting of a section."""
+    metadata = {"parse": parse, "help": help, "unit": unit}
+    if isinstance(default, (list, dict)):
+        raise TypeError("a default must not be mutable")
+    return field(default=default, metadata=metadata)
+
+
+def identifier(text: str) -> str:
+    """Read a lower-case name."""
+    if not IDENTIFIER.match(text):
+        raise ValueFault(
+            f"{text!r} is not a name",
+            "lower-case letters, digits, '.', '_' and '-', at most 63 characters",
+        )
+    return text
+
+
+def text(value: str) -> str:
+    """Read any text."""
+    return value
+
+
+def yes_no(value: str) -> bool:
+    """Read a switch."""
+    if value.lower() not in ("yes", "no"):
+        raise ValueFault(f"{value!r} is not a switch", "yes or no")
+    return value.lower() == "yes"
+
+
+def ip_address(value: str) -> str:
+    """Read an IP number; names are not resolved."""
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        raise ValueFault(
+            f"{value!r} is not an IP number", "an IP number such as 10.0.0.5"
+        )
+
+
+def port(value: str) -> int:
+    """Read a TCP port."""
+    return int(number(1, 65535, whole=True)(value))
+
+
+def url(value: str) -> str:
+    """Read an http or https address."""
+    parts = urlsplit(value)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueFault(
+            f"{value!r} is not an address", "http://IP:PORT or https://IP:PORT"
+        )
+    return value.rstrip("/")
+
+
+def readable_file(value: str) -> str:
+    """Read the path of a file that this process can read."""
+    if not os.access(value, os.R_OK) or os.path.isdir(value):
+        raise ValueFault(f"{value!r} cannot be read", "the path of a file that exists")
+    return value
+
+
+def sha256_list(value: str) -> tuple[str, ...]:
+    """Read SHA-256 digests in hexadecimal, separated by blanks."""
+    digests = tuple(value.split())
+    for digest in digests:
+        if not SHA256_HEX.match(digest):
+            raise ValueFault(
+                "a digest is not 64 hexadecimal digits",
+                "the output of 'printf %s KEY | sha256sum'",
+            )
+    return digests
+
+
+def identifier_list(value: str) -> tuple[str, ...]:
+    """Read names separated by blanks."""
+    return tuple(identifier(item) for item in value.split())
+
+
+def number(low: float, high: float, whole: bool = False) -> Parser:
+    """Return a reader of numbers from ``low`` to ``high``."""
+
+    def parse(value: str) -> float | int:
+        kind = "a whole number" if whole else "a number"
+        instead = f"{kind} from {low:g} to {high:g}"
+        try:
+            parsed = int(value) if whole else float(value)
+        except ValueError:
+            raise ValueFault(f"{value!r} is not {kind}", instead)
+        if not low <= parsed <= high:
+            raise ValueFault(f"{value} is out of range", instead)
+        return parsed
+
+    return parse
+
+
+def whole_number(low: int, high: int) -> Parser:
+    """Return a reader of whole numbers from ``low`` to ``high``."""
+    return number(low, high, whole=True)
+
+
+def choice(*names: str) -> Parser:
+    """Return a reader of one of the names."""
+
+    def parse(value: str) -> str:
+        if value not in names:
+            raise ValueFault(f"{value!r} is not known", f"one of {', '.join(names)}")
+        return value
+
+    return parse
--- /dev/null
+++ b/src/rattanwick/internal/base/ini.py
@@ -0,0 +1,77 @@
+"""Read INI files into checked sections and collect every fault."""
+
+import configparser
+import difflib
+from dataclasses import MISSING, dataclass, fields
+from typing import Any
+
+from rattanwick.internal.base.fields import ValueFault
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """Describe one fault in an INI file."""
+
+    file: str
+    section: str
+    key: str
+    wrong: str
+    instead: str
+
+    def __str__(self) -> str:
+        where = f"[{self.section}] {self.key}".strip()
+        return f"{self.file}: {where}: {self.wrong}; write {self.instead}"
+
+
+class SettingsError(Exception):
+    """Report all faults of a file."""
+
+    def __init__(self, faults: list[Fault]):
+        super().__init__("\n".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+def parse_ini(name: str, content: str) -> configparser.ConfigParser:
+    """Return the parsed file; raise SettingsError where it is not INI."""
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=True, default_section="", delimiters=("=",)
+    )
+    parser.optionxform = str
+    try:
+        parser.read_string(content, source=name)
+    except configparser.Error as exc:
+        reason = str(exc).replace("\n", " ")
+        instead = "sections as [name] and lines as key = value, each once"
+        raise SettingsError([Fault(name, "", "", reason, instead)])
+    return parser
+
+
+def closest(name: str, known: list[str]) -> str:
+    """Return a hint that names the closest known name."""
+    matches = difflib.get_close_matches(name, known, n=1)
+    if matches:
+        return f"{matches[0]} (known: {', '.join(known)})"
+    return f"one of {', '.join(known)}"
+
+
+def read_section(
+    file: str, section: str, values: dict[str, str], kind: type, faults: list[Fault]
+) -> Any:
+    """Return the checked section, or None after adding its faults."""
+    known = {item.name: item for item in fields(kind) if "parse" in item.metadata}
+    for key in values:
+        if key not in known:
+            hint = closest(key, sorted(known))
+            faults.append(Fault(file, section, key, "the key is not known", hint))
+    parsed = {}
+    complete = True
+    for name, item in known.items():
+        try:
+            if name in values:
+                parsed[name] = item.metadata["parse"](values[name].strip())
+            elif item.default is MISSING:
+                raise ValueFault("the key is missing", item.metadata["help"])
+        except ValueFault as exc:
+            faults.append(Fault(file, section, name, exc.wrong, exc.instead))
+            complete = False
+    return kind(**parsed) if complete else None
--- /dev/null
+++ b/src/rattanwick/internal/base/log.py
@@ -0,0 +1,40 @@
+"""JSON logs: short sentences with a fixed prefix for each part."""
+
+import logging
+import sys
+from typing import TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+ROOT_NAME = "rattanwick"
+
+
+class PartAdapter(logging.LoggerAdapter):
+    """Put the prefix of a part before each message."""
+
+    def process(self, msg, kwargs):
+        """Return the message with its prefix and the fields of the call."""
+        kwargs["extra"] = {**self.extra, **kwargs.get("extra", {})}
+        return f"{self.extra['part']}: {msg}", kwargs
+
+
+def get_logger(part: str) -> PartAdapter:
+    """Return the logger of a part."""
+    logger = logging.getLogger(f"{ROOT_NAME}.{part}")
+    return PartAdapter(logger, {"part": part})
+
+
+def configure_logs(level: str, node_id: str = "", stream: TextIO | None = None) -> None:
+    """Write JSON lines to standard error or ``stream``."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            ["asctime", "levelname", "message", "part"],
+            rename_fields={"asctime": "time", "levelname": "level"},
+            static_fields={"node": node_id} if node_id else {},
+        )
+    )
+    root = logging.getLogger(ROOT_NAME)
+    root.handlers = [handler]
+    root.setLevel(level)
+    root.propagate = False
--- /dev/null
+++ b/src/rattanwick/internal/base/metrics.py
@@ -0,0 +1,40 @@
+"""Metrics registry of the process."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+REGISTRY = CollectorRegistry()
+PREFIX = "rattanwick_"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+def counter(name: str, documentation: str, labels: tuple[str, ...] = ()) -> Counter:
+    """Register a counter; ``_total`` is added to the name."""
+    return Counter(PREFIX + name, documentation, labels, registry=REGISTRY)
+
+
+def gauge(name: str, documentation: str, labels: tuple[str, ...] = ()) -> Gauge:
+    """Register a gauge."""
+    return Gauge(PREFIX + name, documentation, labels, registry=REGISTRY)
+
+
+def histogram(
+    name: str,
+    documentation: str,
+    labels: tuple[str, ...] = (),
+    buckets: tuple[float, ...] = Histogram.DEFAULT_BUCKETS,
+) -> Histogram:
+    """Register a histogram; its unit ends the name."""
+    return Histogram(
+        PREFIX + name, documentation, labels, buckets=buckets, registry=REGISTRY
+    )
+
+
+def render_metrics() -> bytes:
+    """Return all metrics in the text format."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/src/rattanwick/internal/base/settings.py
@@ -0,0 +1,286 @@
+"""Settings of a node."""
+
+from dataclasses import dataclass, fields
+
+from rattanwick.internal.base.fields import (
+    choice,
+    identifier,
+    ip_address,
+    number,
+    port,
+    readable_file,
+    setting,
+    sha256_list,
+    url,
+    whole_number,
+    yes_no,
+)
+from rattanwick.internal.base.ini import (
+    Fault,
+    SettingsError,
+    closest,
+    parse_ini,
+    read_section,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class NodeSettings:
+    """[node]: who this process is."""
+
+    id: str = setting(identifier, "name of the node, unique in the deployment")
+    data_centre: str = setting(identifier, "data centre that the instance is in")
+    region: str = setting(identifier, "region that the data centre is in")
+    instance_id: str = setting(identifier, "the cloud's name of the instance", "")
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerSettings:
+    """[callers]: the interface for callers."""
+
+    address: str = setting(ip_address, "IP number to listen on")
+    port: int = setting(port, "TCP port to listen on")
+    tls_certificate: str = setting(readable_file, "PEM file; empty for no TLS", "")
+    tls_key: str = setting(readable_file, "PEM file of the key", "")
+    max_body_bytes: int = setting(
+        whole_number(1024, 64 << 20), "largest request body", 1 << 20, "bytes"
+    )
+    max_in_flight: int = setting(
+        whole_number(1, 100_000), "most requests in flight at this node", 2000
+    )
+    entry_keep_seconds: int = setting(
+        whole_number(1, 3600), "how long a caller keeps an address", 30, "seconds"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class OperatorSettings:
+    """[operators]: the interface for operators, metrics and health."""
+
+    address: str = setting(ip_address, "IP number to listen on")
+    port: int = setting(port, "TCP port to listen on")
+    key_hashes: tuple[str, ...] = setting(
+        sha256_list, "SHA-256 digests of operator keys, separated by blanks", ()
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerSettings:
+    """[peers]: connections between nodes."""
+
+    address: str = setting(ip_address, "IP number to listen on")
+    port: int = setting(port, "TCP port to listen on")
+    secret_file: str = setting(readable_file, "file with the secret of the nodes")
+    tls_certificate: str = setting(readable_file, "PEM file; empty for no TLS", "")
+    tls_key: str = setting(readable_file, "PEM file of the key", "")
+    tls_authority: str = setting(readable_file, "PEM file of the authority", "")
+    heartbeat_seconds: float = setting(
+        number(0.05, 60), "time between heartbeats", 1.0, "seconds"
+    )
+    suspect_seconds: float = setting(
+        number(0.1, 120), "silence after which a peer is suspected", 3.0, "seconds"
+    )
+    dead_seconds: float = setting(
+        number(0.2, 300), "silence after which a peer counts as gone", 5.0, "seconds"
+    )
+    max_links: int = setting(whole_number(1, 64), "heartbeat links of a node", 8)
+
+
+@dataclass(slots=True, kw_only=True)
+class PlatformSettings:
+    """[platform]: the services of the platform."""
+
+    table_url: str = setting(url, "address of the table service")
+    table_name: str = setting(identifier, "name of the table", "rattanwick")
+    object_url: str = setting(url, "address of the object store")
+    bucket: str = setting(identifier, "name of the bucket", "rattanwick")
+    instance_list_url: str = setting(url, "address of the instance list")
+    namespace: str = setting(identifier, "namespace in the instance list", "rattanwick")
+    cloud_url: str = setting(url, "address of the cloud API")
+    metadata_url: str = setting(url, "address of the instance metadata", "")
+    credentials_file: str = setting(
+        readable_file, "INI file with [credentials] access_key and secret_key"
+    )
+    region: str = setting(identifier, "region named in signatures")
+    timeout_seconds: float = setting(
+        number(0.05, 60), "time limit of one call", 2.0, "seconds"
+    )
+    instance_poll_seconds: float = setting(
+        number(0.1, 300), "time between reads of the instance list", 5.0, "seconds"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class ListSettings:
+    """[lists]: plans and allowances."""
+
+    poll_seconds: float = setting(
+        number(0.1, 300), "time between reads of the version", 5.0, "seconds"
+    )
+    confirm_seconds: float = setting(
+        number(0.5, 300), "time for all nodes to confirm a version", 16.0, "seconds"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class RoutingSettings:
+    """[routing]: placement of requests."""
+
+    policy: str = setting(
+        choice("owner", "alone", "least-in-flight", "round-robin"),
+        "how requests are placed",
+        "owner",
+    )
+    cell_endpoints: int = setting(whole_number(1, 64), "endpoints in a cell", 12)
+    weight_cost: float = setting(number(0, 10), "weight of cost", 1.0)
+    weight_short: float = setting(number(0, 10), "weight of short work's wait", 1.0)
+    weight_tail: float = setting(number(0, 10), "weight of tail latency", 1.0)
+    short_seconds: float = setting(
+        number(0.01, 600), "estimated work that still counts as short", 2.0, "seconds"
+    )
+    long_wait_seconds: float = setting(
+        number(0.1, 3600), "longest wait of long work behind short", 30.0, "seconds"
+    )
+    probation_share: float = setting(
+        number(0, 0.5), "largest part of a pool set aside as slow", 0.34
+    )
+    retry_share: float = setting(number(0, 1), "retries for each request", 0.1)
+    hedge_share: float = setting(number(0, 1), "hedges for each request", 0.05)
+    default_deadline_seconds: float = setting(
+        number(0.1, 86_400), "deadline where the caller states none", 120.0, "seconds"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class AllowanceSettings:
+    """[allowances]: grants taken from the table."""
+
+    grant_seconds: float = setting(
+        number(2, 86_400), "life of a grant without renewal", 1800.0, "seconds"
+    )
+    skew_seconds: float = setting(
+        number(0, 60), "largest difference between clocks", 2.0, "seconds"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimSettings:
+    """[claims]: idempotency keys."""
+
+    retention_days: float = setting(
+        number(0.01, 365), "how long a key is remembered", 7.0, "days"
+    )
+    unknown_after_seconds: float = setting(
+        number(0.1, 86_400),
+        "time after the deadline at which an open claim is unknown",
+        60.0,
+        "seconds",
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class DrainSettings:
+    """[drain]: graceful shutdown."""
+
+    limit_seconds: float = setting(
+        number(0, 86_400), "longest wait for requests; 0 for no limit", 0.0, "seconds"
+    )
+    notice_seconds: float = setting(
+        number(0.5, 3600), "time that a reclaim notice leaves", 20.0, "seconds"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class RecordingSettings:
+    """[recording]: decisions kept for replay."""
+
+    enabled: bool = setting(yes_no, "record decisions", True)
+    batch_seconds: float = setting(
+        number(0.1, 600), "time between batches", 5.0, "seconds"
+    )
+    buffer_bytes: int = setting(
+        whole_number(65_536, 1 << 30), "memory for batches not stored", 4 << 20, "bytes"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class TracingSettings:
+    """[tracing]: spans sent over OTLP."""
+
+    otlp_url: str = setting(url, "address that takes OTLP over HTTP", "")
+    sample_ratio: float = setting(number(0, 1), "part of the traces sent", 1.0)
+
+
+@dataclass(slots=True, kw_only=True)
+class LoggingSettings:
+    """[logging]: JSON logs on standard error."""
+
+    level: str = setting(
+        choice("DEBUG", "INFO", "WARNING", "ERROR"), "lowest level written", "INFO"
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Settings:
+    """All settings of a node."""
+
+    node: NodeSettings
+    callers: CallerSettings
+    operators: OperatorSettings
+    peers: PeerSettings
+    platform: PlatformSettings
+    lists: ListSettings
+    routing: RoutingSettings
+    allowances: AllowanceSettings
+    claims: ClaimSettings
+    drain: DrainSettings
+    recording: RecordingSettings
+    tracing: TracingSettings
+    logging: LoggingSettings
+
+
+def load_settings(path: str) -> Settings:
+    """Return the settings of a file; raise SettingsError with all faults."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            content = file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        instead = "the path of a readable INI file in UTF-8"
+        raise SettingsError([Fault(path, "", "", str(exc), instead)])
+    return parse_settings(path, content)
+
+
+def parse_settings(name: str, content: str) -> Settings:
+    """Return the settings of INI text; raise SettingsError with all faults."""
+    parser = parse_ini(name, content)
+    sections = {item.name: item.type for item in fields(Settings)}
+    faults: list[Fault] = []
+    for section in parser.sections():
+        if section not in sections:
+            hint = closest(section, sorted(sections))
+            faults.append(Fault(name, section, "", "the section is not known", hint))
+    parsed = {}
+    for section, kind in sections.items():
+        values = dict(parser[section]) if parser.has_section(section) else {}
+        parsed[section] = read_section(name, section, values, kind, faults)
+    if not faults:
+        faults.extend(_check_combinations(name, parsed))
+    if faults:
+        raise SettingsError(faults)
+    return Settings(**parsed)
+
+
+def _check_combinations(name: str, parsed: dict) -> list[Fault]:
+    """Return faults of values that do not go together."""
+    faults = []
+    for section in ("callers", "peers"):
+        value = parsed[section]
+        if bool(value.tls_certificate) != bool(value.tls_key):
+            wrong = "only one of tls_certificate and tls_key is set"
+            faults.append(Fault(name, section, "tls_key", wrong, "both or neither"))
+    peers = parsed["peers"]
+    if not peers.heartbeat_seconds < peers.suspect_seconds < peers.dead_seconds:
+        wrong = "heartbeat, suspect and dead times do not grow in this order"
+        instead = "heartbeat_seconds < suspect_seconds < dead_seconds"
+        faults.append(Fault(name, "peers", "suspect_seconds", wrong, instead))
+    return faults
--- /dev/null
+++ b/src/rattanwick/internal/base/timers.py
@@ -0,0 +1,152 @@
+"""Timer service that parts subscribe to, with a manual one for tests."""
+
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from rattanwick.internal.base.log import get_logger
+
+log = get_logger("timers")
+
+
+class Subscription:
+    """Hold one subscription; cancel it to stop the calls."""
+
+    __slots__ = ("callback", "cancelled", "name", "period", "running")
+
+    def __init__(self, name: str, period: float | None, callback: Callable[[], None]):
+        self.name = name
+        self.period = period  # seconds; None for a single call
+        self.callback = callback
+        self.cancelled = False
+        self.running = False
+
+    def cancel(self) -> None:
+        """Stop further calls."""
+        self.cancelled = True
+
+
+class TimerService(ABC):
+    """Call subscribers when their time comes."""
+
+    def __init__(self):
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._order = itertools.count()
+
+    @abstractmethod
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
+    @abstractmethod
+    def wall(self) -> float:
+        """Return Unix seconds."""
+
+    @abstractmethod
+    def sleep(self, seconds: float) -> None:
+        """Suspend the calling task."""
+
+    def subscribe(
+        self, name: str, period: float, callback: Callable[[], None]
+    ) -> Subscription:
+        """Call back every ``period`` seconds until cancelled."""
+        return self._schedule(Subscription(name, period, callback), period)
+
+    def after(self, delay: float, callback: Callable[[], None]) -> Subscription:
+        """Call back once after ``delay`` seconds."""
+        return self._schedule(Subscription("after", None, callback), delay)
+
+    def _schedule(self, subscription: Subscription, delay: float) -> Subscription:
+        due = self.now() + delay
+        heapq.heappush(self._heap, (due, next(self._order), subscription))
+        return subscription
+
+    def _pop_due(self, now: float) -> list[Subscription]:
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            due.append(heapq.heappop(self._heap)[2])
+        return [subscription for subscription in due if not subscription.cancelled]
+
+    def _run(self, subscription: Subscription) -> None:
+        subscription.running = True
+        try:
+            subscription.callback()
+        except Exception:
+            log.exception("callback of %s failed", subscription.name)
+        finally:
+            subscription.running = False
+            if subscription.period is not None and not subscription.cancelled:
+                self._schedule(subscription, subscription.period)
+
+
+class GeventTimerService(TimerService):
+    """Run callbacks in gevent tasks on the real clock."""
+
+    def __init__(self):
+        super().__init__()
+        self._wakeup = Event()
+        self._task = gevent.spawn(self._loop)
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return Unix seconds."""
+        return time.time()
+
+    def sleep(self, seconds: float) -> None:
+        """Suspend the calling task."""
+        gevent.sleep(seconds)
+
+    def stop(self) -> None:
+        """Stop all callbacks."""
+        self._task.kill()
+
+    def _schedule(self, subscription: Subscription, delay: float) -> Subscription:
+        super()._schedule(subscription, delay)
+        self._wakeup.set()
+        return subscription
+
+    def _loop(self) -> None:
+        while True:
+            for subscription in self._pop_due(self.now()):
+                gevent.spawn(self._run, subscription)
+            self._wakeup.clear()
+            timeout = self._heap[0][0] - self.now() if self._heap else None
+            if timeout is None or timeout > 0:
+                self._wakeup.wait(timeout)
+
+
+class ManualTimerService(TimerService):
+    """Advance time by hand, for tests."""
+
+    def __init__(self, start: float = 1000.0, wall_start: float = 1_800_000_000.0):
+        self._now = start
+        self._wall_offset = wall_start - start
+        super().__init__()
+
+    def now(self) -> float:
+        """Return the time set by hand."""
+        return self._now
+
+    def wall(self) -> float:
+        """Return the Unix time that goes with the time set by hand."""
+        return self._now + self._wall_offset
+
+    def sleep(self, seconds: float) -> None:
+        """Advance the time and run what is due."""
+        self.advance(seconds)
+
+    def advance(self, seconds: float) -> None:
+        """Move time forward and run due callbacks in order."""
+        target = self._now + seconds
+        while self._heap and self._heap[0][0] <= target:
+            self._now = max(self._now, self._heap[0][0])
+            for subscription in self._pop_due(self._now):
+                self._run(subscription)
+        self._now = target
--- /dev/null
+++ b/src/rattanwick/internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the command line."""
--- /dev/null
+++ b/src/rattanwick/internal/commands/check.py
@@ -0,0 +1,28 @@
+"""Check a settings file."""
+
+import argparse
+import sys
+
+from rattanwick.internal.base.ini import SettingsError
+from rattanwick.internal.base.settings import load_settings
+
+EXIT_FAULTS = 2
+
+
+def add_check_command(commands) -> None:
+    """Add ``check`` to the command line."""
+    parser = commands.add_parser("check", help="check a settings file")
+    parser.add_argument("--config", required=True, metavar="NODE.ini")
+    parser.set_defaults(run=run_check)
+
+
+def run_check(args: argparse.Namespace) -> int:
+    """Print every fault and return 2, or 0 when there is none."""
+    try:
+        load_settings(args.config)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            print(fault, file=sys.stderr)
+        return EXIT_FAULTS
+    print(f"{args.config}: no faults")
+    return 0
--- /dev/null
+++ b/src/rattanwick/internal/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data that parts pass to each other."""
--- /dev/null
+++ b/src/rattanwick/internal/model/requests.py
@@ -0,0 +1,76 @@
+"""A request on its way from a caller to an endpoint."""
+
+from dataclasses import asdict, dataclass, field
+from enum import StrEnum
+
+
+class RequestKind(StrEnum):
+    """Tell the caller interfaces apart."""
+
+    CHAT = "chat"
+    COMPLETION = "completion"
+    SERVICE = "service"
+
+
+@dataclass(slots=True)
+class ServingRequest:
+    """Hold what is needed to run a request, here or at another node."""
+
+    id: str
+    kind: RequestKind
+    organisation: str
+    plan: str
+    pool: str
+    body: dict  # the caller's JSON body, checked
+    stream: bool
+    deadline: float  # Unix seconds
+    received: float  # Unix seconds
+    prompt_tokens: int  # estimate
+    max_output_tokens: int
+    priority: int = 5  # 0 is the most urgent
+    idempotent: bool = True
+    hedge: bool = False
+    fingerprint: str = ""  # hash of organisation and body
+    traceparent: str = ""
+    data_centre: str = ""  # of the node that accepted it
+
+    def to_message(self) -> dict:
+        """Return a map for msgpack."""
+        message = asdict(self)
+        message["kind"] = str(self.kind)
+        return message
+
+    @classmethod
+    def from_message(cls, message: dict) -> "ServingRequest":
+        """Return the request of a map; unknown fields are ignored."""
+        known = {name: message[name] for name in cls.__slots__ if name in message}
+        known["kind"] = RequestKind(known["kind"])
+        return cls(**known)
+
+
+@dataclass(slots=True)
+class Usage:
+    """Tell what one attempt at an endpoint used and how it went."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    output_tokens: int = 0
+    recomputed_tokens: int = 0
+    first_token_seconds: float | None = None
+    seconds_between_tokens: float | None = None  # mean
+    total_seconds: float = 0.0
+    ok: bool = False
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Placement:
+    """Permit one attempt of a request at one endpoint."""
+
+    id: str
+    request_id: str
+    endpoint_id: str
+    owner: str  # node that counts it; empty when placed alone
+    queued_seconds: float = 0.0
+    hedged: bool = False
+    reasons: list[str] = field(default_factory=list)
--- /dev/null
+++ b/src/rattanwick/internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections, membership and hand-over between nodes."""
--- /dev/null
+++ b/src/rattanwick/internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/src/rattanwick/internal/recording/__init__.py
@@ -0,0 +1,1 @@
+"""Recording and replay of decisions."""
--- /dev/null
+++ b/src/rattanwick/internal/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The request path from a caller to an endpoint and back."""
--- /dev/null
+++ b/src/rattanwick/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests on endpoints."""
--- /dev/null
+++ b/src/rattanwick/internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""State kept in the table service: claims, leases, lists, grants."""
