--- /dev/null
+++ b/src/rattanwick/internal/model/transcripts.py
@@ -0,0 +1,136 @@
+"""The answer of a request as it grows, and the table of requests of a node."""
+
+import bisect
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from gevent.event import Event
+
+from rattanwick.internal.base.outcomes import Outcome
+from rattanwick.internal.model.requests import ServingRequest
+
+FINISHED_KEPT_SECONDS = 600.0
+
+
+class Transcript:
+    """Hold the text of an answer and wake those who wait for more."""
+
+    __slots__ = (
+        "_changed",
+        "_parts",
+        "_starts",
+        "finish_reason",
+        "length",
+        "outcome",
+        "restarted",
+        "tokens",
+    )
+
+    def __init__(self):
+        self._parts: list[str] = []
+        self._starts: list[int] = []
+        self._changed = Event()
+        self.length = 0  # characters
+        self.tokens = 0
+        self.outcome: Outcome | None = None
+        self.finish_reason = ""
+        self.restarted = False
+
+    def append(self, text: str) -> None:
+        """Add text that an endpoint produced."""
+        if not text:
+            return
+        self._starts.append(self.length)
+        self._parts.append(text)
+        self.length += len(text)
+        self.tokens += 1
+        self._changed.set()
+
+    def finish(self, outcome: Outcome, finish_reason: str = "stop") -> None:
+        """Set the outcome; only the first one counts."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self.finish_reason = finish_reason
+        self._changed.set()
+
+    def text(self) -> str:
+        """Return the whole text so far."""
+        return "".join(self._parts)
+
+    def parts_after(self, offset: int) -> Iterator[tuple[str, int]]:
+        """Yield (text, offset after it) from a character offset on."""
+        index = max(bisect.bisect_right(self._starts, offset) - 1, 0)
+        while index < len(self._parts):
+            part, start = self._parts[index], self._starts[index]
+            end = start + len(part)
+            if end > offset:
+                yield part[max(offset - start, 0) :], end
+            index += 1
+
+    def wait(self, offset: int, timeout: float | None) -> bool:
+        """Wait for text beyond an offset or the outcome; tell whether it came."""
+        if self.length > offset or self.outcome is not None:
+            return True
+        self._changed.clear()
+        self._changed.wait(timeout)
+        return self.length > offset or self.outcome is not None
+
+
+@dataclass(slots=True)
+class StoredAnswer:
+    """Hold the answer of a service call."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """Hold a request of this node, live or recently finished."""
+
+    req: ServingRequest
+    transcript: Transcript = field(default_factory=Transcript)
+    answer: StoredAnswer | None = None  # service calls
+    finished_at: float | None = None  # monotonic seconds
+    moved_to: str = ""  # node that took the request over
+    endpoint_id: str = ""
+    started_at: float = 0.0  # monotonic seconds
+
+
+class RequestTable:
+    """Hold the requests of this node by id."""
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._records: dict[str, RequestRecord] = {}
+
+    def put(self, record: RequestRecord) -> None:
+        """Add a request."""
+        record.started_at = self._now()
+        self._records[record.req.id] = record
+
+    def get(self, request_id: str) -> RequestRecord | None:
+        """Return a request by id."""
+        return self._records.get(request_id)
+
+    def finish(self, request_id: str) -> None:
+        """Mark a request as finished, so that it is dropped after a while."""
+        record = self._records.get(request_id)
+        if record is not None:
+            record.finished_at = self._now()
+
+    def in_flight(self) -> list[RequestRecord]:
+        """Return the requests that are not finished."""
+        return [item for item in self._records.values() if item.finished_at is None]
+
+    def drop_expired(self) -> None:
+        """Forget requests that finished long ago."""
+        limit = self._now() - FINISHED_KEPT_SECONDS
+        expired = [
+            request_id
+            for request_id, record in self._records.items()
+            if record.finished_at is not None and record.finished_at < limit
+        ]
+        for request_id in expired:
+            del self._records[request_id]
--- /dev/null
+++ b/src/rattanwick/internal/routing/interfaces.py
@@ -0,0 +1,27 @@
+"""Interface of placement for the request path."""
+
+from abc import ABC, abstractmethod
+
+from rattanwick.internal.model.requests import Placement, ServingRequest, Usage
+
+
+class Router(ABC):
+    """Place requests on endpoints."""
+
+    @abstractmethod
+    def place(
+        self, req: ServingRequest, excluded: frozenset[str] = frozenset()
+    ) -> Placement:
+        """Wait for a placement; raise Refused when the deadline cannot be met."""
+
+    @abstractmethod
+    def release(self, placement: Placement, usage: Usage) -> None:
+        """Give a placement back and report how the attempt went."""
+
+    @abstractmethod
+    def may_retry(self, req: ServingRequest) -> bool:
+        """Spend one retry of the budget; tell whether there was one."""
+
+    @abstractmethod
+    def hedge_delay(self, req: ServingRequest) -> float | None:
+        """Return seconds to wait before a hedge, or None for no hedge."""
