Add model-checked specifications of the core protocol

Cause: claims, fenced orders, list versions and hand-over must hold under crash, pause, lost answers and doubled messages; the design only stated so. Found while writing it: resumption by offset alone mixes two texts after a false suspicion (6 steps), and a node that leaves after one acknowledged copy can lose the request (4 steps).

--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,8 @@
 """Model-checked specification of the core protocol."""
+
+from spec.claims import CLAIMS
+from spec.handover import HANDOVER
+from spec.lists import LISTS
+from spec.orders import FENCED_ORDERS, UNFENCED_ORDERS
+
+SPECIFICATIONS = [CLAIMS, FENCED_ORDERS, UNFENCED_ORDERS, LISTS, HANDOVER]
