--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment format lint test ci dist clean
+.PHONY: environment format lint test ci dist demo prove clean
 
 environment: $(STAMP)
 
-$(STAMP): requirements.lock pyproject.toml
+$(STAMP): requirements.lock requirements-dev.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q -r requirements.lock -r requirements-dev.lock
 	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
@@ -26,5 +26,20 @@
 
 ci: lint test
 
+# The file needs Python 3.11 and a writable directory, which can be in memory
+# (SHIV_ROOT, by default ~/.shiv).
+dist: $(STAMP)
+	rm -rf build dist/rattanwick
+	mkdir -p dist
+	$(BIN)/shiv -q -o dist/rattanwick -c rattanwick --reproducible \
+		-p "/usr/bin/env python3" --no-deps --no-build-isolation \
+		-r requirements.lock .
+
+demo: $(STAMP)
+	$(BIN)/python scripts/demo.py
+
+prove: $(STAMP)
+	$(BIN)/python -m spec
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/fakes/deployment.py
@@ -0,0 +1,330 @@
+"""A deployment on loopback: fakes and nodes as processes, for demo and scenarios.
+
+Each deployment on this machine gets its own second octet of 127.0.0.0/8, so that
+several can run side by side with the ports of the shipped settings.
+"""
+
+import configparser
+import contextlib
+import json
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from geventhttpclient import HTTPClient
+
+ROOT = Path(__file__).resolve().parent.parent
+START_SECONDS = 20.0
+POLL_SECONDS = 0.02
+STOP_SECONDS = 30.0
+
+
+class DeploymentError(Exception):
+    """Report a process that did not start or stop in time."""
+
+
+def http_json(
+    method: str, host: str, port: int, path: str, body=None, headers=None, timeout=10.0
+) -> tuple[int, dict | list | str]:
+    """Send a JSON request and return the status and the decoded body."""
+    client = HTTPClient(host, port, connection_timeout=timeout, network_timeout=timeout)
+    payload = json.dumps(body).encode() if body is not None else b""
+    try:
+        response = client.request(
+            method,
+            path,
+            body=payload,
+            headers={"Content-Type": "application/json", **(headers or {})},
+        )
+        data = response.read()
+        status = response.status_code
+    finally:
+        client.close()
+    with contextlib.suppress(ValueError):
+        return status, json.loads(data)
+    return status, data.decode("utf-8", "replace")
+
+
+class LocalNode:
+    """One node as a process."""
+
+    def __init__(self, settings_path: Path, log_path: Path):
+        self.settings_path = settings_path
+        self.log_path = log_path
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read(settings_path, encoding="utf-8")
+        self.id = parser["node"]["id"]
+        self.instance_id = parser["node"]["instance_id"]
+        self.data_centre = parser["node"]["data_centre"]
+        self.region = parser["node"]["region"]
+        self.host = parser["callers"]["address"]
+        self.caller_port = int(parser["callers"]["port"])
+        self.operator_port = int(parser["operators"]["port"])
+        self.peer_port = int(parser["peers"]["port"])
+        self.process: subprocess.Popen | None = None
+
+    def start(self, environment: dict[str, str]) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "rattanwick", "serve"]
+        command += ["--config", str(self.settings_path)]
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                command, stdout=log, stderr=log, env=environment, cwd=ROOT
+            )
+
+    def is_ready(self) -> bool:
+        """Tell whether the node answers that it is ready."""
+        try:
+            status, _ = http_json(
+                "GET", self.host, self.operator_port, "/readyz", timeout=2.0
+            )
+        except OSError:
+            return False
+        return status == 200
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def listing(self) -> dict:
+        """Return the entry of the instance list."""
+        return {
+            "service": "nodes",
+            "id": self.id,
+            "instance_id": self.instance_id,
+            "data_centre": self.data_centre,
+            "region": self.region,
+            "host": self.host,
+            "caller_port": self.caller_port,
+            "peer_port": self.peer_port,
+            "operator_port": self.operator_port,
+        }
+
+
+class LocalDeployment:
+    """Fakes and nodes of one shipped deployment."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        octet: int | None = None,
+        overrides: dict[str, dict[str, str]] | None = None,
+        endpoint_overrides: dict | None = None,
+    ):
+        self.name = name
+        self.folder = folder
+        self.source = ROOT / "deploy" / name
+        self.octet = octet or 3 + os.getpid() % 250
+        self.overrides = overrides or {}
+        self.endpoint_overrides = endpoint_overrides or {}
+        self.operator_key = f"demo-operator-{name}"
+        self.nodes: dict[str, LocalNode] = {}
+        self.endpoints: dict[str, dict] = {}
+        self.platform_port = 0
+        self._fakes: list[subprocess.Popen] = []
+        self._environment = {
+            **os.environ,
+            "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+        }
+
+    def __enter__(self) -> "LocalDeployment":
+        """Start everything."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop_all(signal.SIGKILL)
+            raise
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        """Stop everything."""
+        self.stop_all(signal.SIGTERM if exc_info[0] is None else signal.SIGKILL)
+
+    def start(self) -> None:
+        """Start the fakes and the nodes and wait until the nodes are ready."""
+        self.start_platform()
+        self.start_endpoints()
+        self._write_secrets()
+        for path in sorted((self.source / "nodes").glob("*.ini")):
+            settings = self._write_settings(path)
+            node = LocalNode(settings, self.folder / f"{path.stem}.log")
+            self.nodes[node.id] = node
+        self.publish_instances()
+        for node in self.nodes.values():
+            node.start(self._environment)
+        self.wait_ready(list(self.nodes))
+
+    def start_platform(self) -> None:
+        """Start the platform fake."""
+        process = self._start_fake(["-m", "fakes.platform", "--port", "0"])
+        self.platform_port = int(process.stdout.readline().split()[1])
+
+    def start_endpoints(self) -> None:
+        """Start the endpoint fake."""
+        text = (self.source / "endpoints.json").read_text(encoding="utf-8")
+        configs = json.loads(self._move_addresses(text))
+        for config in configs:
+            config.update(self.endpoint_overrides.get(config["kind"], {}))
+            config.update(self.endpoint_overrides.get(config["id"], {}))
+        path = self.folder / "endpoints.json"
+        path.write_text(json.dumps(configs), encoding="utf-8")
+        process = self._start_fake(["-m", "fakes.endpoints", "--config", str(path)])
+        ports = json.loads(process.stdout.readline())
+        for config in configs:
+            config["port"] = ports[config["id"]]
+            self.endpoints[config["id"]] = config
+
+    def publish_instances(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Put nodes and endpoints into the instance list."""
+        listed = [node.listing() for node in self.nodes.values()]
+        for config in self.endpoints.values():
+            fields = ("id", "pool", "kind", "data_centre", "region", "host", "port")
+            fields += ("slots", "price", "reclaimable", "checks_fencing")
+            entry = {name: config[name] for name in fields}
+            listed.append({"service": "endpoints", **entry})
+        for entry in listed:
+            entry["leaving"] = entry["id"] in leaving
+        self.platform("PUT", "/_fake/instances", listed)
+
+    def platform(self, method: str, path: str, body=None):
+        """Call the interface for tests of the platform fake."""
+        status, reply = http_json(method, "127.0.0.1", self.platform_port, path, body)
+        if status >= 300:
+            raise DeploymentError(f"platform fake {path}: {status} {reply}")
+        return reply
+
+    def endpoint(self, endpoint_id: str, method: str, path: str, body=None):
+        """Call the interface for tests of an endpoint, also of one that is down."""
+        config = self.endpoints[endpoint_id]
+        helper = next(
+            item for item in self.endpoints.values() if item["id"] != endpoint_id
+        )
+        for target in (config, helper):
+            full = f"/_fake/endpoints/{endpoint_id}/{path}"
+            try:
+                status, reply = http_json(
+                    method, target["host"], target["port"], full, body
+                )
+            except OSError:
+                continue
+            if status >= 300:
+                raise DeploymentError(f"endpoint fake {full}: {status} {reply}")
+            return reply
+        raise DeploymentError(f"endpoint {endpoint_id} cannot be reached")
+
+    def wait_ready(self, node_ids: list[str]) -> None:
+        """Wait until nodes are ready."""
+        limit = time.monotonic() + START_SECONDS
+        waiting = [self.nodes[node_id] for node_id in node_ids]
+        while waiting:
+            waiting = [node for node in waiting if not node.is_ready()]
+            for node in waiting:
+                self._check_running(node)
+            if waiting and time.monotonic() > limit:
+                names = ", ".join(node.id for node in waiting)
+                raise DeploymentError(f"not ready in time: {names}")
+            time.sleep(POLL_SECONDS)
+
+    def apply_lists(self, from_version: int = 0) -> tuple[int, str]:
+        """Apply the deployment's lists with the command line."""
+        first = next(iter(self.nodes.values()))
+        command = [sys.executable, "-m", "rattanwick", "lists", "apply"]
+        command += ["--node", f"http://{first.host}:{first.operator_port}"]
+        command += ["--plans", str(self.source / "plans.ini")]
+        command += ["--allowances", str(self.source / "allowances.ini")]
+        command += ["--from-version", str(from_version)]
+        done = subprocess.run(
+            command,
+            env={**self._environment, "RATTANWICK_OPERATOR_KEY": self.operator_key},
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            timeout=60,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def stop_node(self, node_id: str, number: int = signal.SIGTERM) -> int:
+        """Signal a node, wait for its end and return its exit status."""
+        node = self.nodes[node_id]
+        node.send_signal(number)
+        return node.process.wait(STOP_SECONDS)
+
+    def start_node(self, node_id: str) -> None:
+        """Start a stopped node again and wait until it is ready."""
+        self.nodes[node_id].start(self._environment)
+        self.wait_ready([node_id])
+
+    def stop_all(self, number: int = signal.SIGTERM) -> dict[str, int]:
+        """Stop the nodes, then the fakes; return the nodes' exit statuses."""
+        statuses = {}
+        running = [node for node in self.nodes.values() if node.process]
+        for node in running:
+            if node.process.poll() is None:
+                node.send_signal(signal.SIGCONT)
+                node.send_signal(number)
+        for node in running:
+            statuses[node.id] = self._wait(node.process)
+        for process in reversed(self._fakes):
+            process.terminate()
+            self._wait(process)
+            process.stdout.close()
+        return statuses
+
+    def _wait(self, process: subprocess.Popen) -> int:
+        try:
+            return process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def _start_fake(self, arguments: list[str]) -> subprocess.Popen:
+        with open(self.folder / f"{arguments[1]}.log", "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env=self._environment,
+                cwd=ROOT,
+            )
+        self._fakes.append(process)
+        return process
+
+    def _write_secrets(self) -> None:
+        (self.folder / "peers.secret").write_text(secrets.token_hex(32))
+        (self.folder / "platform.ini").write_text(
+            f"[credentials]\naccess_key = demo\nsecret_key = {secrets.token_hex(16)}\n"
+        )
+
+    def _write_settings(self, path: Path) -> Path:
+        text = path.read_text(encoding="utf-8")
+        text = text.replace("/run/rattanwick", str(self.folder))
+        text = text.replace(
+            f"127.{self._shipped_octet()}.0.1:9000", f"127.0.0.1:{self.platform_port}"
+        )
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_string(self._move_addresses(text))
+        for section, values in self.overrides.items():
+            if not parser.has_section(section):
+                parser.add_section(section)
+            parser[section].update(values)
+        target = self.folder / path.name
+        with open(target, "w", encoding="utf-8") as file:
+            parser.write(file)
+        return target
+
+    def _shipped_octet(self) -> int:
+        return {"guayas": 1, "bortolini": 2}[self.name]
+
+    def _move_addresses(self, text: str) -> str:
+        return text.replace(f"127.{self._shipped_octet()}.", f"127.{self.octet}.")
+
+    def _check_running(self, node: LocalNode) -> None:
+        status = node.process.poll()
+        if status is not None:
+            tail = node.log_path.read_text(encoding="utf-8", errors="replace")[-2000:]
+            raise DeploymentError(f"node {node.id} ended with {status}:\n{tail}")
--- a/src/rattanwick/cli.py
+++ b/src/rattanwick/cli.py
@@ -1,10 +1,15 @@
 """Command line."""
 
-import argparse
+# The standard library must be patched before any module imports ssl or threading.
+from gevent import monkey
 
-from rattanwick import __version__
-from rattanwick.internal.commands.check import add_check_command
-from rattanwick.internal.commands.serve import add_serve_command
+monkey.patch_all()
+
+import argparse  # noqa: E402
+
+from rattanwick import __version__  # noqa: E402
+from rattanwick.internal.commands.check import add_check_command  # noqa: E402
+from rattanwick.internal.commands.serve import add_serve_command  # noqa: E402
 
 EXIT_OK = 0
 
--- a/src/rattanwick/internal/base/ini.py
+++ b/src/rattanwick/internal/base/ini.py
@@ -19,7 +19,8 @@
     instead: str
 
     def __str__(self) -> str:
-        where = f"[{self.section}] {self.key}".strip()
+        section = f"[{self.section}]" if self.section else ""
+        where = f"{section} {self.key}".strip() or "file"
         return f"{self.file}: {where}: {self.wrong}; write {self.instead}"
 
 
