Add the platform fake with its published protocols and fault switches

Cause: clients, the demo and failure tests need a platform on loopback. Change: fakes/platform.py serves the table service, object and weight store, instance list, cloud API, instance metadata and OTLP traces from one process, with fault switches under /_fake. Conclusion: other parts can start against it.

--- /dev/null
+++ b/fakes/platform.py
@@ -0,0 +1,180 @@
+"""Stand-in for the platform: one process that speaks its published protocols.
+
+Start it with ``python -m fakes.platform --port N`` (0 picks a free port). It
+prints ``listening PORT`` and serves until it is terminated:
+
+- table service: DynamoDB JSON 1.0 (``X-Amz-Target``)
+- object store and weight store: S3 REST, ``/BUCKET/NAME``; the bucket
+  ``weights`` answers 503 SlowDown above ``weights_per_second``
+- instance list: Cloud Map DiscoverInstances and DiscoverInstancesRevision
+- cloud API: EC2 query format, ``POST /``
+- instance metadata: ``/metadata/INSTANCE_ID`` is the ``metadata_url`` of a node
+- traces: OTLP over HTTP, ``POST /v1/traces``
+
+Interface for tests and the demo:
+
+- ``PUT /_fake/faults``: JSON map of switches, see ``platform_state.Faults``;
+  switches that are not named keep their value; an unknown one gives 400
+- ``GET /_fake/faults``: the switches
+- ``PUT /_fake/instances``: JSON list; each item has ``service`` (``nodes`` or
+  ``endpoints``) and the fields of Node or Endpoint. Replaces the whole list.
+- ``GET /_fake/instances``: the list without lag
+- ``POST /_fake/notices``: ``{"instance_id", "kind": "reclaim" or "stop",
+  "in_seconds" or "not_before"}``, or a list of these; shown by
+  DescribeInstanceStatus and in the metadata of the instance. For an endpoint
+  ``instance_id`` is the id of the endpoint.
+- ``DELETE /_fake/notices``: close all notices
+- ``GET /_fake/started``: instances that were started, with their parameters
+- ``GET /_fake/counters``: reads and writes by service
+- ``GET /_fake/spans?trace_id=HEX``: spans as a JSON list, ordered by start
+"""
+
+import argparse
+import json
+import signal
+import socket
+from http import HTTPStatus
+from urllib.parse import parse_qsl, unquote
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from fakes.platform_cloud import FakeCloud, FakeInstanceList
+from fakes.platform_objects import FakeObjects
+from fakes.platform_state import AnswerLost, Call, FakeState, Reply, json_reply
+from fakes.platform_table import FakeTable
+from fakes.platform_traces import FakeTraces
+
+
+class Handler(WSGIHandler):
+    """Let the application close the connection without an answer."""
+
+    def get_environ(self) -> dict:
+        """Return the environment with a function that drops the connection."""
+        environ = super().get_environ()
+        environ["fake.drop"] = self._drop
+        return environ
+
+    def _drop(self) -> None:
+        self.close_connection = True
+        self.socket.shutdown(socket.SHUT_RDWR)
+
+    def handle_error(self, kind, value, traceback) -> None:
+        """Be silent about connections that the client or a fault closed."""
+        if not issubclass(kind, OSError):
+            super().handle_error(kind, value, traceback)
+
+
+class PlatformFake:
+    """Route each request to the service that it is meant for."""
+
+    def __init__(self):
+        self._state = FakeState()
+        self._table = FakeTable(self._state)
+        self._objects = FakeObjects(self._state)
+        self._list = FakeInstanceList(self._state)
+        self._cloud = FakeCloud(self._state)
+        self._traces = FakeTraces()
+
+    def __call__(self, environ: dict, start_response) -> list[bytes]:
+        """Answer one request."""
+        try:
+            reply = self.handle(read_call(environ))
+        except AnswerLost:
+            environ["fake.drop"]()
+            reply = Reply(500)
+        reason = HTTPStatus(reply.status).phrase
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(reply.body))),
+        ]
+        start_response(f"{reply.status} {reason}", headers)
+        return [reply.body]
+
+    def handle(self, call: Call) -> Reply:
+        """Return the answer to a request."""
+        target = call.headers.get("x-amz-target", "")
+        if call.path.startswith("/_fake/"):
+            return self._admin(call)
+        if call.path == "/v1/traces":
+            return self._traces.handle(call)
+        if call.path.startswith("/metadata/"):
+            return self._cloud.handle_metadata(call)
+        if not call.headers.get("authorization", "").startswith("AWS4-HMAC-SHA256 "):
+            return json_reply({"__type": "MissingAuthenticationToken"}, 403)
+        if target.startswith("DynamoDB_20120810."):
+            return self._table.handle(call)
+        if target.startswith("Route53AutoNaming_v20170314."):
+            return self._list.handle(call)
+        if call.method == "POST" and call.path == "/":
+            return self._cloud.handle(call)
+        return self._objects.handle(call)
+
+    def _admin(self, call: Call) -> Reply:
+        name = f"{call.method} {call.path.removeprefix('/_fake/')}"
+        try:
+            value = json.loads(call.body) if call.body else None
+            return self._run_admin(name, value, call.query)
+        except (ValueError, KeyError, TypeError) as exc:
+            return json_reply({"error": f"{type(exc).__name__}: {exc}"}, 400)
+
+    def _run_admin(self, name: str, value, query: dict[str, str]) -> Reply:
+        if name == "PUT faults":
+            self._state.faults.update(value)
+        elif name == "PUT instances":
+            self._list.set([dict(item) for item in value])
+        elif name == "POST notices":
+            for notice in value if isinstance(value, list) else [value]:
+                self._cloud.add_notice(notice)
+        elif name == "DELETE notices":
+            self._cloud.notices.clear()
+        elif name == "GET spans":
+            return self._traces.spans(query.get("trace_id", ""))
+        elif name.startswith("GET "):
+            shown = {
+                "GET faults": self._state.to_json,
+                "GET instances": self._list.instances,
+                "GET started": lambda: self._cloud.started,
+                "GET counters": lambda: self._state.counters,
+            }
+            if name in shown:
+                return json_reply(shown[name]())
+            return json_reply({"error": f"unknown: {name}"}, 404)
+        else:
+            return json_reply({"error": f"unknown: {name}"}, 404)
+        return json_reply({})
+
+
+def read_call(environ: dict) -> Call:
+    """Return the request of a WSGI environment."""
+    headers = {
+        name[5:].lower().replace("_", "-"): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    query = dict(parse_qsl(environ["QUERY_STRING"], keep_blank_values=True))
+    path = unquote(environ["PATH_INFO"].encode("latin-1").decode())
+    body = environ["wsgi.input"].read()
+    return Call(environ["REQUEST_METHOD"], path, query, headers, body)
+
+
+def main() -> None:
+    """Serve until terminated."""
+    parser = argparse.ArgumentParser(description="Stand-in for the platform.")
+    parser.add_argument("--port", type=int, default=0)
+    args = parser.parse_args()
+    server = WSGIServer(
+        ("127.0.0.1", args.port),
+        PlatformFake(),
+        handler_class=Handler,
+        log=None,
+    )
+    server.start()
+    print(f"listening {server.server_port}", flush=True)
+    gevent.signal_handler(signal.SIGTERM, server.stop)
+    gevent.signal_handler(signal.SIGINT, server.stop)
+    server.serve_forever()
+
+
+if __name__ == "__main__":
+    main()
