Add the platform clients, claims, leases and orders

Cause: requests and routing need the table, object store, instance list and cloud API, and state that survives lost answers, outages and paused processes. Change: signed clients that tell "surely not applied" from "may be applied"; claims that are dispatched at most once; leases with fencing numbers on a clock that counts suspended time; orders with a quiet period and read-back. Tests run on the in-memory table and on the fake process over HTTP.

--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -34,7 +34,7 @@
 import signal
 import socket
 from http import HTTPStatus
-from urllib.parse import parse_qsl, unquote
+from urllib.parse import parse_qsl
 
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -153,7 +153,7 @@
         if name.startswith("HTTP_")
     }
     query = dict(parse_qsl(environ["QUERY_STRING"], keep_blank_values=True))
-    path = unquote(environ["PATH_INFO"].encode("latin-1").decode())
+    path = environ["PATH_INFO"].encode("latin-1").decode()
     body = environ["wsgi.input"].read()
     return Call(environ["REQUEST_METHOD"], path, query, headers, body)
 
--- a/fakes/platform_state.py
+++ b/fakes/platform_state.py
@@ -14,7 +14,7 @@
     table_hang: bool = False  # accepts requests and answers none
     table_errors: int = 0  # so many calls give 500, nothing is applied
     table_delay_seconds: float = 0.0  # before the call takes effect
-    table_answer_delay_seconds: float = 0.0  # after the call took effect
+    table_answer_delay_seconds: float = 0.0  # before the answer, good or bad
     lose_table_answers: int = 0  # so many writes are applied and not answered
     table_writes_per_second: int = 0  # writes above it are throttled; 0 for no limit
     object_down: bool = False
--- a/fakes/platform_table.py
+++ b/fakes/platform_table.py
@@ -104,8 +104,7 @@
         operation = call.headers["x-amz-target"].partition(".")[2]
         faults = self._state.faults
         is_read = operation in READS
-        if faults.table_delay_seconds:
-            gevent.sleep(faults.table_delay_seconds)
+        gevent.sleep(faults.table_delay_seconds)
         while faults.table_hang:
             gevent.sleep(0.05)
         self._state.counters["table_reads" if is_read else "table_writes"] += 1
@@ -114,11 +113,11 @@
             answer = self._run(operation, json.loads(call.body))
         except TableError as exc:
             body = {"__type": TYPE_PREFIX + exc.kind, "message": str(exc), **exc.extra}
+            gevent.sleep(faults.table_answer_delay_seconds)
             return Reply(exc.status, json.dumps(body).encode(), CONTENT_TYPE)
         if not is_read and faults.take("lose_table_answers"):
             raise AnswerLost
-        if faults.table_answer_delay_seconds:
-            gevent.sleep(faults.table_answer_delay_seconds)
+        gevent.sleep(faults.table_answer_delay_seconds)
         return Reply(200, json.dumps(answer).encode(), CONTENT_TYPE)
 
     def _check_faults(self, is_read: bool) -> None:
--- /dev/null
+++ b/src/rattanwick/internal/platform/http.py
@@ -0,0 +1,147 @@
+"""HTTP connections to a platform service that tell whether a request was sent."""
+
+import select
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+import gevent
+from geventhttpclient.connectionpool import ConnectionPool, SSLConnectionPool
+from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+
+from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+
+MAX_ANSWER_BYTES = 16 << 20
+DEFAULT_CONNECTIONS = 8
+BLOCK_BYTES = 64 * 1024
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """Hold one HTTP answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _PollMixin:
+    # select() of the library fails for descriptors from 1024 on, so that a
+    # busy node would open a new connection for each call.
+    def _is_socket_alive(self, sock) -> bool:
+        if sock is None or sock.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+
+class _PlainPool(_PollMixin, ConnectionPool):
+    pass
+
+
+class _TlsPool(_PollMixin, SSLConnectionPool):
+    pass
+
+
+class HttpPool:
+    """Send requests to one address over kept connections, without retries.
+
+    A connection on which a request failed or timed out is closed.
+    """
+
+    def __init__(self, url: str, peer: str, connections: int = DEFAULT_CONNECTIONS):
+        parts = urlsplit(url)
+        self.url = url
+        self._peer = peer
+        tls = parts.scheme == "https"
+        port = parts.port or (443 if tls else 80)
+        host = parts.hostname
+        kind = _TlsPool if tls else _PlainPool
+        self._pool = kind(host, port, host, port, size=connections)
+        self._base_path = parts.path
+        self._host_header = parts.netloc
+
+    def request(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout: float,
+    ) -> HttpAnswer:
+        """Return the answer; raise ConnectionLost, TimedOut or ProtocolError.
+
+        ConnectionLost has ``sent`` False when no byte left this process.
+        """
+        limit = gevent.Timeout.start_new(timeout)
+        sent = False
+        try:
+            conn = self._connect(step)
+            sent = True
+            return self._exchange(step, conn, method, path, headers, body)
+        except gevent.Timeout as exc:
+            if exc is not limit:
+                raise
+            if not sent:
+                raise ConnectionLost(step, self._peer, "no connection in time", False)
+            raise TimedOut(step, self._peer, f"no answer within {timeout:g} s")
+        finally:
+            limit.close()
+
+    def close(self) -> None:
+        """Close the connections that are idle."""
+        self._pool.close()
+
+    def _connect(self, step: str):
+        try:
+            return self._pool.get_socket()
+        except (OSError, RuntimeError) as exc:
+            raise ConnectionLost(step, self._peer, str(exc), sent=False)
+
+    def _exchange(
+        self, step: str, conn, method: str, path: str, headers: dict, body: bytes
+    ) -> HttpAnswer:
+        try:
+            conn.sendall(self._head(method, path, headers, body) + body)
+        except BaseException as exc:
+            self._pool.release_socket(conn)
+            if isinstance(exc, OSError):
+                raise ConnectionLost(step, self._peer, str(exc), sent=True)
+            raise
+        try:
+            return self._read(step, conn, method)
+        except HTTPParseError as exc:
+            raise ConnectionLost(step, self._peer, str(exc), sent=True)
+        except OSError as exc:
+            raise ConnectionLost(step, self._peer, str(exc), sent=True)
+
+    def _head(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> bytes:
+        lines = [f"{method} {self._base_path}{path} HTTP/1.1"]
+        lines.append(f"Host: {self._host_header}")
+        lines.append(f"Content-Length: {len(body)}")
+        lines.extend(f"{name}: {value}" for name, value in headers.items())
+        return "\r\n".join((*lines, "", "")).encode("latin-1")
+
+    def _read(self, step: str, conn, method: str) -> HttpAnswer:
+        response = HTTPSocketPoolResponse(
+            conn, self._pool, block_size=BLOCK_BYTES, method=method
+        )
+        try:
+            length = response.content_length
+            if length is not None and length > MAX_ANSWER_BYTES:
+                raise ProtocolError(step, self._peer, f"answer of {length} bytes")
+            parts, size = [], 0
+            while part := response.read(BLOCK_BYTES):
+                parts.append(part)
+                size += len(part)
+                if size > MAX_ANSWER_BYTES:
+                    raise ProtocolError(step, self._peer, "answer is too large")
+            if not response.message_complete:
+                raise ConnectionLost(step, self._peer, "truncated answer", sent=True)
+            known = {name.lower(): value for name, value in response.items()}
+            return HttpAnswer(response.status_code, known, b"".join(parts))
+        finally:
+            response.release()
--- /dev/null
+++ b/src/rattanwick/internal/platform/signing.py
@@ -0,0 +1,98 @@
+"""Sign requests with Signature Version 4."""
+
+import os
+from dataclasses import dataclass, field
+
+from botocore.auth import S3SigV4Auth, SigV4Auth
+from botocore.awsrequest import AWSRequest
+
+from rattanwick.internal.base.fields import setting, text
+from rattanwick.internal.base.ini import Fault, SettingsError, parse_ini, read_section
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.timers import TimerService
+
+log = get_logger("platform")
+
+SECTION = "credentials"
+RELOAD_SECONDS = 10.0
+S3 = "s3"
+
+
+@dataclass(slots=True, kw_only=True)
+class Credentials:
+    """Hold the keys of a signer; they never appear in ``repr``."""
+
+    access_key: str = setting(text, "name of the key")
+    secret_key: str = setting(text, "the secret")
+    token: str = setting(text, "session token", "")
+
+    def __repr__(self) -> str:
+        return "Credentials(...)"
+
+
+def load_credentials(path: str) -> Credentials:
+    """Return the credentials of a file; raise SettingsError with all faults."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            content = file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        instead = "the path of a readable INI file in UTF-8"
+        raise SettingsError([Fault(path, SECTION, "", str(exc), instead)])
+    parser = parse_ini(path, content)
+    values = dict(parser[SECTION]) if parser.has_section(SECTION) else {}
+    faults: list[Fault] = []
+    credentials = read_section(path, SECTION, values, Credentials, faults)
+    if faults:
+        raise SettingsError(faults)
+    return credentials
+
+
+class CredentialsFile:
+    """Read credentials again when their file changes."""
+
+    def __init__(self, path: str, timers: TimerService):
+        self._path = path
+        self._timers = timers
+        self._checked_at = timers.now()
+        self._changed_at = os.stat(path).st_mtime_ns
+        self._credentials = load_credentials(path)
+
+    def current(self) -> Credentials:
+        """Return the newest credentials that could be read."""
+        now = self._timers.now()
+        if now - self._checked_at >= RELOAD_SECONDS:
+            self._checked_at = now
+            self._reload()
+        return self._credentials
+
+    def _reload(self) -> None:
+        try:
+            changed_at = os.stat(self._path).st_mtime_ns
+            if changed_at == self._changed_at:
+                return
+            self._credentials = load_credentials(self._path)
+            self._changed_at = changed_at
+        except (OSError, SettingsError) as exc:
+            log.error("credentials were not read again: %s", exc)
+
+
+@dataclass(slots=True)
+class RequestSigner:
+    """Sign requests to one service."""
+
+    credentials: CredentialsFile
+    service: str
+    region: str
+    _kind: type[SigV4Auth] = field(init=False)
+
+    def __post_init__(self):
+        self._kind = S3SigV4Auth if self.service == S3 else SigV4Auth
+
+    def sign(
+        self, method: str, url: str, headers: dict[str, str], body: bytes
+    ) -> dict[str, str]:
+        """Return the headers with the date and the signature added."""
+        request = AWSRequest(method, url, headers, body)
+        credentials = self.credentials.current()
+        self._kind(credentials, self.service, self.region).add_auth(request)
+        return dict(request.headers.items())
--- /dev/null
+++ b/src/rattanwick/internal/platform/table_items.py
@@ -0,0 +1,165 @@
+"""Rows as items of the DynamoDB protocol, and its errors as errors of a table.
+
+An item has the string keys ``kind`` and ``name``, the number ``row_version``,
+the string ``write_token`` of its last write and the binary ``data``: the values
+in msgpack, which keeps integers, floats and byte strings apart. Values with the
+key ``expires_at`` (Unix seconds) set the number attribute of the same name, which
+the table's time-to-live rule uses.
+"""
+
+import base64
+import json
+
+import msgpack
+
+from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
+from rattanwick.internal.platform.client import Rejected
+from rattanwick.internal.platform.http import HttpAnswer
+from rattanwick.internal.platform.interfaces import Expectation, Row, Write
+
+KEY_SEPARATOR = "#"
+TIME_TO_LIVE = "expires_at"
+
+# Errors that the protocol defines as "not applied, try again".
+NOT_APPLIED = frozenset(
+    {
+        "ProvisionedThroughputExceededException",
+        "RequestLimitExceeded",
+        "ServiceUnavailable",
+        "ThrottlingException",
+        "TransactionConflictException",
+    }
+)
+UNDECIDED = frozenset({"InternalServerError", "TransactionInProgressException"})
+RETRIED_REASONS = frozenset(
+    {"TransactionConflict", "ThrottlingError", "ProvisionedThroughputExceeded"}
+)
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return kind and name of a row key; raise ValueError for another form."""
+    kind, separator, name = key.partition(KEY_SEPARATOR)
+    if not kind or not separator:
+        raise ValueError(f"{key!r} is not a row key; write kind#name")
+    return kind, name
+
+
+def item_key(key: str) -> dict:
+    """Return the key attributes of a row."""
+    kind, name = split_key(key)
+    return {"kind": {"S": kind}, "name": {"S": name}}
+
+
+def to_item(key: str, values: dict, row_version: int, token: str) -> dict:
+    """Return the item of a row."""
+    item = item_key(key)
+    item["row_version"] = {"N": str(row_version)}
+    item.update(_contents(values, token))
+    return item
+
+
+def from_item(item: dict) -> Row:
+    """Return the row of an item."""
+    key = item["kind"]["S"] + KEY_SEPARATOR + item["name"]["S"]
+    data = base64.b64decode(item["data"]["B"])
+    values = msgpack.unpackb(data, strict_map_key=False)
+    return Row(key, values, int(item["row_version"]["N"]))
+
+
+def written_by(item: dict | None) -> str:
+    """Return the token of the last write of an item."""
+    return item.get("write_token", {}).get("S", "") if item else ""
+
+
+def _contents(values: dict, token: str) -> dict:
+    data = base64.b64encode(msgpack.packb(values)).decode("ascii")
+    contents = {"data": {"B": data}, "write_token": {"S": token}}
+    if TIME_TO_LIVE in values:
+        contents[TIME_TO_LIVE] = {"N": str(int(values[TIME_TO_LIVE]))}
+    return contents
+
+
+def condition(expected: Expectation) -> dict:
+    """Return the condition parameters for an expectation."""
+    if expected.row_version is None:
+        return {}
+    shared = {"ReturnValuesOnConditionCheckFailure": "ALL_OLD"}
+    if expected.row_version == 0:
+        return {
+            "ConditionExpression": "attribute_not_exists(#kind)",
+            "ExpressionAttributeNames": {"#kind": "kind"},
+            **shared,
+        }
+    return {
+        "ConditionExpression": "row_version = :expected",
+        "ExpressionAttributeValues": {":expected": {"N": str(expected.row_version)}},
+        **shared,
+    }
+
+
+def transact_entry(table: str, write: Write, token: str) -> dict:
+    """Return one entry of TransactItems."""
+    version = write.expected.row_version
+    if write.values is None:
+        request = {"Key": item_key(write.key), **condition(write.expected)}
+        return {"Delete": {"TableName": table, **request}}
+    if version is None:
+        return {"Update": {"TableName": table, **_update(write, token)}}
+    item = to_item(write.key, write.values, version + 1, token)
+    return {"Put": {"TableName": table, "Item": item, **condition(write.expected)}}
+
+
+def _update(write: Write, token: str) -> dict:
+    """Return an update that raises the version, whatever it was."""
+    contents = _contents(write.values, token)
+    sets = ", ".join(f"#{name} = :{name}" for name in contents)
+    values = {f":{name}": value for name, value in contents.items()}
+    return {
+        "Key": item_key(write.key),
+        "UpdateExpression": f"SET {sets} ADD row_version :one",
+        "ExpressionAttributeNames": {f"#{name}": name for name in contents},
+        "ExpressionAttributeValues": {**values, ":one": {"N": "1"}},
+    }
+
+
+class ItemConflict(Conflict):
+    """Report a failed condition with the item found, so that its token is known."""
+
+    def __init__(self, step: str, peer: str, reason: str, item: dict | None):
+        super().__init__(step, peer, reason, from_item(item) if item else None)
+        self.token = written_by(item)
+        self.uncertain = False  # an earlier attempt may have been applied
+
+
+def parse_answer(step: str, peer: str, answer: HttpAnswer) -> dict:
+    """Return the body of a good answer; raise the StepError of another one."""
+    try:
+        body = json.loads(answer.body)
+    except ValueError:
+        raise MaybeApplied(step, peer, f"status {answer.status}, not JSON")
+    if not isinstance(body, dict):
+        raise MaybeApplied(step, peer, f"status {answer.status}, not a JSON map")
+    if answer.status == 200:
+        return body
+    kind = str(body.get("__type", "")).rpartition(KEY_SEPARATOR)[2]
+    reason = f"status {answer.status}, {kind}: {body.get('message', '')}"
+    if kind == "ConditionalCheckFailedException":
+        raise ItemConflict(step, peer, "condition failed", body.get("Item"))
+    if kind == "TransactionCanceledException":
+        _raise_cancelled(step, peer, body.get("CancellationReasons", []))
+    if kind in NOT_APPLIED:
+        raise Unavailable(step, peer, reason)
+    if kind in UNDECIDED or answer.status >= 500:
+        raise MaybeApplied(step, peer, reason)
+    raise Rejected(step, peer, reason)
+
+
+def _raise_cancelled(step: str, peer: str, reasons: list[dict]) -> None:
+    codes = [reason.get("Code") for reason in reasons]
+    for reason in reasons:
+        if reason.get("Code") == "ConditionalCheckFailed":
+            raise ItemConflict(step, peer, "condition failed", reason.get("Item"))
+    text = f"transaction cancelled: {', '.join(map(str, codes))}"
+    if RETRIED_REASONS.intersection(codes):
+        raise Unavailable(step, peer, text)
+    raise Rejected(step, peer, text)
--- /dev/null
+++ b/src/rattanwick/internal/state/order_client.py
@@ -0,0 +1,79 @@
+"""Orders to engines over HTTP: ``POST /v1/orders`` and ``GET /v1/orders/state``."""
+
+import json
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from rattanwick.internal.base.errors import Conflict, ProtocolError, Refused
+from rattanwick.internal.model.instances import Endpoint
+from rattanwick.internal.platform.http import HttpAnswer, HttpPool
+
+ORDER_TIMEOUT_SECONDS = 5.0
+CONTENT_TYPE = "application/json"
+STALE_STATUSES = (409, 412)
+
+
+@dataclass(slots=True, frozen=True)
+class EngineState:
+    """Hold what an engine reports: the newest fencing number and its end states."""
+
+    fencing_number: int
+    targets: dict[str, str] = field(default_factory=dict)  # by action
+
+
+class OrderClient(ABC):
+    """Send orders to engines and read their state."""
+
+    timeout: float = ORDER_TIMEOUT_SECONDS
+
+    @abstractmethod
+    def send(
+        self, endpoint: Endpoint, fencing_number: int, action: str, target: str
+    ) -> None:
+        """Send one order; raise Conflict for a stale fencing number."""
+
+    @abstractmethod
+    def read_state(self, endpoint: Endpoint) -> EngineState:
+        """Return the state of an engine; raise StepError."""
+
+
+class HttpOrderClient(OrderClient):
+    """Send orders over HTTP; each call uses its own connection."""
+
+    def __init__(self, timeout: float = ORDER_TIMEOUT_SECONDS):
+        self.timeout = timeout
+
+    def send(
+        self, endpoint: Endpoint, fencing_number: int, action: str, target: str
+    ) -> None:
+        """Send one order."""
+        order = {"fencing_number": fencing_number, "action": action, "target": target}
+        body = json.dumps(order).encode()
+        answer = self._request(endpoint, "POST", "/v1/orders", body)
+        if answer.status in STALE_STATUSES:
+            raise Conflict("order", endpoint.id, "the fencing number is stale")
+        if answer.status not in (200, 202, 204):
+            raise Refused("order", endpoint.id, f"status {answer.status}")
+
+    def read_state(self, endpoint: Endpoint) -> EngineState:
+        """Return the state of an engine."""
+        answer = self._request(endpoint, "GET", "/v1/orders/state", b"")
+        if answer.status != 200:
+            raise Refused("order state", endpoint.id, f"status {answer.status}")
+        try:
+            value = json.loads(answer.body)
+            targets = {str(key): str(item) for key, item in value["targets"].items()}
+            return EngineState(int(value["fencing_number"]), targets)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise ProtocolError("order state", endpoint.id, f"bad answer: {exc!r}")
+
+    def _request(
+        self, endpoint: Endpoint, method: str, path: str, body: bytes
+    ) -> HttpAnswer:
+        host = f"[{endpoint.host}]" if ":" in endpoint.host else endpoint.host
+        pool = HttpPool(f"http://{host}:{endpoint.port}", endpoint.id, connections=1)
+        try:
+            headers = {"Content-Type": CONTENT_TYPE}
+            return pool.request("order", method, path, headers, body, self.timeout)
+        finally:
+            pool.close()
--- /dev/null
+++ b/src/rattanwick/internal/state/orders.py
@@ -0,0 +1,214 @@
+"""Orders to engines: one holder, desired end states, read back after each order.
+
+Only the holder of the lease sends orders. An order names an end state, so it
+may be repeated. Endpoints that check fencing numbers reject orders of an
+earlier holder by themselves. For the others a new holder waits until orders of
+the earlier one can no longer be on their way, and reads the state back.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent.pool import Pool
+
+from rattanwick.internal.base.errors import Conflict, StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.metrics import counter, gauge
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.instances import Endpoint
+from rattanwick.internal.recording.decisions import (
+    Decision,
+    DecisionKind,
+    NullRecorder,
+    Recorder,
+    decides,
+)
+from rattanwick.internal.state.clock import boot_seconds
+from rattanwick.internal.state.leases import (
+    MARGIN_SECONDS,
+    Lease,
+    LeaseKeeper,
+    Leases,
+)
+from rattanwick.internal.state.order_client import EngineState, OrderClient
+
+log = get_logger("orders")
+
+LEASE_NAME = "orders"
+RECONCILE_SECONDS = 5.0
+# A late order of an earlier holder is found by reading confirmed states again.
+VERIFY_SECONDS = 60.0
+PARALLEL_ENDPOINTS = 8
+FIRST_FENCING_NUMBER = 1
+
+SEND = "send"
+WAIT = "wait"
+DONE = "done"
+
+ORDERS = counter("orders", "Orders to engines by result", ("action", "result"))
+OPEN = gauge("orders_open", "Desired end states that are not confirmed")
+
+
+@dataclass(slots=True, frozen=True)
+class DesiredState:
+    """Name the end state of one endpoint for one action."""
+
+    endpoint_id: str
+    action: str  # such as load_model, load_adapter, set_role
+    target: str
+
+
+@decides(DecisionKind.ORDER)
+def decide_order(inputs: dict) -> tuple[str, str]:
+    """Return SEND, WAIT or DONE and the reason.
+
+    Inputs: ``target``, ``found`` (None for none), ``holds_lease``,
+    ``fencing_number``, ``engine_fencing_number``, ``checks_fencing``,
+    ``quiet_seconds`` (left).
+    """
+    if not inputs["holds_lease"]:
+        return WAIT, "no_lease"
+    if inputs["engine_fencing_number"] > inputs["fencing_number"]:
+        return WAIT, "newer_holder"
+    if not inputs["checks_fencing"] and inputs["quiet_seconds"] > 0:
+        return WAIT, "quiet_period"
+    if inputs["found"] == inputs["target"]:
+        return DONE, "as_desired"
+    return SEND, "differs"
+
+
+class Orders:
+    """Bring endpoints to their desired end states while holding the lease."""
+
+    def __init__(
+        self,
+        leases: Leases,
+        keeper: LeaseKeeper,
+        client: OrderClient,
+        find_endpoint: Callable[[str], Endpoint | None],
+        timers: TimerService,
+        recorder: Recorder | None = None,
+        clock: Callable[[], float] = boot_seconds,
+    ):
+        self._leases = leases
+        self._keeper = keeper
+        self._client = client
+        self._find_endpoint = find_endpoint
+        self._recorder = recorder or NullRecorder()
+        self._clock = clock
+        self._desired: dict[tuple[str, str], DesiredState] = {}
+        self._confirmed: dict[DesiredState, float] = {}  # seconds of the clock
+        self._fencing_number = 0
+        self._quiet_until = 0.0  # seconds of the clock
+        self._busy = False
+        timers.subscribe("orders", RECONCILE_SECONDS, self.reconcile)
+
+    @property
+    def quiet_seconds(self) -> float:
+        """Return how long a new holder waits for orders of the earlier one."""
+        return self._leases.duration + self._client.timeout + MARGIN_SECONDS
+
+    def desire(self, state: DesiredState) -> None:
+        """Set the end state of an endpoint; it replaces an earlier one."""
+        self._desired[(state.endpoint_id, state.action)] = state
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop the end states of an endpoint."""
+        for key in [key for key in self._desired if key[0] == endpoint_id]:
+            del self._desired[key]
+
+    def reconcile(self) -> None:
+        """Compare each endpoint with its end state and send what differs."""
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            lease = self._current_lease()
+            if lease is not None:
+                self._reconcile_all(lease)
+        finally:
+            self._busy = False
+
+    def _reconcile_all(self, lease: Lease) -> None:
+        now = self._clock()
+        due = [
+            desired
+            for desired in self._desired.values()
+            if now - self._confirmed.get(desired, -VERIFY_SECONDS) >= VERIFY_SECONDS
+        ]
+        pool = Pool(PARALLEL_ENDPOINTS)
+        choices = pool.map(lambda desired: self._reconcile_one(desired, lease), due)
+        done = {
+            item for item, choice in zip(due, choices, strict=True) if choice == DONE
+        }
+        kept = set(self._desired.values())
+        confirmed = {item: at for item, at in self._confirmed.items() if item in kept}
+        for desired in due:
+            confirmed.pop(desired, None)
+        self._confirmed = confirmed | dict.fromkeys(done, now)
+        OPEN.set(len(kept - self._confirmed.keys()))
+
+    def _reconcile_one(self, desired: DesiredState, lease: Lease) -> str:
+        endpoint = self._find_endpoint(desired.endpoint_id)
+        if endpoint is None or endpoint.leaving:
+            return WAIT
+        try:
+            state = self._client.read_state(endpoint)
+            choice = self._decide(desired, endpoint, lease, state)
+            if choice != SEND:
+                return choice
+            return self._send(desired, endpoint, lease)
+        except Conflict as exc:
+            ORDERS.labels(desired.action, "stale").inc()
+            log.error("order was rejected: %s", exc)
+        except StepError as exc:
+            # It may have been carried out; the next round reads the state.
+            ORDERS.labels(desired.action, "failed").inc()
+            log.warning("order is tried again: %s", exc)
+        return WAIT
+
+    def _current_lease(self) -> Lease | None:
+        lease = self._keeper.current()
+        if lease is not None and lease.fencing_number != self._fencing_number:
+            self._fencing_number = lease.fencing_number
+            is_first = lease.fencing_number == FIRST_FENCING_NUMBER
+            wait = 0.0 if is_first else self.quiet_seconds
+            self._quiet_until = self._clock() + wait
+            self._confirmed.clear()
+        return lease
+
+    def _decide(
+        self,
+        desired: DesiredState,
+        endpoint: Endpoint,
+        lease: Lease,
+        state: EngineState,
+    ) -> str:
+        inputs = {
+            "endpoint_id": endpoint.id,
+            "action": desired.action,
+            "target": desired.target,
+            "found": state.targets.get(desired.action),
+            "holds_lease": self._leases.holds(lease),
+            "fencing_number": lease.fencing_number,
+            "engine_fencing_number": state.fencing_number,
+            "checks_fencing": endpoint.checks_fencing,
+            "quiet_seconds": max(0.0, self._quiet_until - self._clock()),
+        }
+        choice, reason = decide_order(inputs)
+        if choice == SEND or reason == "newer_holder":
+            self._recorder.record(Decision(DecisionKind.ORDER, inputs, choice, reason))
+        return choice
+
+    def _send(self, desired: DesiredState, endpoint: Endpoint, lease: Lease) -> str:
+        self._leases.check(lease)
+        self._client.send(
+            endpoint, lease.fencing_number, desired.action, desired.target
+        )
+        state = self._client.read_state(endpoint)
+        if state.targets.get(desired.action) != desired.target:
+            ORDERS.labels(desired.action, "not_confirmed").inc()
+            log.warning("%s does not show %s yet", endpoint.id, desired.target)
+            return WAIT
+        ORDERS.labels(desired.action, "confirmed").inc()
+        return DONE
--- /dev/null
+++ b/tests/claim_tools.py
@@ -0,0 +1,35 @@
+"""Claims over an in-memory table for tests."""
+
+from fakes.memory import MemoryObjects, MemoryTable
+from rattanwick.internal.base.settings import ClaimSettings
+from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.model.transcripts import StoredAnswer
+from rattanwick.internal.state.calls import ServiceCall
+from rattanwick.internal.state.claims import Claims
+
+ANSWER = StoredAnswer(200, {"Content-Type": "text/plain"}, b"van 3 at 10:00")
+
+
+class ClaimBench:
+    """Hold a table and claims of several nodes that share it."""
+
+    def __init__(self):
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+        self.timers = ManualTimerService()
+
+    def node(self, name: str) -> Claims:
+        """Return the claims of a new process."""
+        return Claims(
+            self.table,
+            self.objects,
+            self.timers,
+            ClaimSettings(),
+            f"{name}/1",
+            clock=self.timers.now,
+        )
+
+    def call(self, key="k", digest="d1", seconds=30.0, request_id="req_1"):
+        """Return a call whose deadline is some seconds ahead."""
+        deadline = self.timers.wall() + seconds
+        return ServiceCall("guayas", "agenda", key, digest, deadline, request_id)
--- /dev/null
+++ b/tests/failure/test_claim_failures.py
@@ -0,0 +1,251 @@
+"""Claims survive lost answers, outages and stops without running a call twice."""
+
+import unittest
+
+import gevent
+
+from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
+from rattanwick.internal.base.outcomes import Answered, NotRun
+from rattanwick.internal.base.settings import ClaimSettings
+from rattanwick.internal.model.transcripts import StoredAnswer
+from rattanwick.internal.platform.objects import S3Objects
+from rattanwick.internal.platform.table import DynamoTable
+from rattanwick.internal.state.calls import (
+    MAX_INLINE_BYTES,
+    Claimed,
+    InProgress,
+    Replayed,
+    ServiceCall,
+)
+from rattanwick.internal.state.claims import Claims
+from tests.claim_tools import ANSWER, ClaimBench
+from tests.fake_platform import PlatformTestCase
+
+
+class ClaimFailureTests(unittest.TestCase):
+    def setUp(self):
+        self.bench = ClaimBench()
+        self.first = self.bench.node("n1")
+        self.second = self.bench.node("n2")
+
+    def replace_put(self, put):
+        original = self.bench.table.put
+        self.bench.table.put = lambda *args: put(original, *args)
+        return original
+
+    def test_a_claim_whose_answer_was_lost_is_read_back(self):
+        # Guards against a lost answer that blocks the key or is dispatched twice.
+        self.bench.table.lose_answers = 1
+        self.assertIsInstance(self.first.claim(self.bench.call()), Claimed)
+        self.assertIsInstance(self.second.claim(self.bench.call()), InProgress)
+
+    def test_a_claim_waits_for_the_table_until_its_deadline(self):
+        # Guards against a booking that is lost in a short outage.
+        self.bench.table.down = True
+        self.bench.timers.after(5, lambda: setattr(self.bench.table, "down", False))
+        self.assertIsInstance(self.first.claim(self.bench.call()), Claimed)
+
+    def test_an_outage_beyond_the_deadline_is_not_run_and_leaves_nothing(self):
+        self.bench.table.down = True
+        result = self.first.claim(self.bench.call(seconds=3))
+        self.assertIsInstance(result, NotRun)
+        self.bench.table.down = False
+        self.bench.timers.advance(5)
+        self.assertEqual(self.bench.table.rows, {})
+
+    def test_a_lost_claim_in_an_outage_is_settled_as_not_run_later(self):
+        # Guards against a call reported as not run whose key stays claimed.
+        self.bench.table.lose_answers = 1
+
+        def lose_then_fail(original, *args):
+            try:
+                return original(*args)
+            except MaybeApplied:
+                self.bench.table.down = True
+                raise
+
+        self.replace_put(lose_then_fail)
+        result = self.first.claim(self.bench.call(seconds=3))
+        self.assertIsInstance(result, NotRun)
+        self.assertEqual(len(self.first.pending_settlements()), 1)
+        self.bench.table.down = False
+        self.bench.timers.advance(2)
+        self.assertEqual(self.first.pending_settlements(), [])
+        again = self.second.claim(self.bench.call())
+        self.assertEqual((type(again), again.values["attempt"]), (Claimed, 2))
+
+    def test_a_claim_that_arrives_after_it_was_given_up_does_not_stick(self):
+        # Guards against a delayed write that blocks a key after "not run".
+        delayed = []
+
+        def delay(original, *args):
+            delayed.append(args)
+            raise MaybeApplied("put", "table", "no answer")
+
+        original = self.replace_put(delay)
+        result = self.first.claim(self.bench.call(seconds=2))
+        self.assertIsInstance(result, NotRun)
+        self.bench.table.put = original
+        self.bench.timers.advance(2)
+        for args in delayed:
+            with self.assertRaises(Conflict):
+                original(*args)
+        self.assertIsInstance(self.second.claim(self.bench.call()), Claimed)
+
+    def test_a_killed_task_leaves_no_open_claim(self):
+        # Guards against a caller that hangs up during the claim's write.
+        def hang(original, *args):
+            original(*args)
+            gevent.sleep(60)
+
+        original = self.replace_put(hang)
+        task = gevent.spawn(self.first.claim, self.bench.call())
+        gevent.sleep(0)
+        task.kill()
+        self.bench.table.put = original
+        self.bench.timers.advance(2)
+        self.assertIsInstance(self.second.claim(self.bench.call()), Claimed)
+
+    def test_a_hung_table_does_not_hold_a_claim_beyond_its_deadline(self):
+        self.replace_put(lambda original, *args: gevent.sleep(60))
+        result = self.first.claim(self.bench.call(seconds=0.05))
+        self.assertEqual(result, NotRun("claim_not_in_time"))
+
+    def test_a_pause_during_the_claim_prevents_the_dispatch(self):
+        # Guards against a paused process that sends an expired call.
+        def pause(original, *args):
+            row = original(*args)
+            self.bench.timers.advance(31)
+            return row
+
+        original = self.replace_put(pause)
+        result = self.first.claim(self.bench.call(seconds=30))
+        self.assertIsInstance(result, NotRun)
+        self.bench.table.put = original
+        self.bench.timers.advance(2)
+        self.assertIsInstance(self.second.claim(self.bench.call()), Claimed)
+
+    def test_of_two_claimants_at_the_same_moment_one_wins(self):
+        # Guards against two nodes that both see no row, or both see "not_run".
+        for outcome in (None, NotRun("refused")):
+            both = []
+
+            def meet(original, *args, both=both):
+                both.append(1)
+                while len(both) < 2:
+                    gevent.sleep(0)
+                return original(*args)
+
+            original = self.replace_put(meet)
+            call = self.bench.call()
+            tasks = [
+                gevent.spawn(node.claim, call) for node in (self.first, self.second)
+            ]
+            gevent.joinall(tasks)
+            self.bench.table.put = original
+            kinds = sorted(type(task.value).__name__ for task in tasks)
+            self.assertEqual(kinds, ["Claimed", "InProgress"])
+            if outcome is None:
+                winner = next(t.value for t in tasks if isinstance(t.value, Claimed))
+                self.first.settle(winner, NotRun("refused"), None)
+
+    def test_a_failed_settle_is_repeated_until_the_table_is_back(self):
+        claimed = self.first.claim(self.bench.call())
+        self.bench.table.down = True
+        self.first.settle(claimed, Answered(), ANSWER)
+        self.bench.timers.advance(60)
+        self.assertEqual(len(self.first.pending_settlements()), 1)
+        self.bench.table.down = False
+        self.bench.timers.advance(2)
+        self.assertEqual(self.first.pending_settlements(), [])
+        self.assertEqual(self.second.claim(self.bench.call()).answer, ANSWER)
+
+    def test_a_settle_whose_answer_was_lost_is_stored_once(self):
+        claimed = self.first.claim(self.bench.call())
+        self.bench.table.lose_answers = 1
+        self.first.settle(claimed, Answered(), ANSWER)
+        self.bench.timers.advance(2)
+        self.assertEqual(self.first.pending_settlements(), [])
+        (row,) = self.bench.table.rows.values()
+        self.assertEqual(row.row_version, 2)
+
+    def test_a_stopping_node_hands_its_settlements_to_a_peer(self):
+        # Guards against an answer that is lost when a node stops in an outage.
+        claimed = self.first.claim(self.bench.call())
+        self.bench.table.down = True
+        answer = StoredAnswer(200, {}, b"x" * (MAX_INLINE_BYTES + 1))
+        self.first.settle(claimed, Answered(), answer)
+        (message,) = self.first.pending_settlements()
+        self.second.adopt_settlement(message)
+        self.bench.table.down = False
+        self.bench.timers.advance(2)
+        self.assertEqual(self.second.claim(self.bench.call()).answer, answer)
+
+    def test_malformed_settlements_of_a_peer_are_rejected(self):
+        bad = {"key": "lists#current", "claim_id": "c", "expected_version": 0}
+        for message in (
+            {},
+            {"key": 1},
+            bad | {"values": {"state": "done"}, "answer": 0},
+        ):
+            self.assertRaises(ValueError, self.second.adopt_settlement, message)
+
+    def test_one_settlement_that_cannot_be_stored_does_not_block_others(self):
+        large = StoredAnswer(200, {}, b"x" * (MAX_INLINE_BYTES + 1))
+        self.bench.objects.down = True
+        for number in range(6):
+            claimed = self.first.claim(self.bench.call(key=f"large{number}"))
+            self.first.settle(claimed, Answered(), large)
+        claimed = self.first.claim(self.bench.call(key="small"))
+        self.bench.table.lose_answers = 1
+        self.first.settle(claimed, Answered(), ANSWER)
+        self.bench.timers.advance(3)
+        self.assertEqual(len(self.first.pending_settlements()), 6)
+
+
+class ClaimOverHttpTests(PlatformTestCase):
+    def setUp(self):
+        super().setUp()
+        cfg = self.platform.settings()
+        self.table = DynamoTable(cfg, self.timers, "n1")
+        objects = S3Objects(cfg, self.timers, "n1")
+        self.claims = Claims(self.table, objects, self.timers, ClaimSettings(), "n1/1")
+
+    def call(self, seconds=5.0):
+        deadline = self.timers.wall() + seconds
+        return ServiceCall("guayas", "agenda", self.id(), "d", deadline)
+
+    def test_lost_answers_of_claim_and_settle(self):
+        self.platform.faults(lose_table_answers=1)
+        claimed = self.claims.claim(self.call())
+        self.platform.faults(lose_table_answers=1)
+        self.claims.settle(claimed, Answered(), ANSWER)
+        self.assertEqual(
+            self.claims.claim(self.call()), Replayed(Answered(), ANSWER, "")
+        )
+
+    def test_a_claim_in_an_outage_is_not_run_at_its_deadline(self):
+        self.platform.faults(table_hang=True)
+        started = self.timers.now()
+        self.assertIsInstance(self.claims.claim(self.call(seconds=0.5)), NotRun)
+        self.assertLess(self.timers.now() - started, 1.0)
+        self.platform.faults(table_hang=False)
+        with gevent.Timeout(5):
+            while self.claims.pending_settlements():
+                gevent.sleep(0.02)
+        self.assertIsInstance(self.claims.claim(self.call()), Claimed)
+
+    def test_many_claimants_over_http_and_one_wins(self):
+        call = self.call()
+        tasks = [gevent.spawn(self.claims.claim, call) for _ in range(12)]
+        gevent.joinall(tasks)
+        kinds = sorted(type(task.value).__name__ for task in tasks)
+        self.assertEqual(kinds, ["Claimed"] + ["InProgress"] * 11)
+
+    def test_the_table_error_is_never_raised_to_the_caller(self):
+        self.platform.faults(table_down=True)
+        try:
+            result = self.claims.claim(self.call(seconds=0.4))
+        except Unavailable:
+            self.fail("claim raised Unavailable")
+        self.assertIsInstance(result, NotRun)
--- /dev/null
+++ b/tests/unit/test_claims.py
@@ -0,0 +1,123 @@
+"""A key is claimed once; repeats get the stored answer or the right refusal.
+
+Guards against a booking that runs twice, an answer that goes to another call,
+and a key that stays blocked although its call did not run.
+"""
+
+import unittest
+
+from rattanwick.internal.base.outcomes import Answered, Failed, NotRun, Unknown
+from rattanwick.internal.model.transcripts import StoredAnswer
+from rattanwick.internal.state.calls import (
+    MAX_INLINE_BYTES,
+    BodyMismatch,
+    Claimed,
+    InProgress,
+    Replayed,
+    ServiceCall,
+    digest_call,
+)
+from tests.claim_tools import ANSWER, ClaimBench
+
+
+class ClaimTests(unittest.TestCase):
+    def setUp(self):
+        self.bench = ClaimBench()
+        self.first = self.bench.node("n1")
+        self.second = self.bench.node("n2")
+
+    def claim(self, claims=None, **changes):
+        return (claims or self.first).claim(self.bench.call(**changes))
+
+    def test_the_second_claimant_is_told_that_the_call_runs(self):
+        self.assertIsInstance(self.claim(), Claimed)
+        found = self.claim(self.second)
+        self.assertIsInstance(found, InProgress)
+        self.assertEqual(found.request_id, "req_1")
+        self.assertIsInstance(self.claim(self.first), InProgress)
+
+    def test_a_repeat_gets_the_stored_answer_at_any_node(self):
+        self.first.settle(self.claim(), Answered(), ANSWER)
+        for claims in (self.first, self.second):
+            self.assertEqual(self.claim(claims), Replayed(Answered(), ANSWER, "req_1"))
+
+    def test_a_large_answer_is_kept_in_the_object_store(self):
+        answer = StoredAnswer(200, {}, b"x" * (MAX_INLINE_BYTES + 1))
+        self.first.settle(self.claim(), Answered(), answer)
+        self.assertEqual(len(self.bench.objects.objects), 1)
+        self.assertEqual(self.claim(self.second).answer, answer)
+
+    def test_a_run_call_is_never_not_run_while_its_answer_cannot_be_read(self):
+        answer = StoredAnswer(200, {}, b"x" * (MAX_INLINE_BYTES + 1))
+        self.first.settle(self.claim(), Answered(), answer)
+        self.bench.objects.down = True
+        self.assertIsInstance(self.claim(self.second), InProgress)
+        self.bench.objects.down = False
+        self.bench.objects.objects.clear()
+        self.assertIsInstance(self.claim(self.second).outcome, Unknown)
+
+    def test_the_same_key_with_another_body_is_refused(self):
+        claimed = self.claim()
+        self.assertEqual(self.claim(self.second, digest="d2"), BodyMismatch("req_1"))
+        self.first.settle(claimed, Answered(), ANSWER)
+        self.assertIsInstance(self.claim(self.second, digest="d2"), BodyMismatch)
+
+    def test_the_digest_covers_method_path_and_body(self):
+        calls = [("POST", "/a", b"1"), ("PUT", "/a", b"1"), ("POST", "/b", b"1")]
+        digests = {digest_call(*call) for call in (*calls, ("POST", "/a", b"2"))}
+        self.assertEqual(len(digests), 4)
+
+    def test_a_call_that_did_not_run_may_be_claimed_again(self):
+        self.first.settle(self.claim(), NotRun("refused"), None)
+        again = self.claim(self.second)
+        self.assertIsInstance(again, Claimed)
+        self.assertEqual(again.values["attempt"], 2)
+
+    def test_a_call_that_gave_no_whole_answer_stays_unknown(self):
+        for key, outcome in (("a", Failed("truncated")), ("b", Unknown("timeout"))):
+            self.first.settle(self.claim(key=key), outcome, None)
+            self.assertIsInstance(self.claim(key=key).outcome, Unknown)
+
+    def test_an_open_claim_is_unknown_after_deadline_and_limit_and_never_taken(self):
+        self.claim(seconds=30)
+        self.bench.timers.advance(89)
+        self.assertIsInstance(self.claim(self.second), InProgress)
+        self.bench.timers.advance(2)
+        self.assertIsInstance(self.claim(self.second).outcome, Unknown)
+        self.bench.timers.advance(6 * 86_400)
+        self.assertIsInstance(self.claim(self.second).outcome, Unknown)
+
+    def test_a_key_is_a_new_call_after_its_retention(self):
+        self.first.settle(self.claim(), Answered(), ANSWER)
+        self.bench.timers.advance(7 * 86_400 + 31)
+        self.assertIsInstance(self.claim(self.second, digest="d2"), Claimed)
+
+    def test_a_settlement_after_unknown_is_still_stored(self):
+        claimed = self.claim(seconds=1)
+        self.bench.timers.advance(120)
+        self.assertIsInstance(self.claim(self.second).outcome, Unknown)
+        self.first.settle(claimed, Answered(), ANSWER)
+        self.assertEqual(self.claim(self.second).answer, ANSWER)
+
+    def test_nothing_is_dispatched_after_the_deadline(self):
+        claimed = self.claim(seconds=30)
+        self.assertTrue(self.first.may_dispatch(claimed))
+        self.bench.timers.advance(30)
+        self.assertFalse(self.first.may_dispatch(claimed))
+        self.assertEqual(self.claim(key="new", seconds=0), NotRun("deadline_passed"))
+
+    def test_a_clock_set_back_does_not_extend_the_deadline(self):
+        claimed = self.claim(seconds=30)
+        self.bench.timers.advance(31)
+        self.bench.timers._wall_offset -= 3600
+        self.assertFalse(self.first.may_dispatch(claimed))
+
+    def test_keys_of_different_organisations_and_services_do_not_meet(self):
+        keys = {
+            ServiceCall("a", "b", "c#d", "", 0).row_key,
+            ServiceCall("a", "b", "c", "", 0).row_key,
+            ServiceCall("a", "bc", "d", "", 0).row_key,
+        }
+        self.assertEqual(len(keys), 3)
+        for key in ("", "x" * 256):
+            self.assertRaises(ValueError, ServiceCall, "a", "b", key, "", 0)
