Add the peer network: frames, handshake and connections on demand

Cause: nodes have no way to talk to each other. Change: length-prefixed msgpack frames with limits, a handshake with HMAC proofs of both sides before any other frame, connections opened on demand and closed when idle, one reader task for each connection, bounded send queues, writes joined per pass of the event loop, TLS with key reload. Conclusion: other parts can call, notify and handle.

--- /dev/null
+++ b/src/rattanwick/internal/peers/connection.py
@@ -0,0 +1,159 @@
+"""One authenticated connection: a reader task, replies, and a bounded queue."""
+
+import itertools
+import time
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+from gevent.event import AsyncResult
+
+from rattanwick.internal.base.errors import (
+    ConnectionLost,
+    Refused,
+    StepError,
+    TimedOut,
+    Unavailable,
+)
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.peers.counters import RECEIVED_BYTES, SENT_BYTES
+from rattanwick.internal.peers.frames import Frame, FrameReader, encode_frame
+
+log = get_logger("peers")
+
+MAX_QUEUED_BYTES = 4 << 20
+MAX_PENDING_CALLS = 4096
+REPLY = "reply"
+ERROR = "error"
+FrameHandler = Callable[["Connection", Frame], None]
+
+
+class Connection:
+    """Send and receive frames; the task that calls ``run`` is the reader."""
+
+    __slots__ = (
+        "_flushing",
+        "_on_frame",
+        "_pending",
+        "_queue",
+        "_queued_bytes",
+        "_reader",
+        "_sequence",
+        "_sock",
+        "closed",
+        "dialled",
+        "last_used",
+        "node",
+        "serving",
+    )
+
+    def __init__(
+        self,
+        sock,
+        reader: FrameReader,
+        node: Node,
+        dialled: bool,
+        on_frame: FrameHandler,
+    ):
+        self._sock = sock
+        self._reader = reader
+        self._on_frame = on_frame
+        self._pending: dict[int, AsyncResult] = {}
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._flushing = False
+        self._sequence = itertools.count(1)
+        self.node = node
+        self.dialled = dialled
+        self.closed = ""  # reason
+        self.last_used = time.monotonic()  # seconds
+        self.serving = 0  # calls of the peer that run here
+
+    def run(self) -> None:
+        """Read frames until the connection ends."""
+        reason = "closed by the peer"
+        counted = 0
+        try:
+            while (frame := self._reader.read()) is not None:
+                RECEIVED_BYTES.inc(self._reader.received_bytes - counted)
+                counted = self._reader.received_bytes
+                self.last_used = time.monotonic()
+                self._handle(frame)
+        except StepError as exc:
+            reason = exc.reason
+        except OSError as exc:
+            reason = exc.strerror or type(exc).__name__
+        finally:
+            self.close(reason)
+
+    def call(self, kind: str, body: dict, timeout: float) -> dict:
+        """Return the reply; raise Refused, TimedOut or ConnectionLost."""
+        if len(self._pending) >= MAX_PENDING_CALLS:
+            raise Unavailable(kind, self.node.id, "too many calls wait for replies")
+        sequence = next(self._sequence)
+        result = self._pending[sequence] = AsyncResult()
+        try:
+            self.send(Frame(kind, sequence, 0, body))
+            reply = result.get(timeout=timeout)
+        except gevent.Timeout:
+            raise TimedOut(kind, self.node.id, f"no reply within {timeout:.3g} s")
+        finally:
+            self._pending.pop(sequence, None)
+        if reply is None:
+            raise ConnectionLost(kind, self.node.id, self.closed, sent=True)
+        if reply.kind == ERROR:
+            raise Refused(kind, self.node.id, str(reply.body.get("reason", "")))
+        return reply.body
+
+    def send(self, frame: Frame) -> None:
+        """Queue a frame; raise ConnectionLost when it cannot be sent."""
+        data = encode_frame(frame)
+        if self.closed:
+            raise ConnectionLost(frame.kind, self.node.id, self.closed, sent=False)
+        if self._queued_bytes + len(data) > MAX_QUEUED_BYTES:
+            self.close("the peer does not read")
+            raise ConnectionLost(frame.kind, self.node.id, self.closed, sent=False)
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        self.last_used = time.monotonic()
+        if not self._flushing:
+            self._flushing = True
+            gevent.spawn(self._flush)
+
+    def is_busy(self) -> bool:
+        """Tell whether a call waits on either side."""
+        return bool(self._pending) or self.serving > 0
+
+    def close(self, reason: str) -> None:
+        """Close the socket and fail the calls that wait."""
+        if self.closed:
+            return
+        self.closed = reason
+        self._queue.clear()
+        self._sock.close()
+        for result in list(self._pending.values()):
+            result.set(None)
+
+    def _handle(self, frame: Frame) -> None:
+        if frame.kind not in (REPLY, ERROR):
+            self._on_frame(self, frame)
+            return
+        # A late reply to a call that timed out finds no entry and is dropped.
+        result = self._pending.get(frame.reply_to)
+        if result is not None:
+            result.set(frame)
+
+    def _flush(self) -> None:
+        # Frames queued in one pass of the event loop leave in one write.
+        try:
+            while self._queue and not self.closed:
+                data = b"".join(self._queue)
+                self._queue.clear()
+                self._sock.sendall(data)
+                self._queued_bytes -= len(data)
+                SENT_BYTES.inc(len(data))
+        except OSError as exc:
+            self.close(exc.strerror or type(exc).__name__)
+        finally:
+            self._flushing = False
--- /dev/null
+++ b/src/rattanwick/internal/peers/counters.py
@@ -0,0 +1,16 @@
+"""Metrics of the connections between nodes."""
+
+from rattanwick.internal.base.metrics import counter, gauge
+
+SENT_BYTES = counter("peer_sent_bytes", "Bytes sent to nodes")
+RECEIVED_BYTES = counter("peer_received_bytes", "Bytes received from nodes")
+HANDSHAKES = counter("peer_handshakes", "Handshakes by result", ("result",))
+DROPPED = counter("peer_dropped_messages", "Messages not sent, by reason", ("reason",))
+CONNECTIONS = gauge("peer_connections", "Open connections to nodes")
+LIVE_NODES = gauge("peer_live_nodes", "Nodes that count as live, this one included")
+NEWS_ITEMS = gauge("peer_news_items", "News items held")
+NEWS_SYNCS = counter("peer_news_syncs", "Comparisons of news with a peer")
+KEPT_REQUESTS = gauge("peer_kept_requests", "Copies held for other nodes")
+KEPT_BYTES = gauge("peer_kept_bytes", "Bytes of copies held for other nodes")
+RESTARTS = counter("peer_restarts", "Requests of lost nodes by result", ("result",))
+HANDOVERS = counter("peer_handovers", "Requests handed over by result", ("result",))
--- /dev/null
+++ b/src/rattanwick/internal/peers/network.py
@@ -0,0 +1,336 @@
+"""Peer network over TCP streams: dial on demand, authenticate, dispatch."""
+
+import itertools
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.event import AsyncResult
+from gevent.server import StreamServer
+from gevent.socket import IPPROTO_TCP, TCP_NODELAY, create_connection
+
+from rattanwick.internal.base.errors import StepError, TimedOut, Unavailable
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import PeerSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.peers.connection import ERROR, REPLY, Connection
+from rattanwick.internal.peers.connections import ConnectionTable
+from rattanwick.internal.peers.counters import DROPPED, HANDSHAKES
+from rattanwick.internal.peers.frames import MAX_FRAME_BYTES, Frame, FrameReader
+from rattanwick.internal.peers.handshake import (
+    HANDSHAKE_SECONDS,
+    MAX_HANDSHAKE_FRAME_BYTES,
+    Handshake,
+    Hello,
+)
+from rattanwick.internal.peers.interfaces import Handler, PeerNetwork
+from rattanwick.internal.peers.tls import PeerTls
+
+log = get_logger("peers")
+
+MAX_UNAUTHENTICATED = 64
+MAX_SERVING_CALLS = 2048  # calls of one peer that run here at once
+MAX_DIALLING_NOTICES = 256
+SWEEP_SECONDS = 1.0
+ConnectionCallback = Callable[[Node, bool], None]  # (node, whether it is connected)
+
+
+class StreamPeerNetwork(PeerNetwork):
+    """Exchange frames with other nodes over authenticated TCP streams."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        node: Node,
+        resolve: Callable[[str], Node | None],
+        timers: TimerService,
+        secret: bytes,
+    ):
+        if not secret:
+            raise ValueError("the secret of the nodes is empty; write one to the file")
+        self.node = node
+        self._settings = settings
+        self._resolve = resolve
+        self._timers = timers
+        self._secret = secret
+        self._tls = PeerTls(settings) if settings.tls_certificate else None
+        self._table = ConnectionTable(node.id)
+        self._handlers: dict[str, Handler] = {}
+        self._inline: set[str] = set()
+        self._callbacks: list[ConnectionCallback] = []
+        self._dials: dict[str, AsyncResult] = {}
+        self._unauthenticated: dict[int, socket.socket] = {}
+        self._numbers = itertools.count()
+        self._dialling_notices = 0
+        self._server: StreamServer | None = None
+        self._sweep = None
+        self._stopped = False
+
+    def start(self) -> None:
+        """Listen for other nodes."""
+        address = (self._settings.address, self._settings.port)
+        self._server = StreamServer(address, self._accept, backlog=256)
+        self._server.start()
+        self._sweep = self._timers.subscribe(
+            "peer connections", SWEEP_SECONDS, self._run_sweep
+        )
+        log.info("listening on %s:%d", *address)
+
+    def stop(self) -> None:
+        """Close all connections and stop listening."""
+        self._stopped = True
+        if self._sweep is not None:
+            self._sweep.cancel()
+        if self._server is not None:
+            self._server.stop(timeout=0)
+        for sock in list(self._unauthenticated.values()):
+            sock.close()
+        for conn in self._table:
+            conn.close("this node stops")
+
+    def call(self, node_id: str, kind: str, body: dict, timeout: float) -> dict:
+        """Return the reply; raise StepError."""
+        if node_id == self.node.id:
+            return self._serve(kind, node_id, body)
+        due = self._timers.now() + timeout
+        conn = self._connect(node_id, kind, timeout)
+        remaining = due - self._timers.now()
+        if remaining <= 0:
+            raise TimedOut(kind, node_id, "no time left after connecting")
+        return conn.call(kind, body, remaining)
+
+    def notify(self, node_id: str, kind: str, body: dict) -> None:
+        """Send without a reply; drop the message when the peer is unreachable."""
+        frame = Frame(kind, 0, 0, body)
+        conn = self._table.get(node_id)
+        if conn is not None:
+            self._send_or_drop(conn, frame)
+        elif self._dialling_notices >= MAX_DIALLING_NOTICES or self._stopped:
+            DROPPED.labels("queue_full").inc()
+        else:
+            self._dialling_notices += 1
+            gevent.spawn(self._connect_and_send, node_id, frame)
+
+    def handle(self, kind: str, handler: Handler, inline: bool = False) -> None:
+        """Register a handler; an inline one runs in the reader and never blocks."""
+        self._handlers[kind] = handler
+        if inline:
+            self._inline.add(kind)
+
+    def subscribe_connections(self, callback: ConnectionCallback) -> None:
+        """Call back when a node becomes connected or is no longer connected."""
+        self._callbacks.append(callback)
+
+    def is_connected(self, node_id: str) -> bool:
+        """Tell whether a connection to the node is open."""
+        return self._table.get(node_id) is not None
+
+    def connect(self, node_id: str, timeout: float) -> None:
+        """Open a connection where there is none; raise Unavailable."""
+        self._connect(node_id, "connect", timeout)
+
+    def disconnect(self, node_id: str, reason: str) -> None:
+        """Close the connections to a node."""
+        while (conn := self._table.get(node_id)) is not None:
+            conn.close(reason)
+            self._forget(conn)
+
+    def _connect(self, node_id: str, step: str, timeout: float) -> Connection:
+        conn = self._table.get(node_id)
+        if conn is not None:
+            return conn
+        if self._stopped:
+            raise Unavailable(step, node_id, "this node stops")
+        dial = self._dials.get(node_id)
+        if dial is None:
+            dial = self._dials[node_id] = AsyncResult()
+            gevent.spawn(self._dial, node_id, dial)
+        try:
+            result = dial.get(timeout=timeout)
+        except gevent.Timeout:
+            raise Unavailable(step, node_id, f"not connected within {timeout:.3g} s")
+        if isinstance(result, Connection):
+            return result
+        raise Unavailable(step, node_id, result)
+
+    def _dial(self, node_id: str, dial: AsyncResult) -> None:
+        """Open a connection, tell those who wait, and read until it ends."""
+        conn = None
+        sock = None
+        reason = "not connected"
+        try:
+            with gevent.Timeout(HANDSHAKE_SECONDS):
+                sock, conn = self._open(node_id)
+        except gevent.Timeout:
+            reason = f"no handshake within {HANDSHAKE_SECONDS:g} s"
+        except StepError as exc:
+            reason = exc.reason
+        except (OSError, ValueError) as exc:
+            reason = str(exc)
+        del self._dials[node_id]
+        if conn is None or self._stopped:
+            if sock is not None:
+                sock.close()
+            HANDSHAKES.labels("dial_failed").inc()
+            dial.set(reason)
+            return
+        HANDSHAKES.labels("dialled").inc()
+        self._add(conn)
+        dial.set(conn)
+        self._read(conn)
+
+    def _open(self, node_id: str) -> tuple[socket.socket, Connection]:
+        node = self._resolve(node_id)
+        if node is None:
+            raise Unavailable("connect", node_id, "the node is not known")
+        sock = create_connection((node.host, node.peer_port))
+        try:
+            sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            binding = b""
+            if self._tls is not None:
+                sock, binding = self._tls.wrap_dialled(sock)
+            reader = FrameReader(sock.recv, node_id, MAX_HANDSHAKE_FRAME_BYTES)
+            handshake = self._handshake(reader, sock, binding)
+            other = handshake.dial(node_id)
+        except BaseException:
+            sock.close()
+            raise
+        return sock, self._connection(sock, reader, other, dialled=True)
+
+    def _accept(self, sock: socket.socket, address: tuple) -> None:
+        """Authenticate an accepted connection and read until it ends."""
+        number = next(self._numbers)
+        if len(self._unauthenticated) >= MAX_UNAUTHENTICATED:
+            # Closing the oldest lets nodes in while a stranger holds many open.
+            oldest = next(iter(self._unauthenticated))
+            self._unauthenticated.pop(oldest).close()
+            HANDSHAKES.labels("displaced").inc()
+        self._unauthenticated[number] = sock
+        conn = None
+        peer = f"{address[0]}:{address[1]}"
+        try:
+            with gevent.Timeout(HANDSHAKE_SECONDS):
+                sock, conn = self._authenticate(sock, peer)
+        except gevent.Timeout:
+            self._reject(peer, "timeout", f"no proof in {HANDSHAKE_SECONDS:g} s")
+        except StepError as exc:
+            self._reject(peer, "refused", str(exc))
+        except (OSError, ValueError) as exc:
+            self._reject(peer, "failed", str(exc))
+        finally:
+            self._unauthenticated.pop(number, None)
+            if conn is None:
+                sock.close()
+        if conn is not None and not self._stopped:
+            HANDSHAKES.labels("accepted").inc()
+            self._add(conn)
+            self._read(conn)
+
+    def _authenticate(
+        self, sock: socket.socket, peer: str
+    ) -> tuple[socket.socket, Connection]:
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        binding = b""
+        if self._tls is not None:
+            sock, binding = self._tls.wrap_accepted(sock)
+        reader = FrameReader(sock.recv, peer, MAX_HANDSHAKE_FRAME_BYTES)
+        other = self._handshake(reader, sock, binding).accept()
+        return sock, self._connection(sock, reader, other, dialled=False)
+
+    def _handshake(self, reader: FrameReader, sock, binding: bytes) -> Handshake:
+        own = Hello.from_node(self.node)
+        return Handshake(self._secret, own, reader, sock.sendall, binding)
+
+    def _connection(
+        self, sock, reader: FrameReader, other: Hello, dialled: bool
+    ) -> Connection:
+        reader.limit = MAX_FRAME_BYTES
+        reader.peer = other.node_id
+        return Connection(sock, reader, other.to_node(), dialled, self._on_frame)
+
+    def _reject(self, peer: str, result: str, reason: str) -> None:
+        HANDSHAKES.labels(result).inc()
+        log.warning("connection from %s rejected: %s", peer, reason)
+
+    def _add(self, conn: Connection) -> None:
+        self._table.add(conn)
+        self._tell(conn.node, True)
+
+    def _read(self, conn: Connection) -> None:
+        try:
+            conn.run()
+        finally:
+            self._forget(conn)
+
+    def _forget(self, conn: Connection) -> None:
+        if self._table.remove(conn):
+            log.debug("connection to %s ended: %s", conn.node.id, conn.closed)
+            self._tell(conn.node, False)
+
+    def _tell(self, node: Node, connected: bool) -> None:
+        for callback in self._callbacks:
+            callback(node, connected)
+
+    def _on_frame(self, conn: Connection, frame: Frame) -> None:
+        """Act on a frame of an authenticated peer."""
+        if frame.sequence == 0:
+            if frame.kind in self._inline:
+                self._receive(conn.node.id, frame)
+            else:
+                gevent.spawn(self._receive, conn.node.id, frame)
+        elif conn.serving >= MAX_SERVING_CALLS:
+            body = {"reason": "too many calls of this peer run here"}
+            self._send_or_drop(conn, Frame(ERROR, 0, frame.sequence, body))
+        else:
+            conn.serving += 1
+            gevent.spawn(self._answer, conn, frame)
+
+    def _receive(self, node_id: str, frame: Frame) -> None:
+        try:
+            self._serve(frame.kind, node_id, frame.body)
+        except StepError as exc:
+            log.debug("%s from %s: %s", frame.kind, node_id, exc.reason)
+
+    def _answer(self, conn: Connection, frame: Frame) -> None:
+        try:
+            body = self._serve(frame.kind, conn.node.id, frame.body)
+            reply = Frame(REPLY, 0, frame.sequence, body)
+        except StepError as exc:
+            reply = Frame(ERROR, 0, frame.sequence, {"reason": exc.reason})
+        finally:
+            conn.serving -= 1
+        self._send_or_drop(conn, reply)
+
+    def _serve(self, kind: str, node_id: str, body: dict) -> dict:
+        handler = self._handlers.get(kind)
+        if handler is None:
+            raise Unavailable(kind, self.node.id, f"message kind {kind} is unknown")
+        try:
+            return handler(node_id, body) or {}
+        except StepError:
+            raise
+        except Exception as exc:
+            # A body of wrong types must not end the reader or the process.
+            log.exception("handler of %s failed for %s", kind, node_id)
+            raise Unavailable(kind, self.node.id, f"handler: {type(exc).__name__}")
+
+    def _connect_and_send(self, node_id: str, frame: Frame) -> None:
+        try:
+            conn = self._connect(node_id, frame.kind, HANDSHAKE_SECONDS)
+            self._send_or_drop(conn, frame)
+        except StepError:
+            DROPPED.labels("unreachable").inc()
+        finally:
+            self._dialling_notices -= 1
+
+    def _send_or_drop(self, conn: Connection, frame: Frame) -> None:
+        try:
+            conn.send(frame)
+        except StepError:
+            DROPPED.labels("not_sent").inc()
+
+    def _run_sweep(self) -> None:
+        self._table.close_idle()
+        if self._tls is not None:
+            self._tls.reload_if_changed()
--- /dev/null
+++ b/tests/unit/test_peer_network.py
@@ -0,0 +1,71 @@
+"""Nodes call each other over authenticated connections."""
+
+import unittest
+
+import gevent
+
+from rattanwick.internal.base.errors import Refused, TimedOut, Unavailable
+from tests.networks import Networks, make_node, wait_until
+
+
+class PeerNetworkTests(unittest.TestCase):
+    def setUp(self):
+        self.networks = Networks()
+        self.addCleanup(self.networks.stop)
+        self.first = self.networks.add("n1")
+        self.second = self.networks.add("n2")
+
+    def test_a_call_returns_the_reply(self):
+        reply = self.first.call("n2", "echo", {"text": "blade"}, 1.0)
+        self.assertEqual(reply, {"peer": "n1", "text": "blade"})
+
+    def test_a_late_reply_is_not_taken_for_another_call(self):
+        self.second.handle("slow", lambda peer, body: gevent.sleep(0.1) or {"slow": 1})
+        with self.assertRaises(TimedOut):
+            self.first.call("n2", "slow", {}, 0.02)
+        gevent.sleep(0.12)
+        self.assertNotIn("slow", self.first.call("n2", "echo", {}, 1.0))
+
+    def test_a_failing_handler_is_reported_and_the_connection_stays(self):
+        self.second.handle("bad", lambda peer, body: {"x": body["absent"]})
+        with self.assertRaises(Refused) as caught:
+            self.first.call("n2", "bad", {}, 1.0)
+        self.assertEqual((caught.exception.step, caught.exception.peer), ("bad", "n2"))
+        self.assertEqual(self.first.call("n2", "echo", {}, 1.0)["peer"], "n1")
+
+    def test_an_unreachable_node_did_not_run_the_call(self):
+        self.networks.nodes["gone"] = make_node("gone")
+        with self.assertRaises(Unavailable):
+            self.first.call("gone", "echo", {}, 1.0)
+
+    def test_another_node_at_the_same_address_is_refused(self):
+        port = self.networks.nodes["n2"].peer_port
+        self.networks.nodes["old"] = make_node("old", port=port)
+        with self.assertRaises(Unavailable) as caught:
+            self.first.call("old", "echo", {}, 1.0)
+        self.assertIn("n2 answered", caught.exception.reason)
+
+    def test_simultaneous_dials_lose_no_call_and_leave_one_connection(self):
+        calls = [
+            gevent.spawn(network.call, other, "echo", {}, 2.0)
+            for network, other in [(self.first, "n2"), (self.second, "n1")] * 5
+        ]
+        gevent.joinall(calls, raise_error=True)
+        one_left = lambda: all(  # noqa: E731
+            len(list(network._table)) == 1 for network in (self.first, self.second)
+        )
+        self.assertTrue(wait_until(one_left, 5.0))
+        self.assertEqual(self.first.call("n2", "echo", {}, 1.0)["peer"], "n1")
+
+    def test_a_notice_reaches_the_peer(self):
+        got = []
+        self.second.handle("tell", lambda peer, body: got.append(body))
+        self.first.notify("n2", "tell", {"a": 1})
+        self.assertTrue(wait_until(lambda: got == [{"a": 1}]))
+
+    def test_a_wrong_secret_is_refused(self):
+        stranger = self.networks.add("n3", secret=b"another")
+        with self.assertRaises(Unavailable):
+            stranger.call("n2", "echo", {}, 1.0)
+        with self.assertRaises(Unavailable):
+            self.first.call("n3", "echo", {}, 1.0)
