Add members, news and ownership between nodes

Cause: nodes do not know which others are live, and news does not spread. Change: heartbeat links chosen by rendezvous order, suspicion and death as versioned news that the suspected node refutes with a higher incarnation, probes of unlinked nodes, flooding with digests in heartbeats and repair by buckets, owners by rendezvous hash. rendezvous_rank passed a string to xxhash 4, which takes bytes only; it raised TypeError on every call. Conclusion: members and news can be used; cost is not measured yet.

--- a/src/rattanwick/internal/base/ids.py
+++ b/src/rattanwick/internal/base/ids.py
@@ -23,4 +23,4 @@
 
 def rendezvous_rank(key: str, candidate: str) -> int:
     """Return the weight of a candidate for a key; the highest one owns it."""
-    return xxhash.xxh64_intdigest(f"{key}\x00{candidate}")
+    return xxhash.xxh64_intdigest(f"{key}\x00{candidate}".encode())
--- a/src/rattanwick/internal/peers/connection.py
+++ b/src/rattanwick/internal/peers/connection.py
@@ -24,6 +24,7 @@
 
 MAX_QUEUED_BYTES = 4 << 20
 MAX_PENDING_CALLS = 4096
+SENT_POLL_SECONDS = 0.005
 REPLY = "reply"
 ERROR = "error"
 FrameHandler = Callable[["Connection", Frame], None]
@@ -125,6 +126,12 @@
         """Tell whether a call waits on either side."""
         return bool(self._pending) or self.serving > 0
 
+    def wait_sent(self, timeout: float) -> None:
+        """Wait until the queue is sent, for at most ``timeout`` seconds."""
+        limit = time.monotonic() + timeout
+        while self._flushing and not self.closed and time.monotonic() < limit:
+            gevent.sleep(SENT_POLL_SECONDS)
+
     def close(self, reason: str) -> None:
         """Close the socket and fail the calls that wait."""
         if self.closed:
--- /dev/null
+++ b/src/rattanwick/internal/peers/items.py
@@ -0,0 +1,130 @@
+"""News items and the bounded store that decides which version stands."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgpack
+import xxhash
+
+from rattanwick.internal.base.errors import ProtocolError
+
+MAX_ITEMS = 8192
+MAX_BODY_BYTES = 1024
+MAX_KEY_CHARACTERS = 128
+MAX_KEPT_SECONDS = 86_400
+BUCKETS = 64
+STEP = "read news"
+
+
+@dataclass(slots=True, frozen=True)
+class NewsItem:
+    """Hold one version of a key; ``expires`` is in Unix seconds, 0 for never."""
+
+    topic: str
+    key: str
+    version: int
+    expires: int
+    body: dict
+    digest: int  # of all but ``expires``
+    bucket: int
+
+    @classmethod
+    def make(cls, topic: str, key: str, version: int, expires: int, body: dict):
+        """Return a checked item; raise ProtocolError naming the field."""
+        for name, value in (("topic", topic), ("key", key)):
+            if type(value) is not str or not 0 < len(value) <= MAX_KEY_CHARACTERS:
+                raise ProtocolError(STEP, str(topic)[:20], f"field {name} is wrong")
+        for name, value in (("version", version), ("expires", expires)):
+            if type(value) is not int or not 0 <= value < 1 << 62:
+                raise ProtocolError(STEP, topic, f"field {name} is not a number")
+        if type(body) is not dict:
+            raise ProtocolError(STEP, topic, "field body is not a map")
+        packed = msgpack.packb([topic, key, version, body])
+        if len(packed) > MAX_BODY_BYTES + 4 * MAX_KEY_CHARACTERS:
+            raise ProtocolError(STEP, topic, f"more than {MAX_BODY_BYTES} bytes")
+        digest = xxhash.xxh64_intdigest(packed)
+        bucket = xxhash.xxh64_intdigest(f"{topic}\x00{key}".encode()) % BUCKETS
+        return cls(topic, key, version, expires, body, digest, bucket)
+
+    @classmethod
+    def from_message(cls, message: object) -> "NewsItem":
+        """Return the item of a list; raise ProtocolError."""
+        if type(message) is not list or len(message) < 5:
+            raise ProtocolError(STEP, "", "an item is not a list of 5 fields")
+        return cls.make(*message[:5])
+
+    def to_message(self) -> list:
+        """Return a list for msgpack."""
+        return [self.topic, self.key, self.version, self.expires, self.body]
+
+    def beats(self, other: "NewsItem | None") -> bool:
+        """Tell whether this item replaces the other one at every node."""
+        # Two bodies with one version are ordered by digest, so that nodes agree.
+        if other is None:
+            return True
+        return (self.version, self.digest) > (other.version, other.digest)
+
+
+class NewsStore:
+    """Hold the newest item of each key, at most ``limit`` items."""
+
+    def __init__(self, limit: int = MAX_ITEMS):
+        self._limit = limit
+        self._items: dict[tuple[str, str], NewsItem] = {}
+        self._topics: Counter[str] = Counter()
+        self.buckets = [0] * BUCKETS  # digest of the items in each bucket
+        self.digest = 0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def get(self, topic: str, key: str) -> NewsItem | None:
+        """Return the item of a key."""
+        return self._items.get((topic, key))
+
+    def topic(self, topic: str) -> list[NewsItem]:
+        """Return the items of a topic."""
+        return [item for item in self._items.values() if item.topic == topic]
+
+    def in_buckets(self, buckets: Iterable[int]) -> list[NewsItem]:
+        """Return the items of some buckets."""
+        wanted = set(buckets)
+        return [item for item in self._items.values() if item.bucket in wanted]
+
+    def merge(self, item: NewsItem, wall: float) -> bool:
+        """Keep the item if it is newer; tell whether it was."""
+        if item.expires and item.expires <= wall:
+            return False
+        held = self._items.get((item.topic, item.key))
+        if not item.beats(held):
+            return False
+        if held is None and len(self._items) >= self._limit:
+            self._evict()
+        self._replace(held, item)
+        return True
+
+    def drop_expired(self, wall: float) -> None:
+        """Drop items that are past their expiry."""
+        for item in list(self._items.values()):
+            if item.expires and item.expires <= wall:
+                self._replace(item, None)
+
+    def _evict(self) -> None:
+        # The largest topic pays, so that a flood of one topic leaves the others.
+        topic = self._topics.most_common(1)[0][0]
+        first = min(self.topic(topic), key=lambda item: (item.expires, item.key))
+        self._replace(first, None)
+
+    def _replace(self, old: NewsItem | None, new: NewsItem | None) -> None:
+        item = new or old
+        change = (old.digest if old else 0) ^ (new.digest if new else 0)
+        self.digest ^= change
+        self.buckets[item.bucket] ^= change
+        if old is None:
+            self._topics[item.topic] += 1
+        if new is None:
+            self._topics[item.topic] -= 1
+            del self._items[item.topic, item.key]
+        else:
+            self._items[item.topic, item.key] = new
--- /dev/null
+++ b/src/rattanwick/internal/peers/members.py
@@ -0,0 +1,359 @@
+"""Members: who is live, from heartbeats of linked peers and news of the others."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent.pool import Pool
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import PeerSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.peers.counters import LIVE_NODES
+from rattanwick.internal.peers.heartbeats import HeartbeatLinks
+from rattanwick.internal.peers.interfaces import Members
+from rattanwick.internal.peers.network import StreamPeerNetwork
+from rattanwick.internal.peers.news import FloodNews
+from rattanwick.internal.peers.probes import Probes
+from rattanwick.internal.peers.records import (
+    STATES,
+    Heartbeat,
+    MemberRecord,
+    MemberState,
+    news_version,
+    node_from_body,
+    node_to_body,
+)
+from rattanwick.internal.platform.interfaces import InstanceList
+
+log = get_logger("peers")
+
+TOPIC = "member"
+CHECKS_PER_HEARTBEAT = 4
+# A region may be cut off for an hour; its dead must not come back after it.
+DEAD_KEPT_SECONDS = 7200
+VERSION_PINGS = 16  # at once
+
+
+class HeartbeatMembers(Members):
+    """Watch linked peers and spread what is found as news."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        network: StreamPeerNetwork,
+        news: FloodNews,
+        instances: InstanceList | None,
+        timers: TimerService,
+        list_version: Callable[[], int] = lambda: 0,
+    ):
+        self._settings = settings
+        self._network = network
+        self._news = news
+        self._instances = instances
+        self._timers = timers
+        self._list_version = list_version
+        self._self_node = network.node
+        self._incarnation = network.node.incarnation
+        self._state = MemberState.ALIVE
+        self._records: dict[str, MemberRecord] = {}
+        self._versions: dict[str, tuple[int, int]] = {}  # (process start, version)
+        self._connected: dict[str, Node] = {}
+        self._callbacks: list[Callable[[], None]] = []
+        self._live: tuple[Node, ...] | None = None
+        self._last_check = timers.now()
+        self._subscriptions = []
+        self.links = HeartbeatLinks(
+            network,
+            settings.max_links,
+            settings.heartbeat_seconds,
+            settings.suspect_seconds,
+            timers.now,
+        )
+        self._probes = Probes(self, network, settings.suspect_seconds)
+
+    @property
+    def self_node(self) -> Node:
+        """Return this node."""
+        return self._self_node
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether this node has announced that it leaves."""
+        return self._state >= MemberState.LEAVING
+
+    def start(self) -> None:
+        """Announce this node and begin to watch others."""
+        cfg = self._settings
+        self._news.set_links(self.links.ids)
+        self._news.watch(TOPIC, self._on_news)
+        self._network.subscribe_connections(self._on_connection)
+        self._network.handle("heartbeat", self._on_heartbeat, inline=True)
+        self._network.handle("member.ping", self._on_ping)
+        if self._instances is not None:
+            self._instances.subscribe(self._changed)
+        self._publish(self._self_node, self._incarnation, self._state)
+        self._last_check = self._timers.now()
+        self._subscriptions = [
+            self._timers.subscribe("heartbeat", cfg.heartbeat_seconds, self._beat),
+            self._timers.subscribe(
+                "member checks",
+                cfg.heartbeat_seconds / CHECKS_PER_HEARTBEAT,
+                self._check,
+            ),
+        ]
+        self._beat()
+
+    def stop(self) -> None:
+        """Tell peers that this node is gone and stop."""
+        self._state = MemberState.DEAD
+        self._publish(self._self_node, self._incarnation, self._state)
+        self._news.flush()
+        for subscription in self._subscriptions:
+            subscription.cancel()
+
+    def leave(self) -> None:
+        """Announce that this node takes no new work."""
+        if self.leaving:
+            return
+        self._state = MemberState.LEAVING
+        self._publish(self._self_node, self._incarnation, self._state)
+        self._news.flush()
+
+    def live(self, data_centre: str | None = None) -> tuple[Node, ...]:
+        """Return live nodes, this one included unless it leaves."""
+        if self._live is None:
+            self._live = self._find_live()
+            LIVE_NODES.set(len(self._live))
+        if data_centre is None:
+            return self._live
+        return tuple(node for node in self._live if node.data_centre == data_centre)
+
+    def get(self, node_id: str) -> Node | None:
+        """Return a known node, live or not."""
+        if node_id == self._self_node.id:
+            return self._self_node
+        record = self._records.get(node_id)
+        if record is not None and record.state is not MemberState.DEAD:
+            return record.node
+        listed = {node.id: node for node in self.listed()}
+        if node_id in listed:
+            return listed[node_id]
+        return record.node if record is not None else self._connected.get(node_id)
+
+    def state(self, node_id: str) -> MemberState | None:
+        """Return the state of a node, or None when nobody has heard of it."""
+        record = self._records.get(node_id)
+        return record.state if record is not None else None
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of membership."""
+        self._callbacks.append(callback)
+
+    def listed(self) -> tuple[Node, ...]:
+        """Return the nodes of the instance list."""
+        return self._instances.nodes() if self._instances is not None else ()
+
+    def records(self) -> dict[str, MemberRecord]:
+        """Return what is known of other nodes, by id."""
+        return self._records
+
+    def confirmed_versions(self) -> dict[str, int]:
+        """Return the list version that each heard node has confirmed."""
+        versions = {node_id: item[1] for node_id, item in self._versions.items()}
+        versions[self._self_node.id] = self._list_version()
+        return versions
+
+    def refresh_versions(self, timeout: float) -> None:
+        """Ask live nodes without a heartbeat link for their list version."""
+        linked = {*self.links.ids(), self._self_node.id}
+        pool = Pool(VERSION_PINGS)
+        for node in self.live():
+            if node.id not in linked:
+                pool.spawn(self._ping_for_version, node.id, timeout)
+        pool.join(timeout)
+        pool.kill(block=False)
+
+    def ping(self, node_id: str, timeout: float) -> None:
+        """Exchange heartbeats with any node; raise StepError."""
+        body = self._heartbeat(wanted=False).to_body()
+        reply = self._network.call(node_id, "member.ping", body, timeout)
+        self._hear(node_id, Heartbeat.from_body(reply, node_id))
+
+    def suspect(self, node_id: str) -> None:
+        """Spread the suspicion that a node has gone."""
+        record = self._records.get(node_id)
+        if record is not None and record.state is MemberState.ALIVE:
+            log.warning("%s suspected, not heard of", node_id)
+            self._publish(record.node, record.incarnation, MemberState.SUSPECT)
+
+    def _find_live(self) -> tuple[Node, ...]:
+        now = self._timers.now()
+        leaving = {node.id for node in self.listed() if node.leaving}
+        nodes = [
+            record.node
+            for record in self._records.values()
+            if record.is_live(now) and record.node.id not in leaving
+        ]
+        if not self.leaving:
+            nodes.append(self._self_node)
+        return tuple(sorted(nodes, key=lambda node: node.id))
+
+    def _changed(self) -> None:
+        self._live = None
+        for callback in self._callbacks:
+            callback()
+
+    def _publish(self, node: Node, incarnation: int, state: MemberState) -> None:
+        kept = DEAD_KEPT_SECONDS if state is MemberState.DEAD else 0
+        version = news_version(incarnation, state)
+        self._news.publish(TOPIC, node.id, version, node_to_body(node), kept)
+
+    def _on_news(self, node_id: str, version: int, body: dict) -> None:
+        incarnation, state = version // STATES, MemberState(version % STATES)
+        if node_id == self._self_node.id:
+            self._refute(incarnation, state)
+            return
+        node = node_from_body(node_id, body)
+        old = self._records.get(node_id)
+        now = self._timers.now()
+        record = MemberRecord(node, incarnation, state, now)
+        if state is MemberState.SUSPECT:
+            record.dead_at = now + self._suspicion_seconds(node_id)
+        self._records[node_id] = record
+        if old is None or old.state is not state or old.node != node:
+            log.info("%s is %s", node_id, state.name.lower())
+        if state is MemberState.DEAD:
+            self.links.drop(node_id)
+            self._versions.pop(node_id, None)
+            if self._network.is_connected(node_id):
+                # Tells a node that was cut off or paused that it must refute.
+                self._tell_item(node_id)
+        elif old is not None and old.state is MemberState.SUSPECT:
+            # Another node hears the refuted one, although this one may not.
+            self.links.unwatch(node_id)
+        self._changed()
+
+    def _suspicion_seconds(self, node_id: str) -> float:
+        cfg = self._settings
+        link = self.links.get(node_id)
+        silence = self.links.silence(link) if link is not None else 0.0
+        if silence >= cfg.suspect_seconds:
+            return max(cfg.dead_seconds - silence, 0.0)
+        return cfg.dead_seconds - cfg.suspect_seconds
+
+    def _refute(self, incarnation: int, state: MemberState) -> None:
+        """Raise the own incarnation above what others tell of this node."""
+        own = news_version(self._incarnation, self._state)
+        if news_version(incarnation, state) <= own:
+            return
+        self._incarnation = incarnation + 1
+        log.warning("this node was told to be %s; refuting", state.name.lower())
+        self._publish(self._self_node, self._incarnation, self._state)
+
+    def _on_connection(self, node: Node, connected: bool) -> None:
+        if not connected:
+            self._connected.pop(node.id, None)
+            self._news.forget(node.id)
+            return
+        self._connected[node.id] = node
+        known = self._versions.get(node.id)
+        if known is not None and known[0] != node.incarnation:
+            del self._versions[node.id]
+        link = self.links.get(node.id)
+        if link is not None:
+            self._send_heartbeat(node.id, link.chosen)
+
+    def _on_heartbeat(self, node_id: str, body: dict) -> None:
+        heartbeat = Heartbeat.from_body(body, node_id)
+        known = self.links.get(node_id)
+        self.links.hear(node_id, heartbeat.wanted)
+        self._hear(node_id, heartbeat)
+        self._news.compare(node_id, heartbeat.news_count, heartbeat.news_digest)
+        if known is None and heartbeat.wanted:
+            self._send_heartbeat(node_id, wanted=False)
+
+    def _on_ping(self, node_id: str, body: dict) -> dict:
+        self._hear(node_id, Heartbeat.from_body(body, node_id))
+        return self._heartbeat(wanted=False).to_body()
+
+    def _hear(self, node_id: str, heartbeat: Heartbeat) -> None:
+        """Take over what a node tells of itself."""
+        node = self._connected.get(node_id)
+        if node is None:
+            return
+        self._versions[node_id] = (node.incarnation, heartbeat.list_version)
+        version = news_version(heartbeat.incarnation, heartbeat.state)
+        record = self._records.get(node_id)
+        if record is None or version > record.version():
+            self._publish(node, heartbeat.incarnation, heartbeat.state)
+        elif version < record.version():
+            self._tell_item(node_id)
+
+    def _tell_item(self, node_id: str) -> None:
+        item = self._news.get(TOPIC, node_id)
+        if item is not None:
+            self._news.send(node_id, [item])
+
+    def _heartbeat(self, wanted: bool) -> Heartbeat:
+        return Heartbeat(
+            self._incarnation,
+            self._state,
+            self._list_version(),
+            len(self._news),
+            self._news.digest,
+            wanted,
+        )
+
+    def _send_heartbeat(self, node_id: str, wanted: bool) -> None:
+        body = self._heartbeat(wanted).to_body()
+        self._network.notify(node_id, "heartbeat", body)
+
+    def _beat(self) -> None:
+        """Choose links, send heartbeats, and probe a node without a link."""
+        for link in self.links.choose(self._candidates()):
+            if self._network.is_connected(link.node_id):
+                self._send_heartbeat(link.node_id, wanted=False)
+        for link in self.links.all():
+            if self._network.is_connected(link.node_id):
+                self._send_heartbeat(link.node_id, link.chosen)
+        self._probes.run()
+
+    def _candidates(self) -> list[Node]:
+        own = self._self_node.id
+        live = [
+            item.node
+            for item in self._records.values()
+            if item.state < MemberState.DEAD
+        ]
+        unheard = [node for node in self.listed() if node.id not in self._records]
+        return [node for node in live + unheard if node.id != own]
+
+    def _check(self) -> None:
+        """Suspect silent peers and count suspects as dead when their time is up."""
+        now = self._timers.now()
+        pause = now - self._last_check
+        self._last_check = now
+        if pause > self._settings.suspect_seconds / 2:
+            log.warning("this process was paused for %.1f s", pause)
+            self.links.excuse_silence()
+            return
+        for link in self.links.all():
+            if self.links.silence(link) > self._settings.suspect_seconds:
+                self.suspect(link.node_id)
+        for node_id, record in list(self._records.items()):
+            if record.state is MemberState.SUSPECT and now >= record.dead_at:
+                self._publish(record.node, record.incarnation, MemberState.DEAD)
+            elif (
+                record.state is MemberState.DEAD
+                and now - record.changed > DEAD_KEPT_SECONDS
+            ):
+                del self._records[node_id]
+
+    def _ping_for_version(self, node_id: str, timeout: float) -> None:
+        with gevent.Timeout(timeout, False):
+            try:
+                self.ping(node_id, timeout)
+            except StepError as exc:
+                log.debug("version of %s not read: %s", node_id, exc.reason)
--- a/src/rattanwick/internal/peers/network.py
+++ b/src/rattanwick/internal/peers/network.py
@@ -33,6 +33,7 @@
 MAX_SERVING_CALLS = 2048  # calls of one peer that run here at once
 MAX_DIALLING_NOTICES = 256
 SWEEP_SECONDS = 1.0
+STOP_SECONDS = 0.5  # for frames still queued
 ConnectionCallback = Callable[[Node, bool], None]  # (node, whether it is connected)
 
 
@@ -86,7 +87,9 @@
             self._server.stop(timeout=0)
         for sock in list(self._unauthenticated.values()):
             sock.close()
+        due = self._timers.now() + STOP_SECONDS
         for conn in self._table:
+            conn.wait_sent(max(due - self._timers.now(), 0.0))
             conn.close("this node stops")
 
     def call(self, node_id: str, kind: str, body: dict, timeout: float) -> dict:
--- /dev/null
+++ b/src/rattanwick/internal/peers/news.py
@@ -0,0 +1,206 @@
+"""News: versioned items flooded over heartbeat links and compared by digest."""
+
+from collections.abc import Callable, Iterable
+
+import gevent
+import msgpack
+
+from rattanwick.internal.base.errors import ProtocolError, StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.peers.counters import NEWS_ITEMS, NEWS_SYNCS
+from rattanwick.internal.peers.interfaces import News, NewsCallback, PeerNetwork
+from rattanwick.internal.peers.items import (
+    BUCKETS,
+    MAX_KEPT_SECONDS,
+    NewsItem,
+    NewsStore,
+)
+
+log = get_logger("peers")
+
+KEPT_SECONDS = 600
+FLUSH_SECONDS = 0.02
+SYNC_SECONDS = 5.0
+SYNC_BYTES = 256 << 10
+ITEMS_IN_FRAME = 200
+EXPIRE_SECONDS = 5.0
+ENDPOINT_LEAVING = "endpoint.leaving"
+
+
+class FloodNews(News):
+    """Send each new item once to each link that is not known to have it."""
+
+    def __init__(self, network: PeerNetwork, timers: TimerService, node_id: str):
+        self._network = network
+        self._timers = timers
+        self._node_id = node_id
+        self._store = NewsStore()
+        self._links: Callable[[], Iterable[str]] = tuple
+        self._callbacks: dict[str, list[NewsCallback]] = {}
+        self._watchers: dict[str, list[NewsCallback]] = {}
+        self._pending: dict[tuple[str, str], set[str]] = {}  # nodes that have it
+        self._mismatches: dict[str, int] = {}
+        self._syncing = False
+        network.handle("news", self._on_news, inline=True)
+        network.handle("news.sync", self._on_sync)
+        timers.subscribe("news expiry", EXPIRE_SECONDS, self._expire)
+
+    def __len__(self) -> int:
+        return len(self._store)
+
+    @property
+    def digest(self) -> int:
+        """Return the digest of all items held."""
+        return self._store.digest
+
+    def set_links(self, links: Callable[[], Iterable[str]]) -> None:
+        """Set the source of the node ids that items are sent to."""
+        self._links = links
+
+    def publish(
+        self,
+        topic: str,
+        key: str,
+        version: int,
+        body: dict,
+        kept_seconds: int = KEPT_SECONDS,
+    ) -> None:
+        """Spread an item; ``kept_seconds`` of 0 keeps it until it is replaced."""
+        expires = int(self._timers.wall()) + kept_seconds if kept_seconds else 0
+        item = NewsItem.make(topic, key, version, expires, body)
+        self._merge(item, self._node_id)
+
+    def subscribe(self, topic: str, callback: NewsCallback) -> None:
+        """Call back for each new item, known ones first, each in its own task."""
+        for item in self._store.topic(topic):
+            callback(item.key, item.version, item.body)
+        self._callbacks.setdefault(topic, []).append(callback)
+
+    def watch(self, topic: str, callback: NewsCallback) -> None:
+        """Call back inside the reader; the callback must not block."""
+        self._watchers.setdefault(topic, []).append(callback)
+
+    def get(self, topic: str, key: str) -> NewsItem | None:
+        """Return the item of a key."""
+        return self._store.get(topic, key)
+
+    def flush(self) -> None:
+        """Send what is pending to the links."""
+        pending, self._pending = self._pending, {}
+        for node_id in self._links():
+            items = [
+                self._store.get(*name)
+                for name, holders in pending.items()
+                if node_id not in holders
+            ]
+            self.send(node_id, [item for item in items if item is not None])
+
+    def send(self, node_id: str, items: list[NewsItem]) -> None:
+        """Send items to one node."""
+        for start in range(0, len(items), ITEMS_IN_FRAME):
+            part = items[start : start + ITEMS_IN_FRAME]
+            body = {"items": [item.to_message() for item in part]}
+            self._network.notify(node_id, "news", body)
+
+    def compare(self, node_id: str, count: int, digest: int) -> None:
+        """Repair differences with a peer after reading its heartbeat."""
+        if digest == self._store.digest:
+            self._mismatches.pop(node_id, None)
+            return
+        seen = self._mismatches[node_id] = self._mismatches.get(node_id, 0) + 1
+        # Items on their way differ for one heartbeat; a node that knows little
+        # has just started and asks at once.
+        behind = (len(self._store), self._node_id) < (count, node_id)
+        starting = 2 * len(self._store) < count
+        if behind and not self._syncing and (seen > 1 or starting):
+            self._syncing = True
+            gevent.spawn(self._sync, node_id)
+
+    def forget(self, node_id: str) -> None:
+        """Forget the comparisons with a node."""
+        self._mismatches.pop(node_id, None)
+
+    def _merge(self, item: NewsItem, source: str) -> None:
+        limit = int(self._timers.wall()) + MAX_KEPT_SECONDS
+        if item.expires > limit:
+            raise ProtocolError("read news", source, "field expires is too far away")
+        name = (item.topic, item.key)
+        held = self._store.get(*name)
+        if not self._store.merge(item, self._timers.wall()):
+            if held is not None and held.digest == item.digest:
+                self._pending.get(name, set()).add(source)
+            return
+        NEWS_ITEMS.set(len(self._store))
+        if not self._pending:
+            self._timers.after(FLUSH_SECONDS, self.flush)
+        self._pending[name] = {source}
+        for callback in self._watchers.get(item.topic, ()):
+            self._call_watcher(callback, item)
+        for callback in self._callbacks.get(item.topic, ()):
+            gevent.spawn(callback, item.key, item.version, item.body)
+
+    def _call_watcher(self, callback: NewsCallback, item: NewsItem) -> None:
+        try:
+            callback(item.key, item.version, item.body)
+        except StepError as exc:
+            log.warning("item %s of %s ignored: %s", item.key, item.topic, exc.reason)
+
+    def _merge_messages(self, messages: object, source: str) -> list[NewsItem]:
+        if type(messages) is not list:
+            raise ProtocolError("read news", source, "field items is not a list")
+        items = [NewsItem.from_message(message) for message in messages]
+        for item in items:
+            self._merge(item, source)
+        return items
+
+    def _on_news(self, node_id: str, body: dict) -> None:
+        self._merge_messages(body.get("items"), node_id)
+
+    def _sync(self, node_id: str) -> None:
+        """Fetch differing buckets of a peer and send what it lacks."""
+        NEWS_SYNCS.inc()
+        try:
+            body = {"buckets": self._store.buckets}
+            reply = self._network.call(node_id, "news.sync", body, SYNC_SECONDS)
+            theirs = self._merge_messages(reply.get("items"), node_id)
+            self._send_missing(node_id, theirs, reply.get("buckets"))
+        except StepError as exc:
+            log.debug("news not compared with %s: %s", node_id, exc.reason)
+        finally:
+            self._syncing = False
+            self._mismatches.pop(node_id, None)
+
+    def _send_missing(self, node_id: str, theirs: list, buckets: object) -> None:
+        if type(buckets) is not list:
+            raise ProtocolError("news.sync", node_id, "field buckets is not a list")
+        held = {(item.topic, item.key): item for item in theirs}
+        missing = [
+            item
+            for item in self._store.in_buckets(buckets)
+            if item.beats(held.get((item.topic, item.key)))
+        ]
+        self.send(node_id, missing)
+
+    def _on_sync(self, node_id: str, body: dict) -> dict:
+        """Return all items of differing buckets, up to a size limit."""
+        theirs = body.get("buckets")
+        if type(theirs) is not list or len(theirs) != BUCKETS:
+            raise ProtocolError("news.sync", node_id, "field buckets is wrong")
+        own = self._store.buckets
+        differing = [index for index in range(BUCKETS) if own[index] != theirs[index]]
+        parts: dict[int, list] = {index: [] for index in differing}
+        for item in self._store.in_buckets(differing):
+            parts[item.bucket].append(item.to_message())
+        buckets, messages, size = [], [], 0
+        for index, part in parts.items():
+            size += len(msgpack.packb(part))
+            if buckets and size > SYNC_BYTES:
+                break
+            buckets.append(index)
+            messages += part
+        return {"buckets": buckets, "items": messages}
+
+    def _expire(self) -> None:
+        self._store.drop_expired(self._timers.wall())
+        NEWS_ITEMS.set(len(self._store))
--- /dev/null
+++ b/src/rattanwick/internal/peers/probes.py
@@ -0,0 +1,83 @@
+"""Probes of nodes without a heartbeat link: find the lost and the returned."""
+
+import random
+from typing import TYPE_CHECKING
+
+import gevent
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.peers.network import StreamPeerNetwork
+from rattanwick.internal.peers.records import MemberState
+
+if TYPE_CHECKING:
+    from rattanwick.internal.peers.members import HeartbeatMembers
+
+log = get_logger("peers")
+
+LIVE_EVERY = 15  # heartbeats between probes of a live node
+LOST_EVERY = 3  # heartbeats between probes of a listed node that is not live
+
+
+class Probes:
+    """Ping one random node now and then.
+
+    A live node whose linked peers all died with it is found by these probes, and
+    so are nodes on the other side of a partition after its end.
+    """
+
+    def __init__(
+        self, members: "HeartbeatMembers", network: StreamPeerNetwork, timeout: float
+    ):
+        self._members = members
+        self._network = network
+        self._timeout = timeout  # seconds
+        self._random = random.Random(network.node.id)
+        self._beats = self._random.randrange(LIVE_EVERY)
+
+    def run(self) -> None:
+        """Start the probes that are due with this heartbeat."""
+        self._beats += 1
+        if self._beats % LIVE_EVERY == 0:
+            self._start(self._live_ids(), self._probe_live)
+        if self._beats % LOST_EVERY == 0:
+            self._start(self._lost_ids(), self._probe_lost)
+
+    def _start(self, ids: list[str], probe) -> None:
+        if ids:
+            gevent.spawn(probe, self._random.choice(ids))
+
+    def _live_ids(self) -> list[str]:
+        return [
+            node_id
+            for node_id, record in self._members.records().items()
+            if record.state is MemberState.ALIVE
+            and self._members.links.get(node_id) is None
+        ]
+
+    def _lost_ids(self) -> list[str]:
+        """Return listed or recently dead nodes that no link watches."""
+        records = self._members.records()
+        lost = {
+            node_id
+            for node_id, record in records.items()
+            if record.state is MemberState.DEAD
+        }
+        unheard = {node.id for node in self._members.listed()} - records.keys()
+        return sorted((lost | unheard) - {self._network.node.id})
+
+    def _probe_live(self, node_id: str) -> None:
+        for _ in range(2):
+            try:
+                self._members.ping(node_id, self._timeout)
+                return
+            except StepError as exc:
+                log.debug("probe of %s: %s", node_id, exc.reason)
+        self._members.suspect(node_id)
+
+    def _probe_lost(self, node_id: str) -> None:
+        try:
+            self._members.ping(node_id, self._timeout)
+            log.info("%s answers again", node_id)
+        except StepError as exc:
+            log.debug("probe of %s: %s", node_id, exc.reason)
--- /dev/null
+++ b/src/rattanwick/internal/peers/records.py
@@ -0,0 +1,110 @@
+"""What a node knows of another node, and how versions of it are ordered."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from rattanwick.internal.base.errors import ProtocolError
+from rattanwick.internal.model.instances import Node
+
+STATES = 4
+STEP = "read member"
+
+
+class MemberState(IntEnum):
+    """Order what is told of one incarnation; a later state replaces an earlier."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+def news_version(incarnation: int, state: MemberState) -> int:
+    """Return the version of a member's news item."""
+    return incarnation * STATES + state
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """Hold the newest item of a member."""
+
+    node: Node
+    incarnation: int  # raised by the member to refute a suspicion
+    state: MemberState
+    changed: float  # monotonic seconds
+    dead_at: float = 0.0  # monotonic seconds at which a suspect counts as dead
+
+    def is_live(self, now: float) -> bool:
+        """Tell whether new work may go to the member."""
+        if self.state is MemberState.SUSPECT:
+            return now < self.dead_at
+        return self.state is MemberState.ALIVE
+
+    def version(self) -> int:
+        """Return the version of the member's news item."""
+        return news_version(self.incarnation, self.state)
+
+
+def node_to_body(node: Node) -> dict:
+    """Return a map for msgpack."""
+    return {
+        "n": [
+            node.data_centre,
+            node.region,
+            node.host,
+            node.caller_port,
+            node.peer_port,
+            node.operator_port,
+            node.instance_id,
+            node.incarnation,
+        ]
+    }
+
+
+def node_from_body(node_id: str, body: dict) -> Node:
+    """Return the node of a map; raise ProtocolError."""
+    values = body.get("n")
+    kinds = [str, str, str, int, int, int, str, int]
+    if type(values) is not list or [type(value) for value in values] != kinds:
+        raise ProtocolError(STEP, node_id, "field n is not a node")
+    return Node(node_id, *values)
+
+
+@dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """Tell the state of a node and what it knows."""
+
+    incarnation: int
+    state: MemberState
+    list_version: int
+    news_count: int
+    news_digest: int
+    wanted: bool  # the sender chose this link and keeps it
+
+    def to_body(self) -> dict:
+        """Return a map for msgpack; keys are short because it is sent often."""
+        return {
+            "i": self.incarnation,
+            "s": int(self.state),
+            "v": self.list_version,
+            "n": self.news_count,
+            "d": self.news_digest,
+            "w": self.wanted,
+        }
+
+    @classmethod
+    def from_body(cls, body: dict, peer: str) -> "Heartbeat":
+        """Return the heartbeat of a map; raise ProtocolError naming the field."""
+        for name in ("i", "s", "v", "n", "d"):
+            if type(body.get(name)) is not int or body[name] < 0:
+                raise ProtocolError("heartbeat", peer, f"field {name} is wrong")
+        if body["s"] >= STATES or body["i"] >= 1 << 59:
+            raise ProtocolError("heartbeat", peer, "field s or i is out of range")
+        return cls(
+            body["i"],
+            MemberState(body["s"]),
+            body["v"],
+            body["n"],
+            body["d"],
+            body.get("w") is True,
+        )
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -1,4 +1,4 @@
-"""Several peer networks in one process over loopback sockets, for tests."""
+"""Several peer networks or nodes in one process over loopback sockets, for tests."""
 
 import time
 
@@ -7,8 +7,11 @@
 
 from rattanwick.internal.base.settings import PeerSettings
 from rattanwick.internal.base.timers import GeventTimerService
-from rattanwick.internal.model.instances import Node
+from rattanwick.internal.model.instances import Endpoint, Node
+from rattanwick.internal.peers.members import HeartbeatMembers
 from rattanwick.internal.peers.network import StreamPeerNetwork
+from rattanwick.internal.peers.news import FloodNews
+from rattanwick.internal.platform.interfaces import InstanceList
 
 SECRET = b"a secret for tests"
 LOOPBACK = "127.0.0.1"
@@ -77,3 +80,115 @@
         for network in self.networks.values():
             network.stop()
         self.timers.stop()
+
+
+class StaticInstances(InstanceList):
+    """Show the nodes of a dict; nothing is listed until it is put there."""
+
+    def __init__(self, listed: dict[str, Node]):
+        self._listed = listed
+
+    def endpoints(self, pool: str | None = None) -> tuple[Endpoint, ...]:
+        """Return no endpoints."""
+        return ()
+
+    def nodes(self) -> tuple[Node, ...]:
+        """Return the listed nodes."""
+        return tuple(self._listed.values())
+
+    def age(self) -> float:
+        """Return the age of a list that was just read."""
+        return 0.0
+
+    def subscribe(self, callback) -> None:
+        """Never call back."""
+
+
+class Peer:
+    """Run the peer part of one node."""
+
+    def __init__(self, node: Node, listed: dict[str, Node], timers, **settings):
+        self.node = node
+        self.list_version = 1
+        self.blocked: set[str] = set()
+        cfg = make_settings(node, **settings)
+        self.network = StreamPeerNetwork(cfg, node, self._resolve, timers, SECRET)
+        self.news = FloodNews(self.network, timers, node.id)
+        instances = StaticInstances(listed)
+        self.members = HeartbeatMembers(
+            cfg, self.network, self.news, instances, timers, lambda: self.list_version
+        )
+
+    def start(self) -> "Peer":
+        """Listen and announce the node."""
+        self.network.start()
+        self.members.start()
+        return self
+
+    def live_ids(self) -> list[str]:
+        """Return the ids of live nodes."""
+        return [node.id for node in self.members.live()]
+
+    def cut(self, *node_ids: str) -> None:
+        """Close connections to nodes and open no new ones."""
+        self.blocked.update(node_ids)
+        for node_id in node_ids:
+            self.network.disconnect(node_id, "cut by the test")
+
+    def crash(self) -> None:
+        """Stop without a word to the others."""
+        for subscription in self.members._subscriptions:
+            subscription.cancel()
+        self.network.stop()
+
+    def _resolve(self, node_id: str) -> Node | None:
+        return None if node_id in self.blocked else self.members.get(node_id)
+
+
+class Cluster:
+    """Run several peers in one process."""
+
+    def __init__(self, **settings):
+        self.timers = GeventTimerService()
+        self.listed: dict[str, Node] = {}
+        self.peers: dict[str, Peer] = {}
+        self._settings = settings
+
+    def add(self, node_id: str, data_centre: str = "dc-a", listed: bool = True) -> Peer:
+        """Start a peer."""
+        node = make_node(node_id, data_centre)
+        if listed:
+            self.listed[node_id] = node
+        peer = Peer(node, self.listed, self.timers, **self._settings)
+        self.peers[node_id] = peer
+        return peer.start()
+
+    def add_many(self, count: int, data_centres: int = 3) -> list[Peer]:
+        """Start peers and wait until all see all."""
+        peers = [self.add(f"n{i}", f"dc-{i % data_centres}") for i in range(count)]
+        if not wait_until(lambda: self.agree(self.peers)):
+            raise AssertionError("the peers do not see each other")
+        return peers
+
+    def agree(self, node_ids) -> bool:
+        """Tell whether these nodes count exactly these nodes as live."""
+        wanted = sorted(node_ids)
+        return all(self.peers[item].live_ids() == wanted for item in wanted)
+
+    def partition(self, *sides: set[str]) -> None:
+        """Cut all connections between the sides."""
+        for side in sides:
+            others = set().union(*sides) - side
+            for node_id in side:
+                self.peers[node_id].cut(*others)
+
+    def heal(self) -> None:
+        """Permit all connections again."""
+        for peer in self.peers.values():
+            peer.blocked.clear()
+
+    def stop(self) -> None:
+        """Stop all peers."""
+        for peer in self.peers.values():
+            peer.network.stop()
+        self.timers.stop()
