Place requests through the soft owner of a cell

Cause: the request path needs placements before the decisions are tuned.

Change: CellRouter groups endpoints in cells, asks the soft owner over cell.place, cell.placed, cell.release and cell.cancel, and places alone when the owner is not reachable. A new owner asks nodes for their placements with cell.holdings; the same message frees placements that a node lost.

--- /dev/null
+++ b/bench/inprocess.py
@@ -0,0 +1,222 @@
+"""In-process stand-ins for the peer network, members, news and instance list."""
+
+from collections.abc import Callable
+
+import gevent
+import msgpack
+from gevent.event import AsyncResult
+
+from rattanwick.internal.base.errors import Refused, TimedOut, Unavailable
+from rattanwick.internal.model.instances import Endpoint, Node
+from rattanwick.internal.peers.interfaces import (
+    Handler,
+    Members,
+    News,
+    NewsCallback,
+    Ownership,
+    PeerNetwork,
+)
+from rattanwick.internal.platform.interfaces import InstanceList
+from rattanwick.internal.routing.ranks import hash_rank
+
+Latency = Callable[[Node, Node], float]  # one way, in seconds
+
+
+def no_latency(sender: Node, receiver: Node) -> float:
+    """Deliver at once."""
+    return 0.0
+
+
+class Hub:
+    """Connect nodes of one process; ``down`` and ``cut`` bring about faults."""
+
+    def __init__(self, nodes: list[Node], latency: Latency = no_latency):
+        self.nodes = {node.id: node for node in nodes}
+        self.latency = latency
+        self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.lose: list[str] = []  # kinds whose next notification is lost
+        self.handlers: dict[str, dict[str, Handler]] = {name: {} for name in self.nodes}
+        self.news: dict[str, list[NewsCallback]] = {}
+        self.items: dict[tuple[str, str], tuple[int, dict]] = {}
+        self.member_callbacks: list[Callable[[], None]] = []
+        self.messages = 0
+        self.bytes = 0
+
+    def live(self) -> tuple[Node, ...]:
+        """Return the nodes that are up."""
+        return tuple(node for name, node in self.nodes.items() if name not in self.down)
+
+    def set_down(self, node_id: str, down: bool = True) -> None:
+        """Stop or start a node and tell all members."""
+        if down:
+            self.down.add(node_id)
+        else:
+            self.down.discard(node_id)
+        for callback in self.member_callbacks:
+            callback()
+
+    def reachable(self, sender: str, receiver: str) -> bool:
+        """Tell whether messages pass between two nodes."""
+        pair = frozenset((sender, receiver))
+        return not ({sender, receiver} & self.down) and pair not in self.cut
+
+    def delay(self, sender: str, receiver: str) -> float:
+        """Return the latency from one node to another."""
+        return self.latency(self.nodes[sender], self.nodes[receiver])
+
+
+class LocalNetwork(PeerNetwork):
+    """Exchange messages over a hub, encoded as they would be on the wire."""
+
+    def __init__(self, hub: Hub, node_id: str):
+        self._hub = hub
+        self._id = node_id
+
+    def call(self, node_id: str, kind: str, body: dict, timeout: float) -> dict:
+        """Return the reply."""
+        if not self._hub.reachable(self._id, node_id):
+            raise Unavailable(kind, node_id, "not reachable")
+        delay = self._hub.delay(self._id, node_id)
+        if delay == 0:
+            return self._run(node_id, kind, self._encode(body))
+        answer: AsyncResult = AsyncResult()
+        packed = self._encode(body)
+        gevent.spawn_later(delay, self._run_later, node_id, kind, packed, answer)
+        try:
+            return answer.get(timeout=timeout)
+        except gevent.Timeout:
+            raise TimedOut(kind, node_id, "no answer")
+
+    def notify(self, node_id: str, kind: str, body: dict) -> None:
+        """Send without a reply."""
+        if kind in self._hub.lose:
+            self._hub.lose.remove(kind)
+            return
+        if not self._hub.reachable(self._id, node_id):
+            return
+        delay = self._hub.delay(self._id, node_id)
+        packed = self._encode(body)
+        if delay == 0:
+            self._run(node_id, kind, packed)
+        else:
+            gevent.spawn_later(delay, self._run, node_id, kind, packed)
+
+    def handle(self, kind: str, handler: Handler) -> None:
+        """Register the handler of a message kind."""
+        self._hub.handlers[self._id][kind] = handler
+
+    def _encode(self, body: dict) -> bytes:
+        packed = msgpack.packb(body)
+        self._hub.messages += 1
+        self._hub.bytes += len(packed)
+        return packed
+
+    def _run(self, node_id: str, kind: str, packed: bytes) -> dict:
+        if not self._hub.reachable(self._id, node_id):
+            return {}
+        try:
+            reply = self._hub.handlers[node_id][kind](self._id, msgpack.unpackb(packed))
+        except Exception as exc:
+            raise Refused(kind, node_id, str(exc))
+        return msgpack.unpackb(self._encode(reply or {}))
+
+    def _run_later(
+        self, node_id: str, kind: str, packed: bytes, answer: AsyncResult
+    ) -> None:
+        reply = self._run(node_id, kind, packed)
+        gevent.spawn_later(self._hub.delay(node_id, self._id), answer.set, reply)
+
+
+class LocalMembers(Members):
+    """Show the live nodes of a hub."""
+
+    def __init__(self, hub: Hub, node_id: str):
+        self._hub = hub
+        self._id = node_id
+
+    @property
+    def self_node(self) -> Node:
+        """Return this node."""
+        return self._hub.nodes[self._id]
+
+    def live(self, data_centre: str | None = None) -> tuple[Node, ...]:
+        """Return live nodes."""
+        found = self._hub.live()
+        return tuple(node for node in found if data_centre in (None, node.data_centre))
+
+    def get(self, node_id: str) -> Node | None:
+        """Return a known node."""
+        return self._hub.nodes.get(node_id)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._hub.member_callbacks.append(callback)
+
+
+class LocalOwnership(Ownership):
+    """Map keys to the live nodes of a hub by rendezvous hashing."""
+
+    def __init__(self, hub: Hub):
+        self._hub = hub
+
+    def owner(self, key: str, data_centre: str | None = None) -> Node | None:
+        """Return the live node that owns a key."""
+        live = [
+            node for node in self._hub.live() if data_centre in (None, node.data_centre)
+        ]
+        return max(live, key=lambda node: hash_rank(key, node.id), default=None)
+
+
+class LocalNews(News):
+    """Spread news over a hub at once."""
+
+    def __init__(self, hub: Hub):
+        self._hub = hub
+
+    def publish(self, topic: str, key: str, version: int, body: dict) -> None:
+        """Spread an item."""
+        known = self._hub.items.get((topic, key))
+        if known is not None and known[0] >= version:
+            return
+        self._hub.items[topic, key] = (version, body)
+        for callback in self._hub.news.get(topic, []):
+            callback(key, version, body)
+
+    def subscribe(self, topic: str, callback: NewsCallback) -> None:
+        """Call back for each new item."""
+        self._hub.news.setdefault(topic, []).append(callback)
+        for (known_topic, key), (version, body) in self._hub.items.items():
+            if known_topic == topic:
+                callback(key, version, body)
+
+
+class LocalInstances(InstanceList):
+    """Show a list of endpoints that can be changed."""
+
+    def __init__(self, endpoints: list[Endpoint], nodes: tuple[Node, ...] = ()):
+        self._endpoints = tuple(endpoints)
+        self._nodes = nodes
+        self._callbacks: list[Callable[[], None]] = []
+
+    def endpoints(self, pool: str | None = None) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a pool, or all."""
+        return tuple(item for item in self._endpoints if pool in (None, item.pool))
+
+    def nodes(self) -> tuple[Node, ...]:
+        """Return all nodes."""
+        return self._nodes
+
+    def age(self) -> float:
+        """Return zero; the list is always fresh."""
+        return 0.0
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._callbacks.append(callback)
+
+    def replace(self, endpoints: list[Endpoint]) -> None:
+        """Change the list and tell subscribers."""
+        self._endpoints = tuple(endpoints)
+        for callback in self._callbacks:
+            callback()
--- /dev/null
+++ b/src/rattanwick/internal/routing/cells.py
@@ -0,0 +1,52 @@
+"""Cells: groups of endpoints of one pool and region that share a queue."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from rattanwick.internal.model.instances import Endpoint
+from rattanwick.internal.routing.ranks import hash_rank
+
+
+@dataclass(slots=True, frozen=True)
+class Cell:
+    """Hold the endpoints that one soft owner places requests on."""
+
+    key: str  # POOL/REGION/INDEX
+    pool: str
+    region: str
+    endpoints: tuple[Endpoint, ...]
+
+    @property
+    def slots(self) -> int:
+        """Return the requests that all endpoints run at once."""
+        return sum(item.slots for item in self.endpoints)
+
+
+def group_cells(endpoints: Iterable[Endpoint], cell_endpoints: int) -> list[Cell]:
+    """Return the cells of all pools and regions.
+
+    Rendezvous hashing with a bound for each cell keeps most endpoints in their
+    cell when another one comes or goes.
+    """
+    groups: dict[tuple[str, str], list[Endpoint]] = {}
+    for item in endpoints:
+        groups.setdefault((item.pool, item.region), []).append(item)
+    cells = []
+    for (pool, region), members in sorted(groups.items()):
+        cells.extend(_split(pool, region, members, cell_endpoints))
+    return cells
+
+
+def _split(pool: str, region: str, members: list[Endpoint], limit: int) -> list[Cell]:
+    count = -(-len(members) // limit)
+    keys = [f"{pool}/{region}/{index}" for index in range(count)]
+    assigned: dict[str, list[Endpoint]] = {key: [] for key in keys}
+    for item in sorted(members, key=lambda member: member.id):
+        ranked = sorted(keys, key=lambda key: -hash_rank(item.id, key))
+        chosen = next(key for key in ranked if len(assigned[key]) < limit)
+        assigned[chosen].append(item)
+    return [
+        Cell(key, pool, region, tuple(items))
+        for key, items in assigned.items()
+        if items
+    ]
--- /dev/null
+++ b/src/rattanwick/internal/routing/endpoints.py
@@ -0,0 +1,65 @@
+"""Which endpoints may receive work, from the instance list and news."""
+
+from collections.abc import Callable
+
+from rattanwick.internal.peers.interfaces import News
+from rattanwick.internal.platform.interfaces import InstanceList
+from rattanwick.internal.routing.cells import Cell, group_cells
+
+LEAVING_TOPIC = "endpoint.leaving"
+
+
+class EndpointDirectory:
+    """Combine the instance list with news; whichever says leaving applies."""
+
+    def __init__(self, instances: InstanceList, news: News, cell_endpoints: int):
+        self._instances = instances
+        self._cell_endpoints = cell_endpoints
+        self._callbacks: list[Callable[[], None]] = []
+        self._leaving: set[str] = set()
+        self._usable: set[str] = set()
+        self._cells: dict[str, Cell] = {}
+        self._read()
+        instances.subscribe(self._refresh)
+        news.subscribe(LEAVING_TOPIC, self._hear_leaving)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of the endpoints."""
+        self._callbacks.append(callback)
+
+    def is_usable(self, endpoint_id: str) -> bool:
+        """Tell whether an endpoint may receive work."""
+        return endpoint_id in self._usable
+
+    def cell(self, key: str) -> Cell | None:
+        """Return a cell by key."""
+        return self._cells.get(key)
+
+    def cells(self, pool: str, region: str) -> list[Cell]:
+        """Return the cells of a pool, those of the region before others."""
+        found = [item for item in self._cells.values() if item.pool == pool]
+        return sorted(found, key=lambda item: (item.region != region, item.key))
+
+    def _refresh(self) -> None:
+        self._read()
+        for callback in self._callbacks:
+            callback()
+
+    def _read(self) -> None:
+        listed = self._instances.endpoints()
+        self._cells = {
+            item.key: item for item in group_cells(listed, self._cell_endpoints)
+        }
+        self._leaving &= {item.id for item in listed}
+        self._usable = {
+            item.id
+            for item in listed
+            if not item.leaving and item.id not in self._leaving
+        }
+
+    def _hear_leaving(self, key: str, version: int, body: dict) -> None:
+        if body.get("leaving", True):
+            self._leaving.add(key)
+        else:
+            self._leaving.discard(key)
+        self._refresh()
--- /dev/null
+++ b/src/rattanwick/internal/routing/hosting.py
@@ -0,0 +1,169 @@
+"""Cells that this node owns, and the messages of nodes that ask it."""
+
+from collections.abc import Callable
+
+from gevent import spawn
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.peers.interfaces import Members, Ownership, PeerNetwork
+from rattanwick.internal.routing.endpoints import EndpointDirectory
+from rattanwick.internal.routing.messages import (
+    CANCEL,
+    HOLDINGS,
+    PLACE,
+    RELEASE,
+    Holding,
+    PlaceAsk,
+    PlaceReply,
+    PlaceState,
+    RefuseReason,
+    ReleaseNote,
+)
+from rattanwick.internal.routing.owner import CellOwner, OwnerParts
+
+log = get_logger("routing")
+
+HOLDINGS_TIMEOUT_SECONDS = 0.3
+SWEEP_SECONDS = 0.1
+RECONCILE_SECONDS = 5.0
+
+
+class OwnedCells:
+    """Host the queues of the cells that nodes take this node to own."""
+
+    def __init__(
+        self,
+        parts: OwnerParts,
+        members: Members,
+        ownership: Ownership,
+        network: PeerNetwork,
+        directory: EndpointDirectory,
+        list_held: Callable[[str], list[Holding]],
+    ):
+        self._parts = parts
+        self._members = members
+        self._ownership = ownership
+        self._network = network
+        self._directory = directory
+        self._list_held = list_held  # placements of this node in a cell
+        self._self_id = members.self_node.id
+        self._owners: dict[str, CellOwner] = {}
+        network.handle(PLACE, self._handle_place)
+        network.handle(RELEASE, self._handle_release)
+        network.handle(CANCEL, self._handle_cancel)
+        network.handle(HOLDINGS, self._handle_holdings)
+        members.subscribe(self._free_dead_nodes)
+        timers = parts.timers
+        timers.subscribe("routing sweep", SWEEP_SECONDS, self._sweep)
+        timers.subscribe("routing reconcile", RECONCILE_SECONDS, self._reconcile)
+
+    def hosts(self, cell: str) -> bool:
+        """Tell whether the queue of a cell is here."""
+        return cell in self._owners
+
+    def place(self, ask: PlaceAsk, node_id: str) -> PlaceReply:
+        """Place or queue an ask; make the queue on first use."""
+        owner = self._owner_of(ask.cell)
+        if owner is None:
+            reason = RefuseReason.NO_ENDPOINT
+            return PlaceReply(ask.cell, ask.ticket, PlaceState.REFUSED, reason=reason)
+        return owner.place(ask, node_id)
+
+    def release(self, note: ReleaseNote) -> None:
+        """Free the slot of a placement."""
+        owner = self._owners.get(note.cell)
+        if owner is not None:
+            owner.release(note)
+
+    def cancel(self, cell: str, ticket: str) -> None:
+        """Drop an ask or a placement that nobody waits for."""
+        owner = self._owners.get(cell)
+        if owner is not None:
+            owner.cancel(ticket)
+
+    def update_cells(self) -> None:
+        """Adopt changed cells; drop those that are gone."""
+        for key, owner in list(self._owners.items()):
+            cell = self._directory.cell(key)
+            if cell is None:
+                owner.refuse_all(RefuseReason.NO_ENDPOINT)
+                del self._owners[key]
+            else:
+                owner.cell = cell
+                owner.sweep()
+
+    def _owner_of(self, key: str) -> CellOwner | None:
+        found = self._owners.get(key)
+        if found is not None:
+            return found
+        cell = self._directory.cell(key)
+        if cell is None:
+            return None
+        found = CellOwner(self._parts, cell)
+        self._owners[key] = found
+        others = [item.id for item in self._members.live() if item.id != self._self_id]
+        if others:
+            spawn(self._take_over, found, others)
+        else:
+            found.ready = True
+        return found
+
+    def _take_over(self, owner: CellOwner, others: list[str]) -> None:
+        """Ask all nodes for their placements before the first own one."""
+        tasks = [spawn(self._fetch_holdings, owner, node_id) for node_id in others]
+        for task in tasks:
+            task.join()
+        owner.adopt(self._self_id, self._list_held(owner.cell.key))
+        owner.ready = True
+        log.info("this node owns cell %s", owner.cell.key)
+        owner.pump()
+
+    def _fetch_holdings(self, owner: CellOwner, node_id: str) -> None:
+        asked = self._parts.timers.now()
+        body = {"cell": owner.cell.key}
+        try:
+            timeout = HOLDINGS_TIMEOUT_SECONDS
+            answer = self._network.call(node_id, HOLDINGS, body, timeout)
+        except StepError as exc:
+            log.info("placements of node %s are not known: %s", node_id, exc)
+            return
+        holdings = [Holding.from_message(item) for item in answer["holdings"]]
+        owner.reconcile(node_id, holdings, asked)
+
+    def _handle_place(self, peer: str, body: dict) -> dict:
+        return self.place(PlaceAsk.from_message(body), peer).to_message()
+
+    def _handle_release(self, peer: str, body: dict) -> None:
+        self.release(ReleaseNote.from_message(body))
+
+    def _handle_cancel(self, peer: str, body: dict) -> None:
+        self.cancel(body["cell"], body["ticket"])
+
+    def _handle_holdings(self, peer: str, body: dict) -> dict:
+        holdings = [item.to_message() for item in self._list_held(body["cell"])]
+        return {"holdings": holdings}
+
+    def _free_dead_nodes(self) -> None:
+        live = {item.id for item in self._members.live()} | {self._self_id}
+        for owner in self._owners.values():
+            for node_id in owner.nodes() - live:
+                owner.free_node(node_id)
+            owner.pump()
+
+    def _sweep(self) -> None:
+        for key, owner in list(self._owners.items()):
+            current = self._ownership.owner(key)
+            moved = current is not None and current.id != self._self_id
+            if moved and owner.is_idle():
+                del self._owners[key]
+            else:
+                owner.sweep()
+
+    def _reconcile(self) -> None:
+        """Compare placements with the nodes that hold them."""
+        for owner in list(self._owners.values()):
+            for node_id in owner.nodes() - {self._self_id}:
+                self._fetch_holdings(owner, node_id)
+            held = self._list_held(owner.cell.key)
+            owner.reconcile(self._self_id, held, self._parts.timers.now())
--- /dev/null
+++ b/src/rattanwick/internal/routing/messages.py
@@ -0,0 +1,107 @@
+"""Messages between a node and the soft owner of a cell."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rattanwick.internal.model.requests import Usage
+
+PLACE = "cell.place"
+PLACED = "cell.placed"
+RELEASE = "cell.release"
+CANCEL = "cell.cancel"
+HOLDINGS = "cell.holdings"
+
+
+class PlaceState(StrEnum):
+    """Tell what became of a request for a placement."""
+
+    PLACED = "placed"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+class RefuseReason(StrEnum):
+    """Tell why no placement was given."""
+
+    NO_ENDPOINT = "no_endpoint"
+    DEADLINE = "deadline"
+    DEADLINE_PASSED = "deadline_passed"
+    HEDGE_BUDGET = "hedge_budget"
+    CANCELLED = "cancelled"
+
+
+class Message:
+    """Turn a dataclass with slots into a map and back."""
+
+    __slots__ = ()
+
+    def to_message(self) -> dict:
+        """Return a map for msgpack."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    @classmethod
+    def from_message(cls, message: dict):
+        """Return the message of a map; unknown fields are ignored."""
+        return cls(**{key: message[key] for key in cls.__slots__ if key in message})
+
+
+@dataclass(slots=True)
+class PlaceAsk(Message):
+    """Ask a soft owner for a placement; a repeat with the same ticket is harmless."""
+
+    cell: str
+    ticket: str
+    request_id: str
+    organisation: str
+    plan: str
+    kind: str
+    prompt_tokens: int
+    max_output_tokens: int
+    priority: int
+    seconds_left: float  # to the deadline; independent of clock differences
+    data_centre: str
+    excluded: list[str] = field(default_factory=list)
+    prefix: list[int] = field(default_factory=list)  # hashes of leading blocks
+    hedged: bool = False
+    waited: float = 0.0  # seconds spent before this ask
+
+
+@dataclass(slots=True)
+class PlaceReply(Message):
+    """Answer a PlaceAsk, at once or later."""
+
+    cell: str
+    ticket: str
+    state: str
+    endpoint_id: str = ""
+    queued_seconds: float = 0.0
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Holding(Message):
+    """Describe a placement that a node holds."""
+
+    cell: str
+    ticket: str
+    request_id: str
+    endpoint_id: str
+    short: bool
+    work: float  # seconds
+    age: float = 0.0  # seconds since it was placed
+
+
+@dataclass(slots=True)
+class ReleaseNote(Message):
+    """Give a placement back with what was observed."""
+
+    cell: str
+    ticket: str
+    endpoint_id: str
+    usage: dict
+    features: dict
+
+    def read_usage(self) -> Usage:
+        """Return the usage; unknown fields are ignored."""
+        known = Usage.__slots__
+        return Usage(**{key: self.usage[key] for key in known if key in self.usage})
--- /dev/null
+++ b/tests/unit/routing_support.py
@@ -0,0 +1,145 @@
+"""Nodes with real routers over an in-process network, on manual time."""
+
+import itertools
+
+import gevent
+
+from bench.inprocess import (
+    Hub,
+    LocalInstances,
+    LocalMembers,
+    LocalNetwork,
+    LocalNews,
+    LocalOwnership,
+)
+from rattanwick.internal.base.settings import RoutingSettings
+from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.model.instances import Endpoint, EndpointKind, Node
+from rattanwick.internal.model.requests import RequestKind, ServingRequest, Usage
+from rattanwick.internal.recording.decisions import Decision, Recorder
+from rattanwick.internal.routing.router import CellRouter
+
+DATA_CENTRES = ("gye-norte", "gye-sur", "duran")
+REGION = "costa-gye"
+POOL = "rattan-afila"
+_ids = itertools.count()
+
+
+class ListRecorder(Recorder):
+    """Keep decisions in a list."""
+
+    def __init__(self):
+        self.decisions: list[Decision] = []
+
+    def record(self, decision: Decision) -> None:
+        """Keep a decision."""
+        self.decisions.append(decision)
+
+
+def make_nodes(count: int) -> list[Node]:
+    """Return nodes spread over the data centres."""
+    return [
+        Node(f"node-{i}", DATA_CENTRES[i % 3], REGION, "127.0.0.1", 1, 2, 3)
+        for i in range(count)
+    ]
+
+
+def make_endpoints(count: int, slots: int = 2, pool: str = POOL) -> list[Endpoint]:
+    """Return engines spread over the data centres."""
+    kind = EndpointKind.ENGINE
+    return [
+        Endpoint(
+            f"{pool}-{i}",
+            pool,
+            kind,
+            DATA_CENTRES[i % 3],
+            REGION,
+            "127.0.0.1",
+            1,
+            slots,
+        )
+        for i in range(count)
+    ]
+
+
+class RoutingCluster:
+    """Hold the routers of several nodes."""
+
+    def __init__(self, nodes: int = 3, endpoints: int = 3, slots: int = 2, **settings):
+        self.timers = ManualTimerService()
+        self.hub = Hub(make_nodes(nodes))
+        self.instances = LocalInstances(make_endpoints(endpoints, slots))
+        self.recorder = ListRecorder()
+        self.news = LocalNews(self.hub)
+        self.ownership = LocalOwnership(self.hub)
+        self.settings = RoutingSettings(**settings)
+        self.routers = {name: self.make_router(name) for name in self.hub.nodes}
+        self.cell = f"{POOL}/{REGION}/0"
+
+    def make_router(self, node_id: str) -> CellRouter:
+        """Return the router of a node."""
+        return CellRouter(
+            self.settings,
+            LocalMembers(self.hub, node_id),
+            self.ownership,
+            LocalNetwork(self.hub, node_id),
+            self.instances,
+            self.news,
+            self.timers,
+            self.recorder,
+        )
+
+    def owner_id(self) -> str:
+        """Return the owner of the first cell."""
+        return self.ownership.owner(self.cell).id
+
+    def other_id(self) -> str:
+        """Return a live node that does not own the first cell."""
+        owner = self.owner_id()
+        return next(node.id for node in self.hub.live() if node.id != owner)
+
+    def request(self, **fields) -> ServingRequest:
+        """Return a request with a deadline in two minutes."""
+        defaults = {
+            "id": f"req-{next(_ids)}",
+            "kind": RequestKind.CHAT,
+            "organisation": "taller",
+            "plan": "plan-a",
+            "pool": POOL,
+            "body": {},
+            "stream": True,
+            "deadline": self.timers.wall() + 120,
+            "received": self.timers.wall(),
+            "prompt_tokens": 10,
+            "max_output_tokens": 40,
+        }
+        return ServingRequest(**{**defaults, **fields})
+
+    def start(self, node_id: str, **fields) -> gevent.Greenlet:
+        """Start to place a request and run until all tasks wait."""
+        excluded = fields.pop("excluded", frozenset())
+        req = self.request(**fields)
+        task = gevent.spawn(self.routers[node_id].place, req, excluded)
+        settle()
+        return task
+
+    def place(self, node_id: str, **fields):
+        """Return the placement of a request that needs no wait."""
+        return self.start(node_id, **fields).get(timeout=1)
+
+    def release(self, node_id: str, placement, **usage) -> None:
+        """Release a placement as answered."""
+        fields = {"ok": True, "output_tokens": 10, "total_seconds": 0.2, **usage}
+        self.routers[node_id].release(placement, Usage(**fields))
+        settle()
+
+    def advance(self, seconds: float) -> None:
+        """Advance time and run what became due."""
+        self.timers.advance(seconds)
+        settle()
+
+
+def settle() -> None:
+    """Run ready tasks until all wait."""
+    for _ in range(20):
+        gevent.sleep(0)
--- /dev/null
+++ b/tests/unit/test_router.py
@@ -0,0 +1,65 @@
+"""Routers place through soft owners and alone where none is reachable."""
+
+import unittest
+
+from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.platform.interfaces import InstanceList
+from tests.unit.routing_support import POOL, RoutingCluster, make_endpoints
+
+
+class RouterTests(unittest.TestCase):
+    def test_nodes_share_the_count_in_flight(self):
+        # Guards against nodes that fill the same endpoint from separate counts.
+        cluster = RoutingCluster(nodes=3, endpoints=3, slots=1)
+        names = list(cluster.routers)
+        chosen = {cluster.place(name).endpoint_id for name in names}
+        self.assertEqual(len(chosen), 3)
+
+    def test_a_queued_request_is_placed_after_a_release(self):
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        first = cluster.place(owner)
+        waiting = cluster.start(other)
+        self.assertFalse(waiting.ready())
+        cluster.release(owner, first)
+        self.assertEqual(waiting.get(timeout=1).endpoint_id, first.endpoint_id)
+
+    def test_places_alone_when_the_owner_is_unreachable(self):
+        cluster = RoutingCluster(nodes=2)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        cluster.hub.cut.add(frozenset((owner, other)))
+        self.assertEqual(cluster.place(other).owner, "")
+
+    def test_never_places_on_leaving_or_excluded_endpoints(self):
+        # Guards against work for an endpoint that the instance list still shows.
+        cluster = RoutingCluster(nodes=2, endpoints=3, slots=4)
+        cluster.news.publish("endpoint.leaving", f"{POOL}-0", 1, {})
+        for policy in ("owner", "alone", "least-in-flight", "round-robin"):
+            cluster.settings.policy = policy
+            for name in cluster.routers:
+                chosen = cluster.place(name, excluded=frozenset([f"{POOL}-1"]))
+                self.assertEqual(chosen.endpoint_id, f"{POOL}-2")
+                cluster.release(name, chosen)
+
+    def test_refuses_when_no_endpoint_is_left(self):
+        cluster = RoutingCluster(nodes=1, endpoints=1)
+        cluster.instances.replace([])
+        with self.assertRaises(Refused):
+            cluster.place("node-0")
+
+    def test_refuses_a_queued_request_at_its_deadline(self):
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        cluster.place(cluster.owner_id())
+        deadline = cluster.timers.wall() + 1
+        waiting = cluster.start(cluster.other_id(), deadline=deadline)
+        cluster.advance(1.5)
+        with self.assertRaises(Refused):
+            waiting.get(timeout=1)
+
+    def test_instances_stand_in_is_an_instance_list(self):
+        self.assertIsInstance(RoutingCluster().instances, InstanceList)
+        self.assertEqual(len(make_endpoints(4)), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
