Add lists with versions, confirmation and caller identity

Cause: the request path needs plans and allowances, and changes to them must never revert. Change: parse and check plans.ini and allowances.ini with every fault reported; ListStore adopts only higher versions from the table, news or peers, applies by one conditional transaction and reads a lost answer back; Identity answers callers and allowances. In-memory peers for unit tests are in fakes/memory_peers.py.

--- /dev/null
+++ b/src/rattanwick/internal/state/list_versions.py
@@ -0,0 +1,76 @@
+"""Versions of the lists as rows, messages and values."""
+
+import hashlib
+from dataclasses import dataclass, field
+
+from rattanwick.internal.base.errors import ProtocolError
+from rattanwick.internal.state.list_format import Lists, parse_lists
+
+CURRENT_KEY = "lists#current"
+VERSION_PREFIX = "lists#v#"
+# Larger texts go to the object store; a row of the table holds 400 KB.
+MAX_ROW_BYTES = 250_000
+
+
+@dataclass(slots=True, frozen=True)
+class ListsVersion:
+    """Hold one version of both lists; number 0 is the empty start."""
+
+    number: int
+    plans_text: str
+    allowances_text: str
+    author: str
+    time: float  # Unix seconds
+    from_version: int
+    contents: Lists = field(repr=False, compare=False)
+
+    @property
+    def digest(self) -> str:
+        """Return the SHA-256 of number and texts."""
+        return digest_of(self.number, self.plans_text, self.allowances_text)
+
+    def to_message(self) -> dict:
+        """Return a map for msgpack or JSON."""
+        return {
+            "version": self.number,
+            "plans": self.plans_text,
+            "allowances": self.allowances_text,
+            "author": self.author,
+            "time": self.time,
+            "from_version": self.from_version,
+            "digest": self.digest,
+        }
+
+
+EMPTY_VERSION = ListsVersion(0, "", "", "", 0.0, 0, Lists())
+
+
+def digest_of(number: int, plans_text: str, allowances_text: str) -> str:
+    """Return the SHA-256 that identifies a version, in hexadecimal."""
+    content = f"{number}\x00{plans_text}\x00{allowances_text}"
+    return hashlib.sha256(content.encode()).hexdigest()
+
+
+def version_key(number: int) -> str:
+    """Return the row key of a version."""
+    return f"{VERSION_PREFIX}{number:08d}"
+
+
+def version_from_message(message: dict, source: str) -> ListsVersion:
+    """Return the checked version of a map; raise ProtocolError or SettingsError."""
+    try:
+        version = ListsVersion(
+            number=int(message["version"]),
+            plans_text=str(message["plans"]),
+            allowances_text=str(message["allowances"]),
+            author=str(message.get("author", "")),
+            time=float(message.get("time", 0.0)),
+            from_version=int(message.get("from_version", 0)),
+            contents=parse_lists(str(message["plans"]), str(message["allowances"])),
+        )
+        expected = message["digest"]
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ProtocolError("read lists", source, f"field missing or invalid: {exc}")
+    if version.digest != expected:
+        raise ProtocolError("read lists", source, "digest does not match the texts")
+    return version
--- /dev/null
+++ b/tests/unit/test_lists.py
@@ -0,0 +1,218 @@
+"""Lists report every fault and change only upwards."""
+
+import hashlib
+import unittest
+
+from fakes.memory import MemoryTable
+from fakes.memory_peers import (
+    MemoryInstances,
+    MemoryMembers,
+    MemoryMesh,
+    MemoryNews,
+)
+from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
+from rattanwick.internal.base.ini import SettingsError
+from rattanwick.internal.base.settings import ListSettings
+from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.state.identity import Caller, Identity, OperatorKeys
+from rattanwick.internal.state.list_format import parse_lists
+from rattanwick.internal.state.lists import FETCH, ListStore
+
+KEY_HASH = hashlib.sha256(b"key-1").hexdigest()
+PLANS = f"""
+[plan basic]
+organisations = taller-quito
+[organisation taller-quito]
+plan = basic
+key_hashes = {KEY_HASH}
+"""
+ALLOWANCES = """
+[allowance basic rattan-afila]
+tokens_per_minute = 60000
+requests_per_minute = 600
+max_output_tokens = 2000
+priority = 4
+hedge = yes
+"""
+
+
+class Cluster:
+    """Run list stores of several nodes over one table."""
+
+    def __init__(self, count: int = 3):
+        self.table = MemoryTable()
+        self.mesh = MemoryMesh()
+        self.timers = ManualTimerService()
+        self.stores = [self.add(f"node-{index}") for index in range(count)]
+
+    def add(self, node_id: str) -> ListStore:
+        network = self.mesh.add(node_id)
+        store = ListStore(
+            self.table,
+            None,
+            network,
+            MemoryNews(self.mesh),
+            MemoryMembers(self.mesh, node_id),
+            MemoryInstances(self.mesh),
+            self.timers,
+            ListSettings(),
+            self.confirmed,
+        )
+        store.start()
+        return store
+
+    def confirmed(self) -> dict[str, int]:
+        return {
+            f"node-{index}": store.current().number
+            for index, store in enumerate(self.stores)
+        }
+
+
+class ListFormatTests(unittest.TestCase):
+    def test_reports_every_fault_of_both_files_in_one_run(self):
+        plans = f"""
+[plan basic]
+organisations = taller-quito gone
+[organisation taller-quito]
+plan = basci
+key_hashes = {KEY_HASH}
+[organisation other]
+plan = basic
+key_hashes = 12
+colour = red
+[plna x]
+"""
+        allowances = """
+[allowance basic]
+[allowance basci pool]
+tokens_per_minute = many
+requests_per_minute = 5
+max_output_tokens = 5
+priority = 12
+"""
+        with self.assertRaises(SettingsError) as caught:
+            parse_lists(plans, allowances)
+        places = {
+            (fault.file, fault.section, fault.key) for fault in caught.exception.faults
+        }
+        self.assertEqual(
+            places,
+            {
+                ("plans.ini", "plan basic", "organisations"),
+                ("plans.ini", "organisation taller-quito", "plan"),
+                ("plans.ini", "organisation other", "key_hashes"),
+                ("plans.ini", "organisation other", "colour"),
+                ("plans.ini", "plna x", ""),
+                ("allowances.ini", "allowance basic", ""),
+                ("allowances.ini", "allowance basci pool", ""),
+                ("allowances.ini", "allowance basci pool", "tokens_per_minute"),
+                ("allowances.ini", "allowance basci pool", "priority"),
+            },
+        )
+        for fault in caught.exception.faults:
+            self.assertTrue(fault.wrong and fault.instead)
+
+    def test_refuses_a_key_of_two_organisations(self):
+        second = f"[organisation b]\nplan = basic\nkey_hashes = {KEY_HASH}\n"
+        plans = PLANS.replace("= taller-quito", "= taller-quito b") + second
+        with self.assertRaises(SettingsError) as caught:
+            parse_lists(plans, ALLOWANCES)
+        self.assertEqual([f.key for f in caught.exception.faults], ["key_hashes"])
+
+
+class ListStoreTests(unittest.TestCase):
+    def setUp(self):
+        self.cluster = Cluster()
+        self.first, self.second, self.third = self.cluster.stores
+
+    def test_a_change_is_in_force_everywhere_and_identifies_callers(self):
+        version = self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.assertEqual(self.first.wait_confirmed(version.number), ())
+        identity = Identity(self.third)
+        self.assertEqual(
+            identity.caller_for_key("key-1"), Caller("taller-quito", "basic")
+        )
+        self.assertIsNone(identity.caller_for_key("key-2"))
+        allowance = identity.allowance("basic", "rattan-afila")
+        self.assertEqual((allowance.priority, allowance.hedge), (4, True))
+        self.assertIsNone(identity.allowance("basic", "agenda-vans"))
+
+    def test_a_stale_edit_is_refused_with_the_version_in_force(self):
+        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        with self.assertRaises(Conflict) as caught:
+            self.second.apply(PLANS, "", 0, "luis")
+        self.assertEqual(caught.exception.current.author, "ana")
+        self.assertEqual(self.second.current().number, 1)
+
+    def test_a_lost_answer_is_read_back_and_applied_once(self):
+        self.cluster.table.lose_answers = 1
+        version = self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.assertEqual(version.number, 1)
+        self.assertEqual([item.number for item in self.first.history()], [1])
+
+    def test_a_lost_answer_that_cannot_be_read_back_is_not_called_stored(self):
+        table = self.cluster.table
+        table.lose_answers = 1
+        transact = table.transact
+
+        def transact_then_fail(writes, token):
+            try:
+                transact(writes, token)
+            finally:
+                table.down = True
+
+        table.transact = transact_then_fail
+        with self.assertRaises(MaybeApplied):
+            self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.assertEqual(self.first.current().number, 0)
+
+    def test_an_outage_refuses_a_change(self):
+        self.cluster.table.down = True
+        with self.assertRaises(Unavailable):
+            self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+
+    def test_an_older_version_never_replaces_a_newer_one(self):
+        old = self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.first.apply(PLANS, "", 1, "ana")
+        self.assertFalse(self.second.adopt(old))
+        self.assertEqual(self.second.current().number, 2)
+
+    def test_names_nodes_that_have_not_confirmed(self):
+        late = self.cluster.mesh.add("node-9")
+        self.assertIsNotNone(late)
+        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.assertEqual(self.first.wait_confirmed(1), ("node-9",))
+
+    def test_a_new_node_loads_from_peers_while_the_table_is_down(self):
+        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.table.down = True
+        self.cluster.mesh.unreachable = {"node-0"}
+        fresh = self.cluster.add("node-3")
+        self.assertTrue(fresh.load_newest())
+        self.assertEqual(fresh.current().number, 1)
+
+    def test_a_new_node_without_any_source_is_not_ready(self):
+        self.cluster.table.down = True
+        self.cluster.mesh.unreachable = {"node-0", "node-1", "node-2"}
+        self.assertFalse(self.cluster.add("node-3").load_newest())
+
+    def test_a_peer_with_altered_texts_is_not_believed(self):
+        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        handlers = self.cluster.mesh.networks["node-0"].handlers
+        genuine = handlers[FETCH]
+        handlers[FETCH] = lambda peer, body: (
+            genuine(peer, body) | {"allowances": "", "version": 9}
+        )
+        self.cluster.table.down = True
+        self.cluster.mesh.unreachable = {"node-1", "node-2"}
+        fresh = self.cluster.add("node-3")
+        self.assertFalse(fresh.load_newest())
+        self.assertEqual(fresh.current().number, 0)
+
+
+class OperatorKeyTests(unittest.TestCase):
+    def test_accepts_known_keys_only(self):
+        keys = OperatorKeys((KEY_HASH,))
+        self.assertTrue(keys.accepts("key-1"))
+        self.assertFalse(keys.accepts("key-2"))
+        self.assertFalse(OperatorKeys(()).accepts(""))
