--- a/fakes/memory_peers.py
+++ b/fakes/memory_peers.py
@@ -23,13 +23,22 @@
         self.news: list[MemoryNews] = []
         self.unreachable: set[str] = set()
         self.messages = 0
+        self.incarnations = 0
         # Called with (from, to, kind); True loses the reply after the handler ran.
         self.lose_reply: Callable[[str, str, str], bool] = lambda *_: False
 
     def add(self, node_id: str, data_centre: str = "dc-1") -> "MemoryNetwork":
-        """Add a node and return its network."""
+        """Add a node, or a new incarnation of it, and return its network."""
+        self.incarnations += 1
         self.nodes[node_id] = Node(
-            node_id, data_centre, "region", "127.0.0.1", 1, 2, 3, incarnation=1
+            node_id,
+            data_centre,
+            "region",
+            "127.0.0.1",
+            1,
+            2,
+            3,
+            incarnation=self.incarnations,
         )
         network = MemoryNetwork(self, node_id)
         self.networks[node_id] = network
--- /dev/null
+++ b/src/rattanwick/internal/state/amounts.py
@@ -0,0 +1,62 @@
+"""Amounts of an allowance: tokens together with requests."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Amount:
+    """Hold tokens and requests of one window; operators work on each part."""
+
+    tokens: int = 0
+    requests: int = 0
+
+    def __add__(self, other: "Amount") -> "Amount":
+        return Amount(self.tokens + other.tokens, self.requests + other.requests)
+
+    def __sub__(self, other: "Amount") -> "Amount":
+        return Amount(self.tokens - other.tokens, self.requests - other.requests)
+
+    def less(self, other: "Amount") -> "Amount":
+        """Return the difference, at least zero in each part."""
+        return (self - other).at_least(ZERO)
+
+    def at_least(self, other: "Amount") -> "Amount":
+        """Return the larger of each part."""
+        return Amount(
+            max(self.tokens, other.tokens), max(self.requests, other.requests)
+        )
+
+    def at_most(self, other: "Amount") -> "Amount":
+        """Return the smaller of each part."""
+        return Amount(
+            min(self.tokens, other.tokens), min(self.requests, other.requests)
+        )
+
+    def covers(self, other: "Amount") -> bool:
+        """Tell whether no part of the other is larger."""
+        return self.tokens >= other.tokens and self.requests >= other.requests
+
+    def share(self, parts: int) -> "Amount":
+        """Return each part divided and rounded up."""
+        return Amount(-(-self.tokens // parts), -(-self.requests // parts))
+
+    def lowered(self, old_limit: "Amount", new_limit: "Amount") -> "Amount":
+        """Return each part scaled down where its limit became lower."""
+        return Amount(
+            _scale(self.tokens, old_limit.tokens, new_limit.tokens),
+            _scale(self.requests, old_limit.requests, new_limit.requests),
+        )
+
+    def only_where(self, other: "Amount") -> "Amount":
+        """Return the parts that are above zero in the other, else zero."""
+        return Amount(
+            self.tokens if other.tokens > 0 else 0,
+            self.requests if other.requests > 0 else 0,
+        )
+
+
+ZERO = Amount()
+
+
+def _scale(value: int, old: int, new: int) -> int:
+    return value * new // old if new < old else value
--- /dev/null
+++ b/src/rattanwick/internal/state/grant_rows.py
@@ -0,0 +1,206 @@
+"""Rows of allowances and grants, and the transactions over them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rattanwick.internal.base.errors import Conflict, MaybeApplied, StepError
+from rattanwick.internal.base.ids import new_token
+from rattanwick.internal.platform.interfaces import Expectation, Row, Table, Write
+from rattanwick.internal.state.amounts import ZERO, Amount
+
+WRITE_ATTEMPTS = 4
+
+
+@dataclass(slots=True, frozen=True)
+class Term:
+    """Tell under which window, lists and expiry a grant is written."""
+
+    window: int
+    limit: Amount
+    list_version: int
+    expires: float  # Unix seconds
+    settled: Amount | None  # no write is needed when this is and stays the holding
+
+
+@dataclass(slots=True, frozen=True)
+class Resized:
+    """Tell what the table holds after a resize."""
+
+    held: Amount
+    free: Amount
+    newer_lists: bool  # another node has newer lists; nothing was taken
+    written: bool
+
+
+# (held in the table, free in this window) -> wanted holding
+Chooser = Callable[[Amount, Amount], Amount]
+# wanted holding -> charges that stay in this and in the previous window
+Lowerer = Callable[[Amount], tuple[Amount, Amount]]
+
+
+class GrantRows:
+    """Take, renew, return and sweep grants of one holder.
+
+    The row of an allowance holds the sum of all grants, and for the latest windows
+    the charges of grants that were lowered in them.
+    """
+
+    def __init__(self, table: Table, holder: str):
+        self._table = table
+        self._holder = holder
+
+    def resize(
+        self, plan: str, pool: str, term: Term, choose: Chooser, lower: Lowerer
+    ) -> Resized:
+        """Write the chosen holding; raise StepError when it is not known to hold."""
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                return self._resize_once(plan, pool, term, choose, lower)
+            except Conflict:
+                if attempt == WRITE_ATTEMPTS - 1:
+                    raise
+        raise AssertionError("unreachable")
+
+    def _resize_once(
+        self, plan: str, pool: str, term: Term, choose: Chooser, lower: Lowerer
+    ) -> Resized:
+        total_key, grant_key = allowance_key(plan, pool), self._grant_key(plan, pool)
+        grant, total = self._table.get(grant_key), self._table.get(total_key)
+        held = _amount(grant)
+        newer = total is not None and total.values["list_version"] > term.list_version
+        free = ZERO if newer else _free(total, term)
+        wanted = choose(held, free).at_most(held + free)
+        kept, kept_before = lower(wanted)
+        if wanted == held and wanted in (term.settled, ZERO):
+            return Resized(held, free, newer, written=False)
+        token = new_token()
+        writes = [Write(grant_key, _grant_values(wanted, term, token), _seen(grant))]
+        if wanted != held:
+            change = wanted - held
+            # Charges of parts that do not shrink are in the row already.
+            shrinks = held.less(wanted)
+            charges = {
+                term.window: kept.only_where(shrinks),
+                term.window - 1: kept_before.only_where(shrinks),
+            }
+            values = _total_values(total, change, charges, term)
+            writes.append(Write(total_key, values, _seen(total)))
+        self._write(writes, token, wanted)
+        left = free.less(wanted.less(held))
+        return Resized(wanted, left, newer, written=True)
+
+    def _write(self, writes: list[Write], token: str, wanted: Amount) -> None:
+        """Write until it is known that the rows hold the values."""
+        error: StepError | None = None
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                self._table.transact(writes, token)
+                return
+            except MaybeApplied as exc:
+                error = exc
+                if self._was_written(writes[0].key, token, wanted):
+                    return
+            except Conflict:
+                if error and self._was_written(writes[0].key, token, wanted):
+                    return
+                raise
+        raise error
+
+    def _was_written(self, key: str, token: str, wanted: Amount) -> bool:
+        row = self._table.get(key)
+        if row is None:
+            return wanted == ZERO
+        return row.values.get("token") == token
+
+    def sweep(self, plan: str, pool: str, wall: float, skew: float) -> int:
+        """Free grants that expired more than the clock skew ago; return how many.
+
+        Grants expire at the end of a window, so that the freed amount was spent in
+        past windows only.
+        """
+        swept = 0
+        for grant in self._table.query(f"grant#{plan}#{pool}#"):
+            if wall <= grant.values["expires"] + skew:
+                continue
+            swept += self._sweep_one(plan, pool, grant)
+        return swept
+
+    def _sweep_one(self, plan: str, pool: str, grant: Row) -> int:
+        total = self._table.get(allowance_key(plan, pool))
+        if total is None:
+            return 0
+        values = dict(total.values)
+        values["granted"] -= grant.values["tokens"]
+        values["granted_requests"] -= grant.values["requests"]
+        writes = [
+            Write(grant.key, None, Expectation.version(grant.row_version)),
+            Write(total.key, values, Expectation.version(total.row_version)),
+        ]
+        try:
+            self._table.transact(writes, new_token())
+            return 1
+        except (Conflict, MaybeApplied):
+            return 0  # the next sweep sees whether it is still there
+
+    def _grant_key(self, plan: str, pool: str) -> str:
+        return f"grant#{plan}#{pool}#{self._holder}"
+
+
+def allowance_key(plan: str, pool: str) -> str:
+    """Return the row key of an allowance."""
+    return f"allowance#{plan}#{pool}"
+
+
+def _amount(grant: Row | None) -> Amount:
+    if grant is None:
+        return ZERO
+    return Amount(grant.values["tokens"], grant.values["requests"])
+
+
+def _seen(row: Row | None) -> Expectation:
+    return Expectation.version(row.row_version) if row else Expectation.absent()
+
+
+def _free(total: Row | None, term: Term) -> Amount:
+    """Return what may be granted in the window: neither granted nor charged."""
+    if total is None:
+        return term.limit
+    values = total.values
+    taken = Amount(values["granted"], values["granted_requests"])
+    for window, (tokens, requests) in values["charges"].items():
+        if int(window) >= term.window:
+            taken += Amount(tokens, requests)
+    return term.limit.less(taken)
+
+
+def _grant_values(wanted: Amount, term: Term, token: str) -> dict | None:
+    if wanted == ZERO:
+        return None
+    return {
+        "tokens": wanted.tokens,
+        "requests": wanted.requests,
+        "expires": term.expires,
+        "token": token,
+    }
+
+
+def _total_values(
+    total: Row | None, change: Amount, added: dict[int, Amount], term: Term
+) -> dict:
+    values = total.values if total else {}
+    charges = {
+        window: charge
+        for window, charge in values.get("charges", {}).items()
+        if int(window) >= term.window - 1
+    }
+    for window, amount in added.items():
+        if amount != ZERO:
+            tokens, requests = charges.get(str(window), (0, 0))
+            charge = [tokens + amount.tokens, requests + amount.requests]
+            charges[str(window)] = charge
+    return {
+        "granted": values.get("granted", 0) + change.tokens,
+        "granted_requests": values.get("granted_requests", 0) + change.requests,
+        "charges": charges,
+        "list_version": max(values.get("list_version", 0), term.list_version),
+    }
