--- /dev/null
+++ b/fakes/collaborators.py
@@ -0,0 +1,348 @@
+"""In-memory collaborators of the request path, for tests and the relay benchmark."""
+
+import itertools
+from collections import defaultdict
+
+import gevent
+
+from rattanwick.internal.base.errors import Refused, Unavailable
+from rattanwick.internal.base.outcomes import NotRun
+from rattanwick.internal.base.settings import CallerSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.base.tracing import Tracer
+from rattanwick.internal.model.instances import Endpoint, EndpointKind, Node
+from rattanwick.internal.model.requests import Placement
+from rattanwick.internal.model.transcripts import RequestTable
+from rattanwick.internal.peers.interfaces import (
+    Keepers,
+    Members,
+    News,
+    Ownership,
+    PeerNetwork,
+)
+from rattanwick.internal.platform.interfaces import InstanceList
+from rattanwick.internal.requests.interfaces import (
+    Allowance,
+    BodyMismatch,
+    Caller,
+    Claimed,
+    Claims,
+    Directory,
+    Grants,
+    InProgress,
+    Replayed,
+    Reservation,
+)
+from rattanwick.internal.requests.services import RequestServices
+from rattanwick.internal.routing.interfaces import Router
+
+
+def endpoint(name: str, pool: str, kind: str, port: int, **more) -> Endpoint:
+    """Return an endpoint on loopback."""
+    place = {"data_centre": "dc-a", "region": "here", "host": "127.0.0.1"}
+    return Endpoint(
+        id=name, pool=pool, kind=EndpointKind(kind), port=port, **place, **more
+    )
+
+
+def node(name: str, data_centre: str = "dc-a", caller_port: int = 1) -> Node:
+    """Return a node on loopback."""
+    return Node(name, data_centre, "here", "127.0.0.1", caller_port, 2, 3)
+
+
+class ListedInstances(InstanceList):
+    """List the endpoints that it is given."""
+
+    def __init__(self, endpoints: list[Endpoint]):
+        self._endpoints = endpoints
+        self._callbacks = []
+
+    def endpoints(self, pool=None):
+        """Return the endpoints."""
+        return tuple(e for e in self._endpoints if pool in (None, e.pool))
+
+    def replace(self, endpoints: list[Endpoint]) -> None:
+        """List other endpoints."""
+        self._endpoints = endpoints
+        for callback in self._callbacks:
+            callback()
+
+    def nodes(self):
+        """Return no nodes."""
+        return ()
+
+    def age(self):
+        """Return a fresh age."""
+        return 0.0
+
+    def subscribe(self, callback):
+        """Call back on replacement."""
+        self._callbacks.append(callback)
+
+
+class FirstFitRouter(Router):
+    """Place on the first endpoint that is not excluded, or on the least used."""
+
+    def __init__(self, instances: InstanceList, least_used: bool = False):
+        self._instances = instances
+        self._least_used = least_used
+        self._ids = itertools.count(1)
+        self.in_flight = defaultdict(int)
+        self.placements: list[Placement] = []
+        self.released: list[tuple[Placement, object]] = []
+        self.retries = 100
+        self.hedge_after: float | None = None
+        self.place_seconds = 0.0
+        self.keep_history = True
+
+    def place(self, req, excluded=frozenset()):
+        """Place at once, or refuse."""
+        if self.place_seconds:
+            gevent.sleep(self.place_seconds)
+        fit = [e for e in self._instances.endpoints(req.pool) if e.id not in excluded]
+        if not fit:
+            raise Refused("place", req.pool, "no_endpoint")
+        chosen = fit[0]
+        if self._least_used:
+            chosen = min(fit, key=lambda e: self.in_flight[e.id])
+        self.in_flight[chosen.id] += 1
+        placement = Placement(str(next(self._ids)), req.id, chosen.id, "")
+        if self.keep_history:
+            self.placements.append(placement)
+        return placement
+
+    def release(self, placement, usage):
+        """Free the place."""
+        self.in_flight[placement.endpoint_id] -= 1
+        if self.keep_history:
+            self.released.append((placement, usage))
+
+    def may_retry(self, req):
+        """Spend one of the retries."""
+        self.retries -= 1
+        return self.retries >= 0
+
+    def hedge_delay(self, req):
+        """Return the delay set."""
+        return self.hedge_after
+
+
+class KnownCallers(Directory):
+    """Know the callers and allowances that it is given."""
+
+    def __init__(self):
+        self.callers = {
+            "key-a": Caller("org-a", "gold"),
+            "key-b": Caller("org-b", "gold"),
+        }
+        self.pools = {}
+        self.default = Allowance(10**9, 10**9, 4096)
+
+    def caller_for_key(self, key):
+        """Return the caller of a key."""
+        return self.callers.get(key)
+
+    def allowance(self, plan, pool):
+        """Return the allowance of a pool, a wide one unless set."""
+        return self.pools.get(pool, self.default)
+
+
+class CountedGrants(Grants):
+    """Grant everything while not exhausted, and keep the count."""
+
+    def __init__(self):
+        self.reserved = 0
+        self.used = 0
+        self.open = 0
+        self.exhausted = False
+
+    def reserve(self, plan, pool, tokens):
+        """Charge tokens."""
+        if self.exhausted:
+            return NotRun("allowance_exhausted", retry_after=3.0)
+        self.open += 1
+        self.reserved += tokens
+        return Reservation(plan, pool, 0, tokens)
+
+    def settle(self, reservation, used_tokens):
+        """Count the used tokens."""
+        self.open -= 1
+        self.used += used_tokens
+
+
+class MemoryClaims(Claims):
+    """Keep claims in memory, as the table would."""
+
+    def __init__(self):
+        self.rows = {}
+        self.down = False
+        self.settled = []
+
+    def look_up(self, call):
+        """Return what is known of a key."""
+        self._check_up()
+        row = self.rows.get((call.organisation, call.service, call.key))
+        if row is None or (row["state"] == "not_run" and self._same(row, call)):
+            return None
+        if not self._same(row, call):
+            return BodyMismatch()
+        if row["state"] == "dispatching":
+            return InProgress(1.0)
+        return Replayed(row["outcome"], row["answer"], row["request_id"])
+
+    def claim(self, call):
+        """Claim a key that is free."""
+        known = self.look_up(call)
+        if known is not None:
+            return known
+        self.rows[(call.organisation, call.service, call.key)] = {
+            "state": "dispatching",
+            "digest": call.body_digest,
+            "request_id": call.request_id,
+        }
+        return Claimed(call, call.request_id)
+
+    def settle(self, claimed, outcome, answer):
+        """Keep the outcome."""
+        call = claimed.call
+        row = self.rows[(call.organisation, call.service, call.key)]
+        row.update(state=outcome.tag, outcome=outcome, answer=answer)
+        self.settled.append(outcome)
+
+    def _same(self, row, call):
+        return row["digest"] == call.body_digest
+
+    def _check_up(self):
+        if self.down:
+            raise Unavailable("claim", "memory claims", "outage")
+
+
+class LoneMembers(Members):
+    """Know the nodes that it is given; the first is this one."""
+
+    def __init__(self, nodes: list[Node]):
+        self.nodes = nodes
+
+    @property
+    def self_node(self):
+        """Return the first node."""
+        return self.nodes[0]
+
+    def live(self, data_centre=None):
+        """Return the nodes."""
+        return tuple(n for n in self.nodes if data_centre in (None, n.data_centre))
+
+    def get(self, node_id):
+        """Return a node by id."""
+        return next((n for n in self.nodes if n.id == node_id), None)
+
+    def subscribe(self, callback):
+        """Never change."""
+
+
+class FirstOwner(Ownership):
+    """Let the first node of a data centre own everything."""
+
+    def __init__(self, members: Members):
+        self._members = members
+
+    def owner(self, key, data_centre=None):
+        """Return the first node."""
+        return next(iter(self._members.live(data_centre)), None)
+
+
+class MemoryNews(News):
+    """Deliver news at once, to every subscriber in the process."""
+
+    def __init__(self):
+        self._callbacks = defaultdict(list)
+        self.published = []
+
+    def publish(self, topic, key, version, body):
+        """Deliver an item."""
+        self.published.append((topic, key, version, body))
+        for callback in self._callbacks[topic]:
+            callback(key, version, body)
+
+    def subscribe(self, topic, callback):
+        """Remember a subscriber."""
+        self._callbacks[topic].append(callback)
+
+
+class MemoryPeers(PeerNetwork):
+    """Connect nodes of one process; ``hub`` is shared by them."""
+
+    def __init__(self, node_id: str, hub: dict):
+        self._node_id = node_id
+        self._hub = hub
+
+    def call(self, node_id, kind, body, timeout):
+        """Call the handler of another node."""
+        handler = self._hub.get((node_id, kind))
+        if handler is None:
+            raise Unavailable(kind, node_id, "no such node")
+        return handler(self._node_id, body)
+
+    def notify(self, node_id, kind, body):
+        """Call and ignore the answer."""
+        self.call(node_id, kind, body, 1.0)
+
+    def handle(self, kind, handler):
+        """Register a handler."""
+        self._hub[(self._node_id, kind)] = handler
+
+
+class CountedKeepers(Keepers):
+    """Acknowledge copies after a delay."""
+
+    def __init__(self):
+        self.delay = 0.0
+        self.copies = 1
+        self.messages = {}
+        self.keep_history = True
+
+    def copy(self, message, timeout):
+        """Keep a copy."""
+        if self.delay:
+            gevent.sleep(min(self.delay, timeout))
+            if self.delay > timeout:
+                return 0
+        if self.keep_history:
+            self.messages[message["id"]] = message
+        return self.copies
+
+    def drop(self, request_id):
+        """Drop a copy."""
+        self.messages.pop(request_id, None)
+
+
+def request_services(
+    endpoints: list[Endpoint],
+    timers: TimerService,
+    nodes: list[Node] | None = None,
+    hub: dict | None = None,
+    least_used: bool = False,
+    **settings,
+) -> RequestServices:
+    """Return collaborators for a node that serves the endpoints."""
+    instances = ListedInstances(endpoints)
+    members = LoneMembers(nodes or [node("n1")])
+    hub = {} if hub is None else hub
+    values = {"address": "127.0.0.1", "port": 1, **settings}
+    return RequestServices(
+        settings=CallerSettings(**values),
+        default_deadline_seconds=30.0,
+        directory=KnownCallers(),
+        grants=CountedGrants(),
+        claims=MemoryClaims(),
+        router=FirstFitRouter(instances, least_used),
+        instances=instances,
+        members=members,
+        ownership=FirstOwner(members),
+        peers=MemoryPeers(members.self_node.id, hub),
+        news=MemoryNews(),
+        keepers=CountedKeepers(),
+        timers=timers,
+        tracer=Tracer(members.self_node.id),
+        table=RequestTable(timers.now),
+    )
--- a/fakes/endpoint_http.py
+++ b/fakes/endpoint_http.py
@@ -27,6 +27,7 @@
     def handle(self):
         """Serve one connection."""
         conn = self.socket  # the base class deletes the attribute at the end
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server.live.add(conn)
         try:
             super().handle()
--- /dev/null
+++ b/src/rattanwick/internal/requests/app.py
@@ -0,0 +1,102 @@
+"""Falcon application for callers."""
+
+import falcon
+
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.model.requests import RequestKind
+from rattanwick.internal.requests.attempts import AttemptRunner
+from rattanwick.internal.requests.caller_errors import (
+    CallerError,
+    answer_caller_error,
+    error_body,
+)
+from rattanwick.internal.requests.chat import ModelResource
+from rattanwick.internal.requests.connections import EndpointConnections
+from rattanwick.internal.requests.crashes import CrashRegister
+from rattanwick.internal.requests.dispatch import Dispatcher
+from rattanwick.internal.requests.endpoint_index import EndpointIndex
+from rattanwick.internal.requests.entry import EntryResource
+from rattanwick.internal.requests.fetch import AnswerFetch
+from rattanwick.internal.requests.runs import LiveRequests
+from rattanwick.internal.requests.service_calls import ServiceResource
+from rattanwick.internal.requests.service_client import ServiceClient
+from rattanwick.internal.requests.service_dispatch import ServiceDispatcher
+from rattanwick.internal.requests.services import Admission, RequestServices
+from rattanwick.internal.requests.stored import StoredAnswerResource
+
+log = get_logger("requests")
+
+CLEAN_SECONDS = 2.0
+
+
+class CallerApplication(falcon.App):
+    """Serve callers; other parts use its dispatcher and its live requests."""
+
+    def __init__(self, services: RequestServices):
+        super().__init__()
+        timers = services.timers
+        endpoints = EndpointIndex(services.instances)
+        self.connections = EndpointConnections()
+        self.live = LiveRequests(services.table, timers)
+        self.crashes = CrashRegister(services.news, timers)
+        attempts = AttemptRunner(services.router, endpoints, self.connections, timers)
+        self.dispatcher = Dispatcher(services.router, attempts, self.crashes, timers)
+        self.service_dispatcher = ServiceDispatcher(
+            services.router,
+            endpoints,
+            ServiceClient(self.connections, timers.wall),
+            services.claims,
+            timers,
+        )
+        self._add_resources(services)
+        timers.subscribe("requests.clean", CLEAN_SECONDS, self._clean)
+        self._endpoints = endpoints
+
+    def _add_resources(self, services: RequestServices) -> None:
+        admission = Admission(services, self.live.__len__)
+        paths = {
+            RequestKind.CHAT: "/v1/chat/completions",
+            RequestKind.COMPLETION: "/v1/completions",
+        }
+        for kind, path in paths.items():
+            resource = ModelResource(
+                kind, services, admission, self.dispatcher, self.live
+            )
+            self.add_route(path, resource)
+        calls = ServiceResource(services, admission, self.service_dispatcher, self.live)
+        self.add_route("/v1/services/{name}/{path:path}", calls)
+        fetch = AnswerFetch(services, self.live)
+        stored = StoredAnswerResource(services, self.live, fetch)
+        self.add_route("/v1/requests/{request_id}", stored)
+        self.add_route("/v1/entry", EntryResource(services))
+        self.add_error_handler(CallerError, answer_caller_error)
+        self.add_error_handler(Exception, _answer_fault)
+        self.set_error_serializer(_serialize_http_error)
+
+    def _clean(self) -> None:
+        self.live.drop_expired()
+        self.connections.close_idle(self._endpoints.by_id)
+
+
+def build_application(services: RequestServices) -> CallerApplication:
+    """Return the application for callers."""
+    return CallerApplication(services)
+
+
+def _serialize_http_error(
+    req: falcon.Request, resp: falcon.Response, exc: falcon.HTTPError
+) -> None:
+    """Write falcon's own errors, such as an unknown path, in the usual format."""
+    message = exc.description or exc.title or "the request cannot be served"
+    resp.media = error_body(message, "invalid_request")
+
+
+def _answer_fault(
+    req: falcon.Request, resp: falcon.Response, exc: Exception, params: dict
+) -> None:
+    """Answer a fault of ours without telling that the call did not run."""
+    if isinstance(exc, falcon.HTTPError):
+        raise exc
+    log.error("request failed", exc_info=exc)
+    error = CallerError(500, "internal", "internal error", outcome="unknown")
+    answer_caller_error(req, resp, error, params)
--- /dev/null
+++ b/src/rattanwick/internal/requests/chat.py
@@ -0,0 +1,224 @@
+"""Resources for chat and completion requests."""
+
+import falcon
+
+from rattanwick.internal.base.ids import new_request_id
+from rattanwick.internal.base.metrics import counter, histogram
+from rattanwick.internal.base.outcomes import Answered, NotRun
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord
+from rattanwick.internal.requests.caller_errors import (
+    COPIES_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    RESTARTED_HEADER,
+    outcome_error,
+)
+from rattanwick.internal.requests.close_watch import CloseWatch
+from rattanwick.internal.requests.copies import ACCEPT_SECONDS, RequestCopy
+from rattanwick.internal.requests.crashes import fingerprint
+from rattanwick.internal.requests.dispatch import Dispatcher
+from rattanwick.internal.requests.events import AnswerFormat
+from rattanwick.internal.requests.interfaces import Reservation
+from rattanwick.internal.requests.relay import OwnRun, relay_events
+from rattanwick.internal.requests.runs import (
+    CALLER_LEFT,
+    GRACE_SECONDS,
+    LiveRequests,
+    Run,
+    RunControl,
+)
+from rattanwick.internal.requests.services import (
+    Admission,
+    Admitted,
+    RequestServices,
+)
+from rattanwick.internal.requests.validation import (
+    check_chat_body,
+    check_completion_body,
+    estimate_prompt_tokens,
+    output_limit,
+    parse_json_body,
+)
+
+# A streamed answer gets its headers with its first text, so that a refusal can
+# have its own status; a caller that waits longer gets them now, with the id.
+HEADERS_SECONDS = 1.0
+
+REQUESTS = counter(
+    "requests", "Requests that ended, by kind and outcome", ("kind", "outcome")
+)
+SECONDS = histogram("request_seconds", "From arrival to the end", ("kind",))
+TOKENS = counter("output_tokens", "Tokens of answers", ("pool",))
+
+
+class ModelResource:
+    """Answer POST of one kind of model request."""
+
+    def __init__(
+        self,
+        kind: RequestKind,
+        services: RequestServices,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        live: LiveRequests,
+    ):
+        self._kind = kind
+        self._services = services
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._live = live
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Run a request and answer it."""
+        req.context.request_id = new_request_id()
+        admitted = self._admission.check(req)
+        serving = self._serving_request(req, admitted)
+        with self._services.tracer.span(
+            f"{self._kind} request", admitted.traceparent, request_id=serving.id
+        ) as span:
+            serving.traceparent = self._services.tracer.header(span)
+        reservation = self._reserve(serving)
+        copy = RequestCopy(
+            self._services.keepers, serving, self._services.members.self_node.id
+        )
+        run = self._start(serving, reservation, copy)
+        if serving.stream:
+            self._answer_stream(run, copy, resp)
+        else:
+            self._answer_whole(run, copy, req, resp)
+
+    def _serving_request(
+        self, req: falcon.Request, admitted: Admitted
+    ) -> ServingRequest:
+        body = parse_json_body(admitted.body)
+        check = check_chat_body if self._kind is RequestKind.CHAT else None
+        (check or check_completion_body)(body)
+        caller, pool = admitted.caller, body["model"]
+        allowance = self._admission.allowance(caller, pool, "model")
+        return ServingRequest(
+            id=req.context.request_id,
+            kind=self._kind,
+            organisation=caller.organisation,
+            plan=caller.plan,
+            pool=pool,
+            body=body,
+            stream=body.get("stream", False),
+            deadline=self._admission.deadline(req, allowance),
+            received=self._services.timers.wall(),
+            prompt_tokens=estimate_prompt_tokens(body),
+            max_output_tokens=output_limit(body, allowance),
+            priority=allowance.priority,
+            hedge=allowance.hedge,
+            fingerprint=fingerprint(caller.organisation, pool, body),
+            data_centre=self._services.members.self_node.data_centre,
+        )
+
+    def _reserve(self, serving: ServingRequest) -> Reservation:
+        tokens = serving.prompt_tokens + serving.max_output_tokens
+        reserved = self._services.grants.reserve(serving.plan, serving.pool, tokens)
+        if isinstance(reserved, NotRun):
+            REQUESTS.labels(self._kind, NotRun.tag).inc()
+            raise outcome_error(reserved)
+        return reserved
+
+    def _start(
+        self, serving: ServingRequest, reservation: Reservation, copy: RequestCopy
+    ) -> Run:
+        record = RequestRecord(serving)
+        control = RunControl()
+        steps = self._dispatcher.steps(serving, record.transcript, control)
+        started = self._services.timers.now()
+
+        def end(run: Run) -> None:
+            transcript = record.transcript
+            outcome = transcript.outcome
+            unrun = isinstance(outcome, NotRun)
+            used = 0 if unrun else serving.prompt_tokens + transcript.tokens
+            self._services.grants.settle(reservation, used)
+            if outcome is None:
+                return  # handed over: the keeper's copy is still needed
+            copy.drop()
+            REQUESTS.labels(self._kind, outcome.tag).inc()
+            TOKENS.labels(serving.pool).inc(transcript.tokens)
+            SECONDS.labels(self._kind).observe(self._services.timers.now() - started)
+
+        return self._live.start(record, steps, control, end)
+
+    def _await_copy(self, copy: RequestCopy, started: float) -> int:
+        waited = self._services.timers.now() - started
+        return copy.wait(ACCEPT_SECONDS - waited)
+
+    def _answer_stream(
+        self, run: Run, copy: RequestCopy, resp: falcon.Response
+    ) -> None:
+        now = self._services.timers.now
+        started = now()
+        transcript = run.record.transcript
+        while transcript.length == 0 and transcript.outcome is None:
+            if run.moved_address or now() - started >= HEADERS_SECONDS:
+                break
+            run.advance()
+        if run.moved_address:
+            redirect(resp, run.moved_address, run.record.req.id)
+            return
+        outcome = transcript.outcome
+        refused = outcome is not None and not isinstance(outcome, Answered)
+        if refused and transcript.length == 0:
+            raise outcome_error(outcome)
+        copies = self._await_copy(copy, started)
+        set_stream_headers(resp, run.record)
+        resp.set_header(COPIES_HEADER, str(copies))
+        source = OwnRun(self._live, run)
+        resp.stream = relay_events(source, 0, now, self._services.timers.wall)
+
+    def _answer_whole(
+        self, run: Run, copy: RequestCopy, req: falcon.Request, resp: falcon.Response
+    ) -> None:
+        now = self._services.timers.now
+        started = now()
+        watch = CloseWatch.of(req.env)
+        alone_since = None
+        while run.advance() and not run.moved_address:
+            moment = now()
+            if watch is None or run.followers or not watch.closed(moment):
+                alone_since = None
+                continue
+            alone_since = alone_since or moment
+            if moment - alone_since > GRACE_SECONDS:
+                run.stop(CALLER_LEFT)
+        if run.moved_address:
+            redirect(resp, run.moved_address, run.record.req.id)
+            return
+        copies = self._await_copy(copy, started)
+        resp.set_header(COPIES_HEADER, str(copies))
+        answer_whole(run.record, resp)
+
+
+def set_stream_headers(resp: falcon.Response, record: RequestRecord) -> None:
+    """Set the headers of a streamed answer."""
+    resp.content_type = "text/event-stream"
+    resp.set_header("Cache-Control", "no-store")
+    resp.set_header(REQUEST_ID_HEADER, record.req.id)
+    if record.transcript.restarted:
+        resp.set_header(RESTARTED_HEADER, "true")
+
+
+def answer_whole(record: RequestRecord, resp: falcon.Response) -> None:
+    """Answer with a finished model answer."""
+    outcome = record.transcript.outcome
+    if not isinstance(outcome, Answered):
+        raise outcome_error(outcome)
+    resp.content_type = falcon.MEDIA_JSON
+    resp.set_header(REQUEST_ID_HEADER, record.req.id)
+    resp.set_header(OUTCOME_HEADER, outcome.tag)
+    if record.transcript.restarted:
+        resp.set_header(RESTARTED_HEADER, "true")
+    resp.data = AnswerFormat(record.req, record.transcript).whole()
+
+
+def redirect(resp: falcon.Response, address: str, request_id: str) -> None:
+    """Send a caller that waits to the node that has its request."""
+    resp.status = 303
+    resp.set_header("Location", f"{address}/v1/requests/{request_id}")
+    resp.set_header(REQUEST_ID_HEADER, request_id)
--- /dev/null
+++ b/src/rattanwick/internal/requests/crashes.py
@@ -0,0 +1,68 @@
+"""Requests that crash endpoints: counted by fingerprint, spread as news."""
+
+import hashlib
+import json
+from collections import OrderedDict
+
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.peers.interfaces import News
+
+log = get_logger("requests")
+
+TOPIC = "crashes"
+CRASHES_ALLOWED = 2  # endpoints
+REMEMBERED_SECONDS = 600.0
+FINGERPRINTS_KEPT = 10_000
+REASON = "crashes_endpoints"
+
+
+def fingerprint(organisation: str, pool: str, body: dict) -> str:
+    """Return the hash of what a request asks for, in 32 hexadecimal digits."""
+    canonical = json.dumps([organisation, pool, body], sort_keys=True)
+    return hashlib.sha256(canonical.encode()).hexdigest()[:32]
+
+
+class CrashRegister:
+    """Count the endpoints that were lost while they ran a request."""
+
+    def __init__(self, news: News, timers: TimerService):
+        self._news = news
+        self._timers = timers
+        self._seen: OrderedDict[str, dict[str, float]] = OrderedDict()
+        news.subscribe(TOPIC, self._on_news)
+
+    def refuses(self, print_: str) -> bool:
+        """Tell whether a fingerprint has crashed too many endpoints."""
+        endpoints = self._seen.get(print_)
+        if not endpoints:
+            return False
+        limit = self._timers.wall() - REMEMBERED_SECONDS
+        recent = sum(1 for seen in endpoints.values() if seen > limit)
+        return recent >= CRASHES_ALLOWED
+
+    def count(self, print_: str, endpoint_id: str) -> None:
+        """Count a lost endpoint and tell the other nodes."""
+        now = self._timers.wall()
+        self._remember(print_, endpoint_id, now)
+        log.warning(
+            "endpoint lost while it ran a request",
+            extra={"fingerprint": print_, "endpoint": endpoint_id},
+        )
+        # One item for each endpoint: nodes that count at the same moment must not
+        # overwrite each other. Milliseconds, so that a later loss replaces it.
+        key = f"{print_}/{endpoint_id}"
+        self._news.publish(TOPIC, key, int(now * 1000), {"at": now})
+
+    def _on_news(self, key: str, version: int, body: dict) -> None:
+        print_, _, endpoint_id = key.partition("/")
+        at = body.get("at")
+        if print_ and endpoint_id and isinstance(at, (int, float)):
+            self._remember(print_, endpoint_id, min(at, self._timers.wall()))
+
+    def _remember(self, print_: str, endpoint_id: str, at: float) -> None:
+        endpoints = self._seen.setdefault(print_, {})
+        endpoints[endpoint_id] = max(at, endpoints.get(endpoint_id, 0.0))
+        self._seen.move_to_end(print_)
+        while len(self._seen) > FINGERPRINTS_KEPT:
+            self._seen.popitem(last=False)
--- /dev/null
+++ b/src/rattanwick/internal/requests/dispatch.py
@@ -0,0 +1,252 @@
+"""Dispatcher of model requests: placement, attempts and resumption."""
+
+from collections.abc import Iterator
+
+from rattanwick.internal.base.errors import (
+    ConnectionLost,
+    StepError,
+    TimedOut,
+    Unavailable,
+)
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.metrics import counter, histogram
+from rattanwick.internal.base.outcomes import Answered, Failed, NotRun, Outcome
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.requests import ServingRequest, Usage
+from rattanwick.internal.model.transcripts import Transcript
+from rattanwick.internal.requests.attempts import (
+    Attempt,
+    AttemptRunner,
+    append_texts,
+)
+from rattanwick.internal.requests.crashes import REASON as CRASHES, CrashRegister
+from rattanwick.internal.requests.engine_client import EngineRefused
+from rattanwick.internal.requests.runs import TICK_SECONDS, RunControl
+from rattanwick.internal.routing.interfaces import Router
+
+log = get_logger("requests")
+
+MAX_ATTEMPTS = 8
+DEADLINE = "deadline"
+STOPPED = "stopped"
+
+ATTEMPTS = counter("attempts", "Attempts at endpoints by result", ("result",))
+FIRST_TOKEN = histogram(
+    "first_token_seconds", "From the attempt to its first text, at the endpoint"
+)
+RECOMPUTED = counter("recomputed_tokens", "Tokens computed again by resumption")
+
+
+class _Progress:
+    """Hold what the attempts of one request have come to."""
+
+    __slots__ = ("excluded", "hedge_asked", "sent", "tokens_before")
+
+    def __init__(self):
+        self.excluded: set[str] = set()
+        self.sent = False  # an endpoint may have run it
+        self.hedge_asked = False
+        self.tokens_before = 0  # of the transcript, before this attempt
+
+
+class Dispatcher:
+    """Run model requests at endpoints until the answer is whole."""
+
+    def __init__(
+        self,
+        router: Router,
+        attempts: AttemptRunner,
+        crashes: CrashRegister,
+        timers: TimerService,
+    ):
+        self._router = router
+        self._attempts = attempts
+        self._crashes = crashes
+        self._timers = timers
+
+    def run(self, req: ServingRequest, transcript: Transcript) -> Outcome:
+        """Run a request to its end; a transcript with text is continued."""
+        for _ in self.steps(req, transcript, RunControl()):
+            pass
+        return transcript.outcome
+
+    def steps(
+        self, req: ServingRequest, transcript: Transcript, control: RunControl
+    ) -> Iterator[None]:
+        """Run a request step by step; a step ends with new text or after a tick."""
+        progress = _Progress()
+        progress.sent = transcript.length > 0
+        for _ in range(MAX_ATTEMPTS):
+            if self._crashes.refuses(req.fingerprint):
+                transcript.finish(Failed(CRASHES))
+                return
+            if transcript.tokens >= req.max_output_tokens:
+                transcript.finish(Answered(), "length")
+                return
+            error = yield from self._attempt(req, transcript, control, progress)
+            if control.stopped or transcript.outcome is not None:
+                return
+            if not self._may_go_on(req, transcript, progress, error):
+                return
+        transcript.finish(self._not_answered(progress, "too_many_attempts"))
+
+    def _not_answered(self, progress: _Progress, reason: str) -> Outcome:
+        """Return ``failed``, or ``not_run`` where no endpoint got a byte."""
+        return Failed(reason) if progress.sent else NotRun(reason, retry_after=1.0)
+
+    def _attempt(
+        self,
+        req: ServingRequest,
+        transcript: Transcript,
+        control: RunControl,
+        progress: _Progress,
+    ) -> Iterator[None]:
+        """Make one attempt; return its error, or None."""
+        try:
+            excluded = frozenset(progress.excluded)
+            attempt = yield from self._attempts.place(req, excluded, control)
+        except StepError as exc:
+            transcript.finish(self._not_answered(progress, exc.reason))
+            return None
+        if attempt is None:
+            return None
+        progress.tokens_before = transcript.tokens
+        error: StepError | None = None
+        reason = STOPPED
+        try:
+            attempt = yield from self._open(attempt, req, transcript, control, progress)
+            yield from self._stream(attempt, req, transcript, control)
+            reason = "" if transcript.outcome is not None else STOPPED
+        except StepError as exc:
+            error, reason = exc, exc.reason
+        finally:
+            control.abort = None
+            progress.sent = progress.sent or attempt.sent
+            usage = attempt.end(reason)
+            self._count(usage, progress, transcript)
+        if error is not None and not control.stopped:
+            self._note_failure(req, attempt, error, progress)
+        return error
+
+    def _open(
+        self,
+        attempt: Attempt,
+        req: ServingRequest,
+        transcript: Transcript,
+        control: RunControl,
+        progress: _Progress,
+    ) -> Iterator[None]:
+        """Send the request, to two endpoints in turn where it may be hedged."""
+        delay = None
+        if req.hedge and req.idempotent and not progress.hedge_asked:
+            progress.hedge_asked = True
+            if transcript.length == 0:
+                delay = self._router.hedge_delay(req)
+        if delay is None:
+            self._attempts.open(attempt, req, transcript.text(), transcript.tokens)
+            return attempt
+        excluded = frozenset(progress.excluded)
+
+        def note(loser: Attempt, error: StepError) -> None:
+            self._note_failure(req, loser, error, progress)
+
+        winner = yield from self._attempts.race(
+            attempt, req, delay, excluded, control, note
+        )
+        if winner.error is not None:
+            raise winner.error
+        append_texts(transcript, winner.texts)
+        return winner
+
+    def _stream(
+        self,
+        attempt: Attempt,
+        req: ServingRequest,
+        transcript: Transcript,
+        control: RunControl,
+    ) -> Iterator[None]:
+        """Add texts to the answer until it is whole."""
+        stream = attempt.stream
+        control.abort = stream.abort
+        while not stream.done:
+            if control.stopped:
+                return
+            left = req.deadline - self._timers.wall()
+            if left <= 0:
+                raise TimedOut("stream", attempt.endpoint_id, DEADLINE)
+            texts = stream.read(min(TICK_SECONDS, max(left, 0.001)))
+            append_texts(transcript, texts)
+            if not stream.done:
+                yield
+        stream.drain_end()
+        if stream.usage.prompt_tokens:
+            req.prompt_tokens = stream.usage.prompt_tokens
+        transcript.finish(Answered(), stream.finish_reason or "stop")
+
+    def _count(self, usage: Usage, progress: _Progress, transcript: Transcript) -> None:
+        ATTEMPTS.labels("ok" if usage.ok else "failed").inc()
+        if usage.first_token_seconds is not None:
+            FIRST_TOKEN.observe(usage.first_token_seconds)
+        if usage.ok and usage.output_tokens:
+            transcript.tokens = progress.tokens_before + usage.output_tokens
+        RECOMPUTED.inc(usage.recomputed_tokens)
+
+    def _note_failure(
+        self,
+        req: ServingRequest,
+        attempt: Attempt,
+        error: StepError,
+        progress: _Progress,
+    ) -> None:
+        log.warning(
+            "attempt failed",
+            extra={
+                "request": req.id,
+                "endpoint": attempt.endpoint_id,
+                "step": error.step,
+                "reason": error.reason,
+            },
+        )
+        endpoint_id = attempt.endpoint_id
+        progress.sent = progress.sent or attempt.sent
+        progress.excluded.add(endpoint_id)
+        lost = isinstance(error, ConnectionLost) and error.sent
+        # An endpoint that was announced to leave was not crashed by the request.
+        if lost and not self._attempts.is_leaving(endpoint_id):
+            self._crashes.count(req.fingerprint, endpoint_id)
+
+    def _may_go_on(
+        self,
+        req: ServingRequest,
+        transcript: Transcript,
+        progress: _Progress,
+        error: StepError,
+    ) -> bool:
+        """Tell whether another attempt follows; set the outcome if none does."""
+        if isinstance(error, EngineRefused):
+            reason = f"refused_by_endpoint: {error.reason}"
+            started = transcript.length > 0
+            transcript.finish(Failed(reason) if started else NotRun(reason))
+            return False
+        if req.deadline <= self._timers.wall():
+            transcript.finish(self._not_answered(progress, DEADLINE))
+            return False
+        if self._needs_no_budget(transcript, error):
+            return True
+        if self._router.may_retry(req):
+            return True
+        transcript.finish(self._not_answered(progress, "retry_budget"))
+        return False
+
+    def _needs_no_budget(self, transcript: Transcript, error: StepError) -> bool:
+        """Tell whether the next attempt is no retry in the sense of the budget.
+
+        A stream that has started is resumed, or a reclaimed data centre would use
+        up the budget of all its streams. An attempt that was not sent, or was
+        turned away unrun, cost no endpoint any work.
+        """
+        if transcript.length > 0 or self._attempts.is_leaving(error.peer):
+            return True
+        if isinstance(error, ConnectionLost):
+            return not error.sent
+        return isinstance(error, Unavailable)
--- /dev/null
+++ b/src/rattanwick/internal/requests/engine_client.py
@@ -0,0 +1,297 @@
+"""Client of one attempt at a model engine, over chat-completion SSE."""
+
+import json
+from collections.abc import Callable
+
+from rattanwick.internal.base.errors import (
+    ConnectionLost,
+    ProtocolError,
+    Refused,
+    TimedOut,
+    Unavailable,
+)
+from rattanwick.internal.model.instances import Endpoint
+from rattanwick.internal.model.requests import RequestKind, ServingRequest, Usage
+from rattanwick.internal.requests.caller_errors import ORGANISATION_HEADER
+from rattanwick.internal.requests.connections import (
+    EndpointConnection,
+    EndpointConnections,
+    check_echo,
+    request_bytes,
+    timed_out,
+)
+
+FIRST_TOKEN_SECONDS = 60.0  # longest silence before the first token
+BETWEEN_TOKENS_SECONDS = 20.0  # longest silence after it
+MAX_EVENT_BYTES = 1 << 20
+MAX_ERROR_BYTES = 65_536
+PATHS = {
+    RequestKind.CHAT: "/v1/chat/completions",
+    RequestKind.COMPLETION: "/v1/completions",
+}
+BUSY_STATUSES = (429, 503)  # the engine did not run the request
+
+
+class EngineRefused(Refused):
+    """Report that the engine will not run this body, here or anywhere."""
+
+
+class EngineStream:
+    """Run one attempt and hand out its text as it arrives.
+
+    ``open`` sends the request, ``read`` returns new texts, ``close`` ends the
+    attempt; closing the connection cancels the generation at the engine.
+    """
+
+    __slots__ = (
+        "_body",
+        "_buffer",
+        "_conn",
+        "_connections",
+        "_endpoint",
+        "_head_seen",
+        "_is_chat",
+        "_last_text",
+        "_now",
+        "_req",
+        "_retry_fresh",
+        "_started",
+        "_tokens_before",
+        "done",
+        "finish_reason",
+        "sent",
+        "texts_seen",
+        "usage",
+    )
+
+    def __init__(
+        self,
+        connections: EndpointConnections,
+        endpoint: Endpoint,
+        req: ServingRequest,
+        text_so_far: str,
+        tokens_so_far: int,
+        now: Callable[[], float],
+    ):
+        self._connections = connections
+        self._endpoint = endpoint
+        self._req = req
+        self._body = engine_body(req, text_so_far, tokens_so_far)
+        self._is_chat = req.kind is RequestKind.CHAT
+        self._now = now
+        self._buffer = b""
+        self._conn: EndpointConnection | None = None
+        self._head_seen = False
+        self._retry_fresh = False
+        self._started = now()
+        self._last_text = self._started
+        self._tokens_before = tokens_so_far
+        self.sent = False
+        self.done = False  # the engine said [DONE]
+        self.finish_reason = ""
+        self.texts_seen = 0
+        self.usage = Usage()
+
+    @property
+    def endpoint_id(self) -> str:
+        """Return the endpoint of this attempt."""
+        return self._endpoint.id
+
+    def open(self) -> None:
+        """Connect and send; raise ConnectionLost."""
+        conn = self._connections.open(self._endpoint)
+        try:
+            self._send(conn)
+        except ConnectionLost as exc:
+            if not conn.reused or exc.sent:
+                raise
+            self._send(self._connections.open(self._endpoint, fresh=True))
+
+    def _send(self, conn: EndpointConnection) -> None:
+        self._conn = conn
+        req = self._req
+        headers = {
+            "Content-Type": "application/json",
+            "Accept": "text/event-stream",
+            "X-Request-Id": req.id,
+            ORGANISATION_HEADER: req.organisation,
+            "traceparent": req.traceparent,
+        }
+        host = f"{self._endpoint.host}:{self._endpoint.port}"
+        data = request_bytes("POST", PATHS[req.kind], host, headers, self._body)
+        self._retry_fresh = conn.reused
+        try:
+            conn.send(data)
+        except ConnectionLost as exc:
+            self.sent = self.sent or exc.sent
+            conn.close()
+            raise
+        self.sent = True
+
+    def read(self, tick: float) -> list[str]:
+        """Return texts that arrived, none after ``tick`` seconds of silence."""
+        conn = self._conn
+        try:
+            arrived = conn.receive(tick)
+        except ConnectionLost:
+            if self._retry_fresh and conn.reader.received == 0:
+                # The engine closed the kept connection as the request left.
+                self._conn.close()
+                self._send(self._connections.open(self._endpoint, fresh=True))
+                return []
+            raise
+        if not arrived:
+            self._check_silence()
+            return []
+        reader = conn.reader
+        if not self._head_seen:
+            if not reader.headers_complete:
+                return []
+            self._check_head()
+        texts = self._parse(reader.take())
+        if texts:
+            self._note_texts(len(texts))
+        if not self.done and reader.message_complete:
+            reason = "stream ended without [DONE]"
+            raise ConnectionLost("stream", self.endpoint_id, reason, True)
+        return texts
+
+    def _check_head(self) -> None:
+        conn = self._conn
+        status = conn.reader.status_code
+        if status == 200:
+            check_echo(conn, self._req.id)
+            self._head_seen = True
+            return
+        while not conn.reader.message_complete:
+            if conn.reader.received > MAX_ERROR_BYTES or not conn.receive(1.0):
+                break
+        reason = f"status {status}: {_error_message(conn.reader.take())}"
+        if status in BUSY_STATUSES:
+            raise Unavailable("generate", self.endpoint_id, reason)
+        if 400 <= status < 500:
+            raise EngineRefused("generate", self.endpoint_id, reason)
+        raise Refused("generate", self.endpoint_id, reason)
+
+    def _parse(self, data: bytes) -> list[str]:
+        lines = (self._buffer + data).split(b"\n")
+        self._buffer = lines.pop()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ProtocolError("stream", self.endpoint_id, "event is too large")
+        texts = []
+        for line in lines:
+            if line[:5] != b"data:" or self.done:
+                continue
+            payload = line[5:].strip()
+            if payload == b"[DONE]":
+                self.done = True
+                continue
+            text = self._event_text(payload)
+            if text:
+                texts.append(text)
+        return texts
+
+    def _event_text(self, payload: bytes) -> str:
+        try:
+            event = json.loads(payload.decode())
+            if "error" in event:
+                reason = str(event["error"])[:200]
+                raise Refused("stream", self.endpoint_id, reason)
+            if event.get("usage"):
+                self._note_usage(event["usage"])
+            choices = event["choices"]
+            if not choices:
+                return ""
+            choice = choices[0]
+            self.finish_reason = choice.get("finish_reason") or self.finish_reason
+            text = choice["delta"].get("content") if self._is_chat else choice["text"]
+        except (ValueError, KeyError, TypeError, AttributeError, IndexError) as exc:
+            reason = f"event is not a chunk: {type(exc).__name__}"
+            raise ProtocolError("stream", self.endpoint_id, reason)
+        if text is not None and not isinstance(text, str):
+            raise ProtocolError("stream", self.endpoint_id, "text is not a string")
+        return text or ""
+
+    def _note_usage(self, usage: dict) -> None:
+        details = usage.get("prompt_tokens_details") or {}
+        self.usage.prompt_tokens = int(usage.get("prompt_tokens", 0))
+        self.usage.output_tokens = int(usage.get("completion_tokens", 0))
+        self.usage.cached_tokens = int(details.get("cached_tokens", 0))
+
+    def _note_texts(self, count: int) -> None:
+        self._last_text = self._now()
+        if self.texts_seen == 0:
+            self.usage.first_token_seconds = self._last_text - self._started
+        self.texts_seen += count
+
+    def _check_silence(self) -> None:
+        first = self.texts_seen == 0
+        limit = FIRST_TOKEN_SECONDS if first else BETWEEN_TOKENS_SECONDS
+        if self._now() - self._last_text > limit:
+            raise timed_out("stream", self.endpoint_id, limit)
+
+    def finish_usage(self, reason: str) -> Usage:
+        """Return what the attempt used; ``reason`` is empty for a whole answer."""
+        usage = self.usage
+        usage.ok = not reason
+        usage.reason = reason
+        usage.total_seconds = self._now() - self._started
+        usage.output_tokens = max(usage.output_tokens, self.texts_seen)
+        if self._tokens_before and usage.prompt_tokens:
+            total = usage.prompt_tokens + self._tokens_before
+            usage.recomputed_tokens = max(total - usage.cached_tokens, 0)
+        if self.texts_seen > 1:
+            streamed = usage.total_seconds - usage.first_token_seconds
+            usage.seconds_between_tokens = streamed / (self.texts_seen - 1)
+        return usage
+
+    def abort(self) -> None:
+        """Make a task that reads see the end of the connection."""
+        if self._conn is not None:
+            self._conn.abort()
+
+    def close(self) -> None:
+        """Keep the connection after a whole answer, close it otherwise."""
+        conn, self._conn = self._conn, None
+        if conn is None:
+            return
+        if self.done and conn.reader.message_complete:
+            self._connections.give_back(conn)
+        else:
+            conn.close()
+
+    def drain_end(self) -> None:
+        """Read the end of the message after ``[DONE]``, to reuse the connection."""
+        try:
+            if not self._conn.reader.message_complete:
+                self._conn.receive(0.05)
+        except (ConnectionLost, ProtocolError, TimedOut):
+            pass
+
+
+def engine_body(req: ServingRequest, text: str, tokens: int) -> bytes:
+    """Return the body for an engine, with the text so far to continue from."""
+    body = {name: value for name, value in req.body.items() if name not in _OWN_FIELDS}
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["max_tokens"] = max(req.max_output_tokens - tokens, 1)
+    body["priority"] = req.priority
+    if text and req.kind is RequestKind.CHAT:
+        final = {"role": "assistant", "content": text}
+        body["messages"] = [*body["messages"], final]
+        body["continue_final_message"] = True
+        body["add_generation_prompt"] = False
+    elif text:
+        body["prompt"] += text
+    return json.dumps(body).encode()
+
+
+_OWN_FIELDS = ("max_completion_tokens", "n", "stream_options", "user")
+
+
+def _error_message(data: bytes) -> str:
+    """Return the message of an engine's error body."""
+    try:
+        return str(json.loads(data)["error"]["message"])[:300]
+    except (ValueError, KeyError, TypeError):
+        return "no message"
--- /dev/null
+++ b/src/rattanwick/internal/requests/events.py
@@ -0,0 +1,102 @@
+"""Answers in the chat-completion format: events of a stream, and whole bodies."""
+
+import json
+from json.encoder import encode_basestring_ascii
+
+from rattanwick.internal.base.outcomes import Answered, Outcome
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import Transcript
+from rattanwick.internal.requests.caller_errors import error_body, outcome_message
+
+KEEP_ALIVE = b": keep-alive\n\n"
+DONE = b"data: [DONE]\n\n"
+
+
+class AnswerFormat:
+    """Format the answer of one request."""
+
+    __slots__ = ("_base", "_head", "_is_chat", "_req", "_tail", "_transcript")
+
+    def __init__(self, req: ServingRequest, transcript: Transcript):
+        self._req = req
+        self._transcript = transcript
+        self._is_chat = req.kind is RequestKind.CHAT
+        self._base = {
+            "id": req.id,
+            "created": int(req.received),
+            "model": req.pool,
+        }
+        kind = "chat.completion.chunk" if self._is_chat else "text_completion"
+        opening = json.dumps({**self._base, "object": kind})[:-1]
+        field = '"delta":{"content":' if self._is_chat else '"text":'
+        closing = "}" if self._is_chat else ""
+        self._head = f'\ndata: {opening},"choices":[{{"index":0,{field}'
+        self._tail = f'{closing},"finish_reason":null}}]}}\n\n'
+
+    def texts(self, offset: int) -> tuple[bytes, int]:
+        """Return the events after an offset, and the offset after them.
+
+        The id of each event is the request id and the characters sent so far, so
+        that a caller can resume right after the last event that it received.
+        """
+        events = []
+        id_line, head, tail = f"id: {self._req.id}:", self._head, self._tail
+        for text, end in self._transcript.parts_after(offset):
+            events.append(f"{id_line}{end}{head}{encode_basestring_ascii(text)}{tail}")
+            offset = end
+        return "".join(events).encode("ascii"), offset
+
+    def end(self, outcome: Outcome) -> bytes:
+        """Return the last events: finish reason, usage and outcome, or the error."""
+        report = {"request_id": self._req.id, "outcome": outcome.tag}
+        if not isinstance(outcome, Answered):
+            code = outcome.reason.split(":")[0]
+            error = error_body(outcome_message(outcome), code)
+            return _event({**error, "rattanwick": {**report, "reason": outcome.reason}})
+        choice = {"index": 0, "finish_reason": self._transcript.finish_reason}
+        choice["delta" if self._is_chat else "text"] = {} if self._is_chat else ""
+        kind = "chat.completion.chunk" if self._is_chat else "text_completion"
+        last = {
+            **self._base,
+            "object": kind,
+            "choices": [choice],
+            "usage": self._usage(),
+            "rattanwick": report,
+        }
+        return _event(last) + DONE
+
+    def whole(self) -> bytes:
+        """Return the body of an answer that is not streamed."""
+        choice: dict = {"index": 0, "finish_reason": self._transcript.finish_reason}
+        if self._is_chat:
+            content = self._transcript.text()
+            choice["message"] = {"role": "assistant", "content": content}
+        else:
+            choice["text"] = self._transcript.text()
+        body = {
+            **self._base,
+            "object": "chat.completion" if self._is_chat else "text_completion",
+            "choices": [choice],
+            "usage": self._usage(),
+        }
+        return json.dumps(body).encode()
+
+    def _usage(self) -> dict:
+        prompt, output = self._req.prompt_tokens, self._transcript.tokens
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": output,
+            "total_tokens": prompt + output,
+        }
+
+
+def moved_event(request_id: str, address: str, offset: int) -> bytes:
+    """Return the event that sends a streaming caller to another node."""
+    body = {"request_id": request_id, "address": address, "offset": offset}
+    data = json.dumps(body)
+    event = f"id: {request_id}:{offset}\nevent: rattanwick.moved\ndata: {data}\n\n"
+    return event.encode()
+
+
+def _event(body: dict) -> bytes:
+    return f"data: {json.dumps(body)}\n\n".encode()
--- /dev/null
+++ b/src/rattanwick/internal/requests/runs.py
@@ -0,0 +1,220 @@
+"""Runs: requests that are being carried out, whoever drives them."""
+
+from collections.abc import Callable, Iterator
+
+import gevent
+from gevent.event import Event
+
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.outcomes import Failed
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.transcripts import RequestRecord, RequestTable
+
+log = get_logger("requests")
+
+TICK_SECONDS = 1.0  # a step returns at least this often
+GRACE_SECONDS = 15.0  # time for a caller to come back before its request stops
+CALLER_LEFT = "caller_left"
+
+
+class RunControl:
+    """Let a run be stopped while a step of it blocks."""
+
+    __slots__ = ("abort", "stopped")
+
+    def __init__(self):
+        self.stopped = False
+        self.abort: Callable[[], None] | None = None  # wakes the blocked step
+
+    def stop(self) -> None:
+        """Stop after the current step, and wake it."""
+        self.stopped = True
+        if self.abort is not None:
+            self.abort()
+
+
+class Run:
+    """Advance one request step by step; one task at a time does so.
+
+    The caller's own task drives its request, which saves a task switch for each
+    chunk. When the caller leaves, another task takes the same steps further.
+    """
+
+    __slots__ = (
+        "_busy",
+        "_ended",
+        "_on_end",
+        "_steps",
+        "control",
+        "_moved",
+        "followers",
+        "handing_over",
+        "moved_address",
+        "record",
+    )
+
+    def __init__(
+        self,
+        record: RequestRecord,
+        steps: Iterator[None],
+        control: RunControl,
+        on_end: Callable[["Run"], None],
+    ):
+        self.record = record
+        self.control = control
+        self.followers = 0
+        self.handing_over = False
+        self.moved_address = ""  # where callers find the answer now
+        self._moved = Event()
+        self._steps = steps
+        self._on_end = on_end
+        self._busy = False
+        self._ended = False
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether no further step will come."""
+        return self._ended
+
+    def advance(self) -> bool:
+        """Take one step; tell whether there may be more."""
+        if self._ended:
+            if self.handing_over and not self.moved_address:
+                self._moved.wait(TICK_SECONDS)
+                return True
+            return False
+        if self._busy:
+            transcript = self.record.transcript
+            transcript.wait(transcript.length, TICK_SECONDS)
+            return not self._ended
+        self._busy = True
+        try:
+            next(self._steps)
+        except StopIteration:
+            self._end()
+        except Exception:
+            log.exception("request failed", extra={"request": self.record.req.id})
+            self.record.transcript.finish(Failed("internal"))
+            self._end()
+        finally:
+            self._busy = False
+        if self.control.stopped and not self._ended:
+            self._steps.close()
+            self._end()
+        return not self._ended
+
+    def advance_by_other(self, seen: int) -> None:
+        """Wait until the task that drives the run gets beyond ``seen`` characters."""
+        if self._ended and self.handing_over and not self.moved_address:
+            self._moved.wait(TICK_SECONDS)
+        elif not self._ended:
+            self.record.transcript.wait(seen, TICK_SECONDS)
+
+    def finish(self) -> None:
+        """Take all steps."""
+        while self.advance():
+            pass
+
+    def stop(self, reason: str = "") -> None:
+        """Stop the request; a reason makes it ``failed``."""
+        if reason:
+            self.record.transcript.finish(Failed(reason))
+        self.control.stop()
+        if not self._busy and not self._ended:
+            self._steps.close()
+            self._end()
+
+    def move(self, address: str) -> None:
+        """Tell those who wait where the answer continues; stop it here."""
+        self.handing_over = True
+        self.moved_address = address
+        self.stop()
+        self._moved.set()
+
+    def _end(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._on_end(self)
+
+
+class LiveRequests:
+    """Hold the runs of this node."""
+
+    def __init__(self, table: RequestTable, timers: TimerService):
+        self.table = table
+        self._timers = timers
+        self._runs: dict[str, Run] = {}
+        self._moved: dict[str, str] = {}  # request id -> address
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def start(
+        self,
+        record: RequestRecord,
+        steps: Iterator[None],
+        control: RunControl,
+        on_end: Callable[[Run], None],
+    ) -> Run:
+        """Register a request; the caller of this method drives the run."""
+
+        def end(run: Run) -> None:
+            if not run.handing_over:
+                self._runs.pop(record.req.id, None)
+            self.table.finish(record.req.id)
+            on_end(run)
+
+        run = Run(record, steps, control, end)
+        self.table.put(record)
+        self._runs[record.req.id] = run
+        return run
+
+    def get(self, request_id: str) -> Run | None:
+        """Return the run of a request in flight."""
+        return self._runs.get(request_id)
+
+    def detach(self, run: Run) -> None:
+        """Drive a run whose caller has left, for as long as it may come back."""
+        if not run.ended:
+            gevent.spawn(self._drive_detached, run)
+
+    def _drive_detached(self, run: Run) -> None:
+        alone_since = self._timers.now()
+        while run.advance():
+            now = self._timers.now()
+            if run.followers:
+                alone_since = now
+            elif now - alone_since > GRACE_SECONDS:
+                run.stop(CALLER_LEFT)
+
+    def stop_attempt(self, request_id: str) -> None:
+        """Stop a request here without an outcome, before it is handed over.
+
+        Its callers keep waiting for ``hand_off_callers``; the text so far stays in
+        the request table.
+        """
+        run = self._runs.get(request_id)
+        if run is not None:
+            run.handing_over = True
+            run.stop()
+
+    def hand_off_callers(self, request_id: str, address: str) -> None:
+        """Send the callers of a request to another node, and stop it here.
+
+        Waiting callers get 303, streaming callers a last ``rattanwick.moved`` event.
+        """
+        self._moved[request_id] = address
+        run = self._runs.pop(request_id, None)
+        if run is not None:
+            run.move(address)
+
+    def moved_address(self, request_id: str) -> str:
+        """Return where a request was handed off to, or empty."""
+        return self._moved.get(request_id, "")
+
+    def drop_expired(self) -> None:
+        """Forget requests that ended long ago."""
+        self.table.drop_expired()
+        for request_id in list(self._moved):
+            if self.table.get(request_id) is None:
+                del self._moved[request_id]
--- /dev/null
+++ b/src/rattanwick/internal/requests/server.py
@@ -0,0 +1,212 @@
+"""HTTP server for callers: bounded, with TLS and a graceful stop."""
+
+import json
+import os
+import ssl as std_ssl
+from io import BytesIO
+from socket import IPPROTO_TCP, TCP_NODELAY
+
+import gevent
+from gevent.event import Event
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.ssl import SSLContext
+
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import CallerSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.requests.caller_errors import OUTCOME_HEADER, error_body
+from rattanwick.internal.requests.close_watch import CONNECTION_KEY
+
+log = get_logger("requests")
+
+MAX_HEADER_BYTES = 16_384  # request line not included, which has 8 KiB
+CONNECTIONS_PER_REQUEST = 4  # connections for each request that may be in flight
+HEADER_SECONDS = 10.0  # time to send a whole header
+IDLE_SECONDS = 75.0  # silence on a connection, also while a caller reads nothing
+KEY_CHECK_SECONDS = 10.0
+BACKLOG = 1024
+
+
+class HeaderTooLarge(ValueError):
+    """Refuse a header above the limit."""
+
+
+class CallerHandler(WSGIHandler):
+    """Serve one connection of a caller."""
+
+    def handle(self):
+        """Serve the connection, and let a stop close it while it is idle."""
+        conn = self.socket
+        conn.settimeout(IDLE_SECONDS)
+        conn.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        self.server.idle.add(conn)
+        try:
+            super().handle()
+        finally:
+            self.server.idle.discard(conn)
+
+    def MessageClass(self, rfile, seekable=0):  # noqa: N802 (name of the base class)
+        """Read the header within its limits of size and time."""
+        with gevent.Timeout(HEADER_SECONDS, TimeoutError("header took too long")):
+            lines = []
+            left = MAX_HEADER_BYTES
+            while True:
+                line = rfile.readline(left + 1)
+                left -= len(line)
+                if left < 0:
+                    raise HeaderTooLarge("header is too large")
+                lines.append(line)
+                if line in (b"\r\n", b"\n", b""):
+                    break
+        return super().MessageClass(BytesIO(b"".join(lines)), seekable)
+
+    def _handle_client_error(self, ex):
+        if isinstance(ex, HeaderTooLarge):
+            message = f"header: must be at most {MAX_HEADER_BYTES} bytes"
+            return ("431", _refusal("431 Request Header Fields Too Large", message))
+        reason = str(ex)[:200] or type(ex).__name__
+        log.info("request cannot be read: %s", reason)
+        message = f"request: cannot be read as HTTP: {reason}"
+        return ("400", _refusal("400 Bad Request", message))
+
+    def get_environ(self):
+        """Return the environment, with the connection for the close watch."""
+        environ = super().get_environ()
+        environ[CONNECTION_KEY] = self.socket
+        return environ
+
+    def handle_one_response(self):
+        """Count the request as in flight while it is answered."""
+        server, conn = self.server, self.socket
+        server.idle.discard(conn)
+        server.begin()
+        try:
+            super().handle_one_response()
+        finally:
+            server.end()
+            if server.stopping:
+                self.close_connection = True
+            else:
+                server.idle.add(conn)
+
+    def _log_error(self, t, v, tb):
+        if isinstance(v, TimeoutError):
+            log.info("caller did not read or write for %d s", IDLE_SECONDS)
+        elif not issubclass(t, gevent.GreenletExit):
+            log.error("request failed", exc_info=(t, v, tb))
+
+    def log_request(self):
+        """Write no access log; metrics and traces tell more."""
+
+
+def _refusal(status: str, message: str) -> bytes:
+    """Return a whole response for a request that cannot be read."""
+    body = json.dumps(error_body(message, "invalid_request", message.split(":")[0]))
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        f"{OUTCOME_HEADER}: not_run\r\nConnection: close\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return (head + body).encode()
+
+
+class _ErrorLog:
+    """Take the lines that gevent writes about connections."""
+
+    def write(self, line: str) -> None:
+        """Log one line."""
+        log.info("server: %s", line.strip()[:300])
+
+
+class CallerServer(WSGIServer):
+    """Listen for callers."""
+
+    handler_class = CallerHandler
+
+    def __init__(
+        self, settings: CallerSettings, application, timers: TimerService, port=None
+    ):
+        options = {}
+        if settings.tls_certificate:
+            self._keys = TlsKeys(settings)
+            options["ssl_context"] = self._keys.context
+            timers.subscribe("requests.tls", KEY_CHECK_SECONDS, self._keys.reload)
+        address = (settings.address, settings.port if port is None else port)
+        super().__init__(
+            address,
+            application,
+            backlog=BACKLOG,
+            spawn=Pool(settings.max_in_flight * CONNECTIONS_PER_REQUEST),
+            log=None,
+            error_log=_ErrorLog(),
+            **options,
+        )
+        self.idle: set = set()
+        self.stopping = False
+        self._in_flight = 0
+        self._quiet = Event()
+        self._quiet.set()
+
+    def begin(self) -> None:
+        """Count a request that starts to be answered."""
+        self._in_flight += 1
+        self._quiet.clear()
+
+    def end(self) -> None:
+        """Count a request that has been answered."""
+        self._in_flight -= 1
+        if self._in_flight == 0:
+            self._quiet.set()
+
+    def close_gracefully(self, limit_seconds: float | None = None) -> bool:
+        """Stop accepting, wait for requests in flight; tell whether all ended.
+
+        No limit waits for as long as it takes.
+        """
+        self.stopping = True
+        self.close()
+        for conn in list(self.idle):
+            _shut(conn)
+        ended = self._quiet.wait(limit_seconds) or self._in_flight == 0
+        self.stop(timeout=1.0)
+        return ended
+
+
+class TlsKeys:
+    """Hold the TLS context and load its key again when the files change."""
+
+    def __init__(self, settings: CallerSettings):
+        self._files = (settings.tls_certificate, settings.tls_key)
+        self.context = SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
+        self.context.minimum_version = std_ssl.TLSVersion.TLSv1_2
+        self.context.load_cert_chain(*self._files)
+        self._loaded = self._times()
+
+    def _times(self) -> tuple[int, ...]:
+        return tuple(os.stat(name).st_mtime_ns for name in self._files)
+
+    def reload(self) -> bool:
+        """Load changed files; new connections use them. Tell whether it did."""
+        try:
+            times = self._times()
+            if times == self._loaded:
+                return False
+            # A wrong pair must not disturb the one in use.
+            trial = SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
+            trial.load_cert_chain(*self._files)
+            self.context.load_cert_chain(*self._files)
+        except (OSError, ValueError) as exc:
+            log.warning("new TLS key cannot be loaded: %s", exc)
+            return False
+        self._loaded = times
+        log.info("TLS key loaded again")
+        return True
+
+
+def _shut(conn) -> None:
+    """Close an idle connection, such that its task ends."""
+    try:
+        conn.shutdown(2)
+    except OSError:
+        pass
--- /dev/null
+++ b/src/rattanwick/internal/requests/service_calls.py
@@ -0,0 +1,196 @@
+"""Resource for calls to plain services."""
+
+import hashlib
+from urllib.parse import quote
+
+import falcon
+
+from rattanwick.internal.base.ids import new_request_id, new_token
+from rattanwick.internal.base.outcomes import Answered, NotRun, Outcome
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord, StoredAnswer
+from rattanwick.internal.requests.caller_errors import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    CallerError,
+    outcome_error,
+)
+from rattanwick.internal.requests.chat import REQUESTS, SECONDS
+from rattanwick.internal.requests.interfaces import (
+    BodyMismatch,
+    InProgress,
+    Replayed,
+    Reservation,
+    ServiceCall,
+)
+from rattanwick.internal.requests.runs import LiveRequests, Run, RunControl
+from rattanwick.internal.requests.service_dispatch import ServiceDispatcher
+from rattanwick.internal.requests.services import (
+    Admission,
+    Admitted,
+    RequestServices,
+)
+from rattanwick.internal.requests.validation import (
+    check_key,
+    check_service_path,
+    invalid,
+)
+
+KEY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "Rattanwick-Replayed"
+MAX_CONTENT_TYPE_CHARS = 255
+
+
+class ServiceResource:
+    """Answer POST /v1/services/NAME/PATH."""
+
+    def __init__(
+        self,
+        services: RequestServices,
+        admission: Admission,
+        dispatcher: ServiceDispatcher,
+        live: LiveRequests,
+    ):
+        self._services = services
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._live = live
+
+    def on_post(
+        self, req: falcon.Request, resp: falcon.Response, name: str, path: str
+    ) -> None:
+        """Run a call and answer it."""
+        req.context.request_id = new_request_id()
+        admitted = self._admission.check(req)
+        serving = self._serving_request(req, admitted, name, path)
+        callers_key = req.get_header(KEY_HEADER)
+        key = check_key(callers_key) if callers_key is not None else new_token()
+        call = ServiceCall(
+            request_id=serving.id,
+            organisation=serving.organisation,
+            service=name,
+            key=key,
+            body_digest=_body_digest(serving),
+            deadline=serving.deadline,
+        )
+        with self._services.tracer.span(
+            "service request", admitted.traceparent, request_id=serving.id
+        ) as span:
+            serving.traceparent = self._services.tracer.header(span)
+        reservation = self._reserve(serving)
+        resp.set_header(KEY_HEADER, key)
+        self._run(call, serving, reservation, callers_key is not None, resp)
+
+    def _serving_request(
+        self, req: falcon.Request, admitted: Admitted, name: str, path: str
+    ) -> ServingRequest:
+        caller = admitted.caller
+        allowance = self._admission.allowance(caller, name, "NAME")
+        path = check_service_path(quote(path, safe="/~!$&'()*+,;=:@"))
+        content_type = req.content_type or "application/json"
+        if len(content_type) > MAX_CONTENT_TYPE_CHARS:
+            raise invalid("Content-Type", "is too long")
+        body = {"path": path, "content_type": content_type, "data": admitted.body}
+        return ServingRequest(
+            id=req.context.request_id,
+            kind=RequestKind.SERVICE,
+            organisation=caller.organisation,
+            plan=caller.plan,
+            pool=name,
+            body=body,
+            stream=False,
+            deadline=self._admission.deadline(req, allowance),
+            received=self._services.timers.wall(),
+            prompt_tokens=0,
+            max_output_tokens=0,
+            priority=allowance.priority,
+            idempotent=False,
+            data_centre=self._services.members.self_node.data_centre,
+        )
+
+    def _reserve(self, serving: ServingRequest) -> Reservation:
+        reserved = self._services.grants.reserve(serving.plan, serving.pool, 0)
+        if isinstance(reserved, NotRun):
+            REQUESTS.labels(serving.kind, NotRun.tag).inc()
+            raise outcome_error(reserved)
+        return reserved
+
+    def _run(
+        self,
+        call: ServiceCall,
+        serving: ServingRequest,
+        reservation: Reservation,
+        key_is_callers: bool,
+        resp: falcon.Response,
+    ) -> None:
+        record = RequestRecord(serving)
+        known = None
+        started = self._services.timers.now()
+
+        def steps():
+            nonlocal known
+            known = self._dispatcher.run(call, record, key_is_callers)
+            yield
+
+        def end(run: Run) -> None:
+            self._services.grants.settle(reservation, 0)
+
+        run = self._live.start(record, steps(), RunControl(), end)
+        run.finish()
+        if known is not None:
+            record.transcript.finish(NotRun("key_was_used"))
+            self._answer_known(known, call, resp)
+            return
+        outcome = record.transcript.outcome
+        REQUESTS.labels(serving.kind, outcome.tag).inc()
+        SECONDS.labels(serving.kind).observe(self._services.timers.now() - started)
+        answer_service(outcome, record.answer, serving.id, resp)
+
+    def _answer_known(
+        self,
+        known: Replayed | InProgress | BodyMismatch,
+        call: ServiceCall,
+        resp: falcon.Response,
+    ) -> None:
+        """Answer a call whose key an earlier call has used."""
+        if isinstance(known, BodyMismatch):
+            message = f"{KEY_HEADER}: was used with another path or body"
+            raise CallerError(422, "key_with_other_body", message, KEY_HEADER)
+        if isinstance(known, InProgress):
+            # The earlier call may still run, so this is no ``not_run``.
+            raise CallerError(
+                409,
+                "key_in_progress",
+                f"{KEY_HEADER}: the earlier call with this key has not ended",
+                KEY_HEADER,
+                outcome="unknown",
+                headers={"Retry-After": str(max(1, round(known.retry_after)))},
+            )
+        resp.set_header(REPLAYED_HEADER, "true")
+        request_id = known.request_id or call.request_id
+        answer_service(known.outcome, known.answer, request_id, resp)
+
+
+def _body_digest(serving: ServingRequest) -> str:
+    body = serving.body
+    head = f"{body['path']}\n{body['content_type']}\n".encode()
+    return hashlib.sha256(head + body["data"]).hexdigest()
+
+
+def answer_service(
+    outcome: Outcome,
+    answer: StoredAnswer | None,
+    request_id: str,
+    resp: falcon.Response,
+) -> None:
+    """Answer with the outcome of a service call."""
+    if not isinstance(outcome, Answered):
+        raise outcome_error(outcome)
+    resp.set_header(REQUEST_ID_HEADER, request_id)
+    resp.set_header(OUTCOME_HEADER, outcome.tag)
+    resp.status = answer.status
+    resp.content_type = answer.headers.get("content-type", falcon.MEDIA_JSON)
+    for name, value in answer.headers.items():
+        if name != "content-type":
+            resp.set_header(name, value)
+    resp.data = answer.body
--- /dev/null
+++ b/src/rattanwick/internal/requests/service_dispatch.py
@@ -0,0 +1,154 @@
+"""Dispatcher of service calls: a claim before the call, then sent at most once."""
+
+from rattanwick.internal.base.errors import ConnectionLost, StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.outcomes import Answered, NotRun, Outcome, Unknown
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.requests import Placement, ServingRequest, Usage
+from rattanwick.internal.model.transcripts import RequestRecord, StoredAnswer
+from rattanwick.internal.requests.endpoint_index import EndpointIndex
+from rattanwick.internal.requests.interfaces import (
+    BodyMismatch,
+    Claimed,
+    Claims,
+    InProgress,
+    Replayed,
+    ServiceCall,
+)
+from rattanwick.internal.requests.service_client import (
+    ServiceClient,
+    provably_not_run,
+)
+from rattanwick.internal.routing.interfaces import Router
+
+log = get_logger("requests")
+
+MAX_PLACEMENTS = 8  # endpoints tried while nothing has been sent
+DEADLINE = "deadline"
+CLAIMS_UNAVAILABLE = "claims_unavailable"
+KEY_IN_PROGRESS = "key_in_progress"
+KEY_WITH_OTHER_BODY = "key_with_other_body"
+
+KnownKey = Replayed | InProgress | BodyMismatch
+
+
+class ServiceDispatcher:
+    """Run a service call under its claim."""
+
+    def __init__(
+        self,
+        router: Router,
+        endpoints: EndpointIndex,
+        client: ServiceClient,
+        claims: Claims,
+        timers: TimerService,
+    ):
+        self._router = router
+        self._endpoints = endpoints
+        self._client = client
+        self._claims = claims
+        self._timers = timers
+
+    def run(
+        self, call: ServiceCall, record: RequestRecord, key_is_callers: bool
+    ) -> KnownKey | None:
+        """Run a call and set the record's outcome and answer.
+
+        Return what is known of the key instead, where an earlier call used it.
+        """
+        if key_is_callers:
+            known = self._look_up(call)
+            if known is not None:
+                return known
+        try:
+            placement = self._router.place(record.req, frozenset())
+        except StepError as exc:
+            self._finish(record, NotRun(exc.reason, retry_after=1.0))
+            return None
+        claimed = None
+        try:
+            claimed = self._claims.claim(call)
+        except StepError as exc:
+            # The caller of a claim that may have been written dispatches nothing,
+            # and no other node may: the call can never run.
+            log.warning("claim failed", extra={"request": call.request_id, "why": exc})
+            self._finish(record, NotRun(CLAIMS_UNAVAILABLE, retry_after=1.0))
+            return None
+        finally:
+            if not isinstance(claimed, Claimed):
+                self._router.release(placement, Usage(reason="not_claimed"))
+        if not isinstance(claimed, Claimed):
+            return claimed
+        outcome, answer = self._dispatch(claimed, record, placement)
+        self._claims.settle(claimed, outcome, answer)
+        self._finish(record, outcome, answer)
+        return None
+
+    def _look_up(self, call: ServiceCall) -> KnownKey | None:
+        try:
+            return self._claims.look_up(call)
+        except StepError:
+            return None  # ``claim`` decides
+
+    def _finish(
+        self,
+        record: RequestRecord,
+        outcome: Outcome,
+        answer: StoredAnswer | None = None,
+    ) -> None:
+        record.answer = answer
+        record.transcript.finish(outcome)
+
+    def _dispatch(
+        self, claimed: Claimed, record: RequestRecord, placement: Placement
+    ) -> tuple[Outcome, StoredAnswer | None]:
+        """Send the call; try another endpoint only while nothing has been sent."""
+        excluded: set[str] = set()
+        for _ in range(MAX_PLACEMENTS):
+            req = record.req
+            record.endpoint_id = placement.endpoint_id
+            started = self._timers.now()
+            reason = "stopped"
+            try:
+                answer = self._send(placement, req, claimed)
+                reason = ""
+                return Answered(), answer
+            except StepError as exc:
+                reason = exc.reason
+                self._log_failure(req, exc)
+                if not provably_not_run(exc):
+                    return Unknown(reason), None
+            finally:
+                seconds = self._timers.now() - started
+                usage = Usage(total_seconds=seconds, ok=not reason, reason=reason)
+                self._router.release(placement, usage)
+            if self._timers.wall() >= req.deadline:
+                return NotRun(DEADLINE), None
+            excluded.add(placement.endpoint_id)
+            try:
+                placement = self._router.place(req, frozenset(excluded))
+            except StepError as exc:
+                return NotRun(exc.reason, retry_after=1.0), None
+        return NotRun("no_endpoint", retry_after=1.0), None
+
+    def _send(
+        self, placement: Placement, req: ServingRequest, claimed: Claimed
+    ) -> StoredAnswer:
+        endpoint = self._endpoints.get(placement.endpoint_id)
+        if endpoint is None:
+            reason = "endpoint is not listed any more"
+            raise ConnectionLost("connect", placement.endpoint_id, reason, False)
+        if self._timers.wall() >= req.deadline:
+            raise ConnectionLost("connect", endpoint.id, DEADLINE, False)
+        return self._client.call(endpoint, req, claimed.call.key)
+
+    def _log_failure(self, req: ServingRequest, error: StepError) -> None:
+        log.warning(
+            "service call failed",
+            extra={
+                "request": req.id,
+                "endpoint": error.peer,
+                "step": error.step,
+                "reason": error.reason,
+            },
+        )
--- /dev/null
+++ b/src/rattanwick/internal/requests/validation.py
@@ -0,0 +1,211 @@
+"""Checks of what callers send; each error names the field."""
+
+import json
+import math
+import re
+
+from rattanwick.internal.requests.caller_errors import (
+    DEADLINE_HEADER,
+    CallerError,
+    invalid,
+)
+from rattanwick.internal.requests.interfaces import Allowance
+
+MAX_MESSAGES = 4096
+MAX_STOPS = 16
+MAX_STOP_CHARS = 256
+MAX_NAME_CHARS = 63
+MAX_KEY_CHARS = 255
+MAX_PATH_CHARS = 1024
+MAX_NUMBER = 2**31 - 1
+ROLES = ("system", "developer", "user", "assistant")
+BYTES_PER_TOKEN = 3  # fewer than tokenizers need for prose, to estimate high
+TOKENS_PER_MESSAGE = 4
+PRINTABLE = re.compile(r"^[\x21-\x7e]+$")
+SERVICE_PATH = re.compile(r"^[A-Za-z0-9._~!$&'()*+,;=:@%/-]+$")
+
+# Sampling fields, passed to the engine as they are: (lowest, highest value).
+NUMBER_FIELDS = {
+    "temperature": (0.0, 2.0),
+    "top_p": (0.0, 1.0),
+    "presence_penalty": (-2.0, 2.0),
+    "frequency_penalty": (-2.0, 2.0),
+}
+LENGTH_FIELDS = ("max_completion_tokens", "max_tokens")
+COMMON_FIELDS = frozenset(
+    ("model", "stream", "stream_options", "stop", "seed", "user", "n")
+    + LENGTH_FIELDS
+    + tuple(NUMBER_FIELDS)
+)
+
+
+def parse_json_body(raw: bytes) -> dict:
+    """Return the JSON object of a body."""
+    try:
+        body = json.loads(raw, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise invalid("body", f"is not JSON: {str(exc)[:200]}")
+    if not isinstance(body, dict):
+        raise invalid("body", "must be a JSON object")
+    return body
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def check_chat_body(body: dict) -> None:
+    """Check the fields of a chat request."""
+    _check_known(body, COMMON_FIELDS | {"messages"})
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise invalid("messages", "must be a list of at least one message")
+    if len(messages) > MAX_MESSAGES:
+        raise invalid("messages", f"must be at most {MAX_MESSAGES} messages")
+    for index, message in enumerate(messages):
+        _check_message(f"messages[{index}]", message)
+    _check_common(body)
+
+
+def check_completion_body(body: dict) -> None:
+    """Check the fields of a completion request."""
+    _check_known(body, COMMON_FIELDS | {"prompt"})
+    if not isinstance(body.get("prompt"), str) or not body["prompt"]:
+        raise invalid("prompt", "must be a string that is not empty")
+    _check_common(body)
+
+
+def _check_known(body: dict, known: frozenset[str]) -> None:
+    for name in body:
+        if name not in known:
+            shown = name[:MAX_NAME_CHARS]
+            raise invalid(shown, f"is not supported; known: {', '.join(sorted(known))}")
+
+
+def _check_message(field: str, message: object) -> None:
+    if not isinstance(message, dict):
+        raise invalid(field, "must be an object with role and content")
+    for name in message:
+        if name not in ("role", "content", "name"):
+            raise invalid(f"{field}.{name[:MAX_NAME_CHARS]}", "is not supported")
+    if message.get("role") not in ROLES:
+        raise invalid(f"{field}.role", f"must be one of {', '.join(ROLES)}")
+    if not isinstance(message.get("content"), str):
+        raise invalid(f"{field}.content", "must be a string")
+
+
+def _check_common(body: dict) -> None:
+    model = body.get("model")
+    if not isinstance(model, str) or not 0 < len(model) <= MAX_NAME_CHARS:
+        raise invalid("model", "must be the name of a pool")
+    if not isinstance(body.get("stream", False), bool):
+        raise invalid("stream", "must be true or false")
+    if not isinstance(body.get("stream_options", {}), dict):
+        raise invalid("stream_options", "must be an object")
+    if body.get("n", 1) != 1 or isinstance(body.get("n", 1), bool):
+        raise invalid("n", "must be 1")
+    for name, (low, high) in NUMBER_FIELDS.items():
+        value = body.get(name, low)
+        if not _is_number(value) or not low <= value <= high:
+            raise invalid(name, f"must be a number from {low:g} to {high:g}")
+    if not _is_whole(body.get("seed", 0)):
+        raise invalid("seed", "must be a whole number")
+    if not isinstance(body.get("user", ""), str):
+        raise invalid("user", "must be a string")
+    _check_stop(body.get("stop", []))
+
+
+def _check_stop(stop: object) -> None:
+    stops = [stop] if isinstance(stop, str) else stop
+    if not isinstance(stops, list) or len(stops) > MAX_STOPS:
+        raise invalid("stop", f"must be a string or at most {MAX_STOPS} strings")
+    for item in stops:
+        if not isinstance(item, str) or not 0 < len(item) <= MAX_STOP_CHARS:
+            raise invalid("stop", f"must hold strings of 1 to {MAX_STOP_CHARS}")
+
+
+def _is_whole(value: object) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int):
+        return False
+    return abs(value) <= MAX_NUMBER
+
+
+def _is_number(value: object) -> bool:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return False
+    return math.isfinite(value)
+
+
+def output_limit(body: dict, allowance: Allowance) -> int:
+    """Return the most tokens that the answer may have."""
+    limit = allowance.max_output_tokens
+    for name in LENGTH_FIELDS:
+        if name not in body:
+            continue
+        value = body[name]
+        if not _is_whole(value) or value < 1:
+            raise invalid(name, "must be a whole number from 1")
+        if value > allowance.max_output_tokens:
+            raise invalid(name, f"must be at most {allowance.max_output_tokens}")
+        limit = min(limit, value)
+    return limit
+
+
+def estimate_prompt_tokens(body: dict) -> int:
+    """Return an estimate of the prompt's tokens that is rather too high."""
+    if "prompt" in body:
+        return 1 + len(body["prompt"].encode()) // BYTES_PER_TOKEN
+    size = sum(len(item["content"].encode()) for item in body["messages"])
+    return size // BYTES_PER_TOKEN + TOKENS_PER_MESSAGE * len(body["messages"])
+
+
+def read_deadline(
+    header: str | None, default_seconds: float, limit_seconds: float
+) -> float:
+    """Return the seconds that the caller allows."""
+    if header is None:
+        return min(default_seconds, limit_seconds)
+    if not header.isascii() or not header.isdigit() or len(header) > 12:
+        raise invalid(DEADLINE_HEADER, "must be a whole number of milliseconds")
+    seconds = int(header) / 1000
+    if not 0 < seconds <= limit_seconds:
+        most = int(limit_seconds * 1000)
+        raise invalid(DEADLINE_HEADER, f"must be from 1 to {most} milliseconds")
+    return seconds
+
+
+def check_key(key: str) -> str:
+    """Return the idempotency key that a caller sent."""
+    if len(key) > MAX_KEY_CHARS or not PRINTABLE.match(key):
+        wanted = f"must be 1 to {MAX_KEY_CHARS} printable ASCII characters"
+        raise invalid("Idempotency-Key", wanted)
+    return key
+
+
+def check_service_path(path: str) -> str:
+    """Return the path of a service call, encoded for a request line."""
+    if len(path) > MAX_PATH_CHARS or not SERVICE_PATH.match(path):
+        raise invalid("PATH", f"must be 1 to {MAX_PATH_CHARS} characters of a URL path")
+    if any(part in ("", ".", "..") for part in path.split("/")):
+        raise invalid("PATH", "must not have empty, '.' or '..' parts")
+    return path
+
+
+def read_offset(value: str | None, event_id: str | None, request_id: str) -> int:
+    """Return the character offset from which a caller wants the answer."""
+    field = "offset"
+    if value is None and event_id is not None:
+        field = "Last-Event-ID"
+        named, _, value = event_id.rpartition(":")
+        if named != request_id:
+            raise invalid(field, "belongs to another request")
+    if value is None:
+        return 0
+    if not value.isascii() or not value.isdigit() or len(value) > 10:
+        raise invalid(field, "must be a whole number of characters")
+    return int(value)
+
+
+def body_too_large(limit: int) -> CallerError:
+    """Return the error for a body above the limit."""
+    return invalid("body", f"must be at most {limit} bytes", status=413)
