Add keepers, takeover, handover, fetch and drain

Cause: a request in flight is lost with its serving node. Change: copies at a keeper in another data centre, final answers sent to it, takeover by the highest-ranked holder only after all live holders have answered, handover with the text so far to a holder and a backup, relay, drain for planned stops and reclaim notices, request.fetch at any node. The first run of the tests found that a repeated handover whose first reply was lost ran the request again once it had finished; the receiver now also looks for a finished record. Conclusion: handover works with 6 nodes in one process; cost not measured.

--- /dev/null
+++ b/src/rattanwick/internal/peers/drain.py
@@ -0,0 +1,181 @@
+"""Leave without interrupting a request: planned stop and reclaim notice."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.pool import Pool
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import DrainSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.requests import ServingRequest
+from rattanwick.internal.model.transcripts import (
+    RequestRecord,
+    RequestTable,
+    Transcript,
+)
+from rattanwick.internal.peers.handover import Handover
+from rattanwick.internal.peers.interfaces import PeerNetwork
+from rattanwick.internal.peers.keepers import PeerKeepers
+from rattanwick.internal.peers.members import HeartbeatMembers
+
+log = get_logger("drain")
+
+STEP_SECONDS = 2.0
+POLL_SECONDS = 0.05
+PARALLEL_HANDOVERS = 64
+HAND_OFF_SECONDS = 3.0  # kept at the end of a notice to tell callers
+HAND_OFF_SHARE = 0.25  # of a notice that is shorter than that
+SETTLEMENT_SECONDS = 1.0
+SETTLEMENT_NODES = 3
+
+
+@dataclass(slots=True)
+class DrainSteps:
+    """What other parts do while this node drains; each may fail or hang."""
+
+    withdraw: Callable[[], None]  # /readyz 503, no entry, refuse new requests
+    release_leases: Callable[[], None]
+    return_grants: Callable[[], None]
+    pending_settlements: Callable[[], list[dict]]  # bodies of claims.settle
+    freeze: Callable[[str], bool]  # stop generation; False when it must finish here
+    resume: Callable[[ServingRequest, Transcript], None]  # when no node takes it
+    hand_off_callers: Callable[[str, str], None]  # (request id, "host:port")
+
+
+class Drain:
+    """Drain this node once; a notice during a planned stop shortens it."""
+
+    def __init__(
+        self,
+        settings: DrainSettings,
+        network: PeerNetwork,
+        members: HeartbeatMembers,
+        table: RequestTable,
+        keepers: PeerKeepers,
+        handover: Handover,
+        steps: DrainSteps,
+        timers: TimerService,
+    ):
+        self._settings = settings
+        self._network = network
+        self._members = members
+        self._table = table
+        self._keepers = keepers
+        self._handover = handover
+        self._steps = steps
+        self._timers = timers
+        self._end: float | None = None  # Unix seconds at which the instance is gone
+        self._time_up = False
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the node drains."""
+        return self._started
+
+    def notice(self, not_before: float) -> None:
+        """Note a reclaim notice; ``not_before`` is in Unix seconds."""
+        if self._end is None or not_before < self._end:
+            self._end = not_before
+
+    def run(self) -> None:
+        """Drain; return when no caller waits or the time is up."""
+        self._started = True
+        log.info("draining")
+        self._attempt("withdraw", self._steps.withdraw)
+        self._members.leave()
+        giving_back = gevent.spawn(self._give_back)
+        if self._end is None:
+            self._wait_for_requests()
+        left = self._table.in_flight()
+        if left:
+            self._move(left)
+        giving_back.join(timeout=2 * STEP_SECONDS)
+        self._keepers.flush()
+        log.info("drained, %d requests left", len(self._table.in_flight()))
+
+    def _give_back(self) -> None:
+        """Release what others may use; an outage of the table delays nothing."""
+        self._attempt("release leases", self._steps.release_leases)
+        self._attempt("return grants", self._steps.return_grants)
+        self._attempt("hand over settlements", self._hand_over_settlements)
+
+    def _attempt(self, name: str, step: Callable[[], None]) -> None:
+        try:
+            with gevent.Timeout(STEP_SECONDS):
+                step()
+        except gevent.Timeout:
+            log.warning("%s: not done within %g s", name, STEP_SECONDS)
+        except Exception as exc:
+            log.warning("%s: %s", name, exc)
+
+    def _hand_over_settlements(self) -> None:
+        for body in self._steps.pending_settlements():
+            if not self._send_settlement(body):
+                log.error("a settlement was not handed over")
+
+    def _send_settlement(self, body: dict) -> bool:
+        for node in self._members.live()[:SETTLEMENT_NODES]:
+            try:
+                self._network.call(node.id, "claims.settle", body, SETTLEMENT_SECONDS)
+                return True
+            except StepError as exc:
+                log.warning("%s", exc)
+        return False
+
+    def _wait_for_requests(self) -> None:
+        """Wait for requests, the limit or a notice, whichever is first."""
+        limit = self._settings.limit_seconds
+        began = self._timers.now()
+        while self._table.in_flight() and self._end is None:
+            if limit and self._timers.now() - began >= limit:
+                self._end = self._timers.wall() + self._settings.notice_seconds
+                return
+            self._timers.sleep(POLL_SECONDS)
+
+    def _move(self, records: list[RequestRecord]) -> None:
+        """Hand requests over, relay while time remains, then move callers."""
+        notice = max(self._end - self._timers.wall(), 0.0)
+        kept_back = min(HAND_OFF_SECONDS, HAND_OFF_SHARE * notice)
+        pool = Pool(PARALLEL_HANDOVERS)
+        gevent.spawn(self._hand_over_all, pool, records)
+        self._wait_until_end(kept_back)
+        self._time_up = True
+        for record in self._table.in_flight():
+            self._hand_off(record)
+        # What could not be moved may still finish here.
+        self._wait_until_end(0.0)
+
+    def _hand_over_all(self, pool: Pool, records: list[RequestRecord]) -> None:
+        for record in records:
+            pool.spawn(self._hand_over, record)
+
+    def _wait_until_end(self, kept_back: float) -> None:
+        """Wait for requests until ``kept_back`` seconds before the end."""
+        while self._table.in_flight():
+            if self._timers.wall() >= self._end - kept_back:
+                return
+            self._timers.sleep(POLL_SECONDS)
+
+    def _hand_over(self, record: RequestRecord) -> None:
+        if not record.req.idempotent or not self._steps.freeze(record.req.id):
+            return
+        if record.transcript.outcome is not None:
+            return
+        if self._handover.hand_over(record) is None:
+            self._steps.resume(record.req, record.transcript)
+            return
+        gevent.spawn(self._handover.relay, record, lambda: self._time_up)
+
+    def _hand_off(self, record: RequestRecord) -> None:
+        node = self._members.get(record.moved_to) if record.moved_to else None
+        if node is None:
+            log.error("%s is left unfinished", record.req.id)
+            return
+        address = f"{node.host}:{node.caller_port}"
+        callers = self._steps.hand_off_callers
+        self._attempt("hand off callers", lambda: callers(record.req.id, address))
+        self._table.finish(record.req.id)
--- /dev/null
+++ b/src/rattanwick/internal/peers/fetch.py
@@ -0,0 +1,240 @@
+"""Fetch the text of a request from whichever node has it."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rattanwick.internal.base.errors import ProtocolError, StepError
+from rattanwick.internal.base.outcomes import Outcome, Unknown, outcome_from_tag
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.transcripts import (
+    RequestRecord,
+    RequestTable,
+    StoredAnswer,
+)
+from rattanwick.internal.peers.finals import pack_answer, unpack_answer, unpack_final
+from rattanwick.internal.peers.interfaces import PeerNetwork
+from rattanwick.internal.peers.keepers import keeper_order
+from rattanwick.internal.peers.kept import KeptRequest, KeptStore
+from rattanwick.internal.peers.members import HeartbeatMembers
+from rattanwick.internal.peers.records import MemberState
+
+MAX_WAIT_SECONDS = 30.0
+MAX_TEXT_CHARACTERS = 128 << 10
+HINTS = 4
+MAX_ASKED = 8
+PENDING_SECONDS = 0.25  # between questions while a request is taken over
+MARGIN_SECONDS = 2.0  # for the reply beyond the wait of a long poll
+
+
+class FetchState(StrEnum):
+    """Tell what the asked node has."""
+
+    HERE = "here"  # at the first of ``nodes``
+    ELSEWHERE = "elsewhere"  # ``nodes`` serve it
+    PENDING = "pending"  # its node is lost and another takes it over
+    ABSENT = "absent"  # ``nodes`` might have it
+    UNREACHABLE = "unreachable"  # a node that might have it did not answer
+
+
+@dataclass(slots=True)
+class FetchReply:
+    """Hold text from an offset on, in characters, or where to ask."""
+
+    state: FetchState
+    text: str = ""
+    length: int = 0  # of the text so far
+    outcome: Outcome | None = None
+    finish_reason: str = ""
+    restarted: bool = False
+    answer: StoredAnswer | None = None
+    nodes: list[str] = field(default_factory=list)
+
+    def to_body(self) -> dict:
+        """Return a map for msgpack."""
+        return {
+            "state": str(self.state),
+            "text": self.text,
+            "length": self.length,
+            "tag": self.outcome.tag if self.outcome else "",
+            "reason": getattr(self.outcome, "reason", ""),
+            "finish_reason": self.finish_reason,
+            "restarted": self.restarted,
+            "answer": pack_answer(self.answer),
+            "nodes": self.nodes,
+        }
+
+    @classmethod
+    def from_body(cls, body: dict, peer: str) -> "FetchReply":
+        """Return the reply of a map; raise ProtocolError."""
+        try:
+            tag = body["tag"]
+            return cls(
+                FetchState(body["state"]),
+                body["text"],
+                body["length"],
+                outcome_from_tag(tag, body["reason"]) if tag else None,
+                body["finish_reason"],
+                body["restarted"],
+                unpack_answer(body["answer"]),
+                body["nodes"],
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            raise ProtocolError("request.fetch", peer, f"field is wrong: {exc}")
+
+
+class RequestFetcher:
+    """Answer ``request.fetch`` and ask other nodes with it."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        members: HeartbeatMembers,
+        table: RequestTable,
+        kept: KeptStore,
+        timers: TimerService,
+    ):
+        self._network = network
+        self._members = members
+        self._table = table
+        self._kept = kept
+        self._timers = timers
+        network.handle("request.fetch", self._on_fetch)
+
+    def fetch(
+        self, request_id: str, organisation: str, offset: int, wait: float
+    ) -> FetchReply:
+        """Return text after an offset, waiting up to ``wait`` seconds for more."""
+        due = self._timers.now() + wait
+        while True:
+            reply = self._ask_all(request_id, organisation, offset, due)
+            left = due - self._timers.now()
+            settled = reply.state in (FetchState.HERE, FetchState.ABSENT)
+            if settled or left <= 0:
+                return reply
+            self._timers.sleep(min(PENDING_SECONDS, left))
+
+    def local(
+        self, request_id: str, organisation: str, offset: int, wait: float
+    ) -> FetchReply:
+        """Return what this node has of a request."""
+        record = self._table.get(request_id)
+        if record is not None:
+            if record.req.organisation != organisation:
+                return FetchReply(FetchState.ABSENT)
+            if record.moved_to and record.transcript.outcome is None:
+                return FetchReply(FetchState.ELSEWHERE, nodes=[record.moved_to])
+            record.transcript.wait(offset, min(max(wait, 0.0), MAX_WAIT_SECONDS))
+            return self._from_record(record, offset)
+        kept = self._kept.get(request_id)
+        if kept is not None:
+            if kept.organisation != organisation:
+                return FetchReply(FetchState.ABSENT)
+            return self._from_kept(kept, offset)
+        return FetchReply(FetchState.ABSENT, nodes=self._hints(request_id))
+
+    def _hints(self, request_id: str) -> list[str]:
+        """Return the nodes that any node would choose as keepers."""
+        order = keeper_order(request_id, self._members.live())
+        return [node.id for node in order[:HINTS]]
+
+    def _ask_all(
+        self, request_id: str, organisation: str, offset: int, due: float
+    ) -> FetchReply:
+        """Ask this node, then each node that is named, until one has it."""
+        own = self._members.self_node.id
+        queue, asked = [own], set()
+        worst = FetchReply(FetchState.ABSENT)
+        while queue and len(asked) < MAX_ASKED:
+            node_id = queue.pop(0)
+            if node_id in asked:
+                continue
+            asked.add(node_id)
+            wait = max(due - self._timers.now(), 0.0)
+            try:
+                reply = self._ask(node_id, request_id, organisation, offset, wait)
+            except StepError:
+                worst = FetchReply(FetchState.UNREACHABLE, nodes=[node_id])
+                # The serving node is lost; its keepers may know more.
+                queue += [item for item in self._hints(request_id) if item not in asked]
+                continue
+            if reply.state is FetchState.HERE:
+                reply.nodes = [node_id]
+                return reply
+            if reply.state is FetchState.PENDING:
+                worst = reply
+            named = [item for item in reply.nodes if item not in asked]
+            # A node that is named as serving is asked before mere candidates.
+            first = reply.state is FetchState.ELSEWHERE
+            queue = named + queue if first else queue + named
+        return worst
+
+    def _ask(
+        self, node_id: str, request_id: str, organisation: str, offset: int, wait: float
+    ) -> FetchReply:
+        if node_id == self._members.self_node.id:
+            return self.local(request_id, organisation, offset, wait)
+        body = {"id": request_id, "org": organisation, "offset": offset, "wait": wait}
+        timeout = wait + MARGIN_SECONDS
+        reply = self._network.call(node_id, "request.fetch", body, timeout)
+        return FetchReply.from_body(reply, node_id)
+
+    def _on_fetch(self, node_id: str, body: dict) -> dict:
+        kinds = {"id": str, "org": str, "offset": int}
+        for name, kind in kinds.items():
+            if type(body.get(name)) is not kind:
+                raise ProtocolError("request.fetch", node_id, f"field {name} is wrong")
+        wait = body.get("wait")
+        if type(wait) not in (int, float) or body["offset"] < 0:
+            reason = "field wait or offset is wrong"
+            raise ProtocolError("request.fetch", node_id, reason)
+        reply = self.local(body["id"], body["org"], body["offset"], wait)
+        return reply.to_body()
+
+    def _from_record(self, record: RequestRecord, offset: int) -> FetchReply:
+        transcript = record.transcript
+        if record.moved_to and transcript.outcome is None:
+            # It moved during the wait.
+            return FetchReply(FetchState.ELSEWHERE, nodes=[record.moved_to])
+        text = "".join(part for part, _ in transcript.parts_after(offset))
+        return self._here(
+            text,
+            transcript.length,
+            transcript.outcome,
+            transcript.finish_reason,
+            transcript.restarted,
+            record.answer,
+        )
+
+    def _from_kept(self, kept: KeptRequest, offset: int) -> FetchReply:
+        if kept.final:
+            final = unpack_final(kept.final)
+            return self._here(
+                final.text[offset:],
+                len(final.text),
+                final.outcome,
+                final.finish_reason,
+                final.restarted,
+                final.answer,
+            )
+        if kept.lost:
+            outcome = Unknown("serving_node_lost")
+            return FetchReply(FetchState.HERE, outcome=outcome)
+        if self._members.state(kept.header.server) in (None, MemberState.DEAD):
+            return FetchReply(FetchState.PENDING, nodes=list(kept.header.holders))
+        return FetchReply(FetchState.ELSEWHERE, nodes=[kept.header.server])
+
+    def _here(
+        self,
+        text: str,
+        length: int,
+        outcome: Outcome | None,
+        finish_reason: str,
+        restarted: bool,
+        answer: StoredAnswer | None,
+    ) -> FetchReply:
+        if len(text) > MAX_TEXT_CHARACTERS:
+            # The rest follows with the next question.
+            text, outcome, answer = text[:MAX_TEXT_CHARACTERS], None, None
+        return FetchReply(
+            FetchState.HERE, text, length, outcome, finish_reason, restarted, answer
+        )
--- /dev/null
+++ b/src/rattanwick/internal/peers/finals.py
@@ -0,0 +1,67 @@
+"""Final answers as they travel to keepers and to nodes that ask."""
+
+from dataclasses import dataclass
+
+from rattanwick.internal.base.errors import ProtocolError
+from rattanwick.internal.base.outcomes import Outcome, outcome_from_tag
+from rattanwick.internal.model.transcripts import RequestRecord, StoredAnswer
+from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
+
+MAX_FINAL_BYTES = 768 << 10  # packed, so that it fits into a frame
+
+
+@dataclass(slots=True)
+class FinalAnswer:
+    """Hold the whole answer of a finished request."""
+
+    text: str
+    outcome: Outcome
+    finish_reason: str = ""
+    restarted: bool = False
+    answer: StoredAnswer | None = None
+
+
+def pack_final(record: RequestRecord) -> bytes:
+    """Return the packed answer, or nothing when there is none or it is too large."""
+    outcome = record.transcript.outcome
+    if outcome is None:
+        return b""
+    answer = record.answer
+    packed = pack_compressed(
+        {
+            "text": record.transcript.text(),
+            "tag": outcome.tag,
+            "reason": getattr(outcome, "reason", ""),
+            "finish_reason": record.transcript.finish_reason,
+            "restarted": record.transcript.restarted,
+            "answer": pack_answer(answer),
+        }
+    )
+    return packed if len(packed) <= MAX_FINAL_BYTES else b""
+
+
+def unpack_final(data: bytes) -> FinalAnswer:
+    """Return the answer of packed bytes; raise ProtocolError."""
+    value = unpack_compressed(data, "final")
+    try:
+        return FinalAnswer(
+            value["text"],
+            outcome_from_tag(value["tag"], value["reason"]),
+            value["finish_reason"],
+            value["restarted"],
+            unpack_answer(value["answer"]),
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ProtocolError("unpack", "final", f"field missing or wrong: {exc}")
+
+
+def pack_answer(answer: StoredAnswer | None) -> list | None:
+    """Return the answer of a service call as a list."""
+    if answer is None:
+        return None
+    return [answer.status, answer.headers, answer.body]
+
+
+def unpack_answer(value: list | None) -> StoredAnswer | None:
+    """Return the answer of a service call."""
+    return None if value is None else StoredAnswer(*value)
--- /dev/null
+++ b/src/rattanwick/internal/peers/handover.py
@@ -0,0 +1,189 @@
+"""Hand requests over to other nodes with their text so far."""
+
+from collections.abc import Callable
+
+from rattanwick.internal.base.errors import (
+    ConnectionLost,
+    Refused,
+    StepError,
+    TimedOut,
+)
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.model.transcripts import RequestRecord, RequestTable
+from rattanwick.internal.peers.counters import HANDOVERS
+from rattanwick.internal.peers.fetch import FetchReply, FetchState, RequestFetcher
+from rattanwick.internal.peers.interfaces import PeerNetwork
+from rattanwick.internal.peers.keepers import PeerKeepers, choose_keepers
+from rattanwick.internal.peers.kept import CopyHeader, KeptStore, make_kept
+from rattanwick.internal.peers.members import HeartbeatMembers
+from rattanwick.internal.peers.packing import pack_compressed
+from rattanwick.internal.peers.takeover import Takeover
+
+log = get_logger("handover")
+
+CALL_SECONDS = 1.0
+MAX_TARGETS = 4
+RELAY_WAIT_SECONDS = 5.0
+RELAY_RETRY_SECONDS = 0.2
+
+
+class Handover:
+    """Send requests to a new holder and a backup, and take them from others."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        members: HeartbeatMembers,
+        table: RequestTable,
+        kept: KeptStore,
+        keepers: PeerKeepers,
+        takeover: Takeover,
+        fetcher: RequestFetcher,
+        timers: TimerService,
+    ):
+        self._network = network
+        self._members = members
+        self._table = table
+        self._kept = kept
+        self._keepers = keepers
+        self._takeover = takeover
+        self._fetcher = fetcher
+        self._timers = timers
+        network.handle("keeper.handover", self._on_handover)
+
+    def hand_over(self, record: RequestRecord) -> Node | None:
+        """Give a request whose generation has stopped to another node.
+
+        Return the new holder, or None when no node took it.
+        """
+        request_id = record.req.id
+        packed = self._pack(record)
+        refused: set[str] = set()
+        for _ in range(MAX_TARGETS):
+            targets = [
+                node for node in self.targets(request_id) if node.id not in refused
+            ]
+            if not targets:
+                break
+            first = targets[0]
+            if self._send(request_id, packed, first, targets):
+                backup = self._send_backup(request_id, packed, first, targets[1:])
+                self._keepers.release(request_id, [first.id, backup])
+                record.moved_to = first.id
+                HANDOVERS.labels("accepted").inc()
+                return first
+            refused.add(first.id)
+        HANDOVERS.labels("failed").inc()
+        log.error("no node took %s", request_id)
+        return None
+
+    def targets(self, request_id: str) -> list[Node]:
+        """Return nodes to hand a request to: the keeper, then a third data centre."""
+        own = self._members.self_node
+        order = choose_keepers(request_id, own, self._members.live())
+        holders = self._keepers.holders(request_id)[:1]
+        order.sort(key=lambda node: node.id not in holders)
+        if not order:
+            return []
+        used = {own.data_centre, order[0].data_centre}
+        rest = sorted(order[1:], key=lambda node: node.data_centre in used)
+        return order[:1] + rest
+
+    def relay(self, record: RequestRecord, is_over: Callable[[], bool]) -> None:
+        """Copy text from the new holder until the end or until time is up."""
+        req, transcript = record.req, record.transcript
+        while transcript.outcome is None and not is_over():
+            reply = self._fetch_from_holder(record)
+            if reply.state is FetchState.HERE:
+                record.moved_to = reply.nodes[0]
+                self._take(record, reply)
+            else:
+                self._timers.sleep(RELAY_RETRY_SECONDS)
+        if transcript.outcome is not None:
+            self._table.finish(req.id)
+
+    def _take(self, record: RequestRecord, reply: FetchReply) -> None:
+        record.transcript.append(reply.text)
+        if reply.outcome is not None:
+            record.answer = reply.answer
+            record.transcript.finish(reply.outcome, reply.finish_reason)
+
+    def _fetch_from_holder(self, record: RequestRecord) -> FetchReply:
+        req = record.req
+        # The own table points to the holder, so that the fetcher starts there and
+        # follows the request when it moves again.
+        return self._fetcher.fetch(
+            req.id, req.organisation, record.transcript.length, RELAY_WAIT_SECONDS
+        )
+
+    def _pack(self, record: RequestRecord) -> bytes:
+        transcript = record.transcript
+        return pack_compressed(
+            {
+                "request": record.req.to_message(),
+                "text": transcript.text(),
+                "tokens": transcript.tokens,
+                "restarted": transcript.restarted,
+            }
+        )
+
+    def _send(
+        self, request_id: str, packed: bytes, first: Node, targets: list[Node]
+    ) -> bool:
+        holders = [node.id for node in targets[:2]]
+        header = self._keepers.next_header(request_id, first, holders)
+        body = {**header.to_body(), "packed": packed}
+        for _ in range(2):
+            try:
+                self._network.call(first.id, "keeper.handover", body, CALL_SECONDS)
+                return True
+            except (TimedOut, ConnectionLost) as exc:
+                # A repeat of the same epoch is taken once, so a lost reply does
+                # not make two nodes run the request.
+                log.warning("%s", exc)
+            except StepError as exc:
+                log.warning("%s", exc)
+                return False
+        return False
+
+    def _send_backup(
+        self, request_id: str, packed: bytes, first: Node, rest: list[Node]
+    ) -> str:
+        """Leave a copy at one more node, which runs it if the first is gone.
+
+        Return the id of that node, or an empty one when no node took it.
+        """
+        for node in rest[:MAX_TARGETS]:
+            holders = [first.id, node.id]
+            header = self._keepers.next_header(request_id, first, holders)
+            body = {**header.to_body(), "packed": packed}
+            try:
+                self._network.call(node.id, "keeper.handover", body, CALL_SECONDS)
+                return node.id
+            except StepError as exc:
+                log.warning("%s", exc)
+        log.warning("no backup of %s", request_id)
+        return ""
+
+    def _on_handover(self, node_id: str, body: dict) -> dict:
+        own = self._members.self_node.id
+        if self._members.leaving:
+            raise Refused("keeper.handover", own, "this node is leaving")
+        kept = make_kept(CopyHeader.from_body(body), body.get("packed"))
+        request_id = kept.header.request_id
+        if self._has(request_id):
+            # The reply to the first message was lost.
+            return {}
+        if kept.header.holders[0] == own:
+            self._takeover.run(kept)
+        else:
+            self._kept.put(kept)
+        return {}
+
+    def _has(self, request_id: str) -> bool:
+        """Tell whether this node runs or has finished a request."""
+        record = self._table.get(request_id)
+        finished = record is not None and record.transcript.outcome is not None
+        return finished or self._keepers.served_epoch(request_id) is not None
--- /dev/null
+++ b/src/rattanwick/internal/peers/parts.py
@@ -0,0 +1,101 @@
+"""Build everything between nodes from its settings and collaborators."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rattanwick.internal.base.settings import PeerSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.model.transcripts import RequestTable
+from rattanwick.internal.peers.fetch import RequestFetcher
+from rattanwick.internal.peers.handover import Handover
+from rattanwick.internal.peers.keepers import PeerKeepers
+from rattanwick.internal.peers.kept import KeptStore
+from rattanwick.internal.peers.members import HeartbeatMembers
+from rattanwick.internal.peers.network import StreamPeerNetwork
+from rattanwick.internal.peers.news import FloodNews
+from rattanwick.internal.peers.ownership import RendezvousOwnership
+from rattanwick.internal.peers.takeover import (
+    RestartCallback,
+    ResumeCallback,
+    Takeover,
+)
+from rattanwick.internal.platform.interfaces import InstanceList
+
+MIN_SECRET_BYTES = 16
+
+
+@dataclass(slots=True)
+class PeerParts:
+    """Hold the parts between nodes; ``start`` and ``stop`` them together."""
+
+    network: StreamPeerNetwork
+    news: FloodNews
+    members: HeartbeatMembers
+    ownership: RendezvousOwnership
+    kept: KeptStore
+    keepers: PeerKeepers
+    takeover: Takeover
+    fetcher: RequestFetcher
+    handover: Handover
+
+    def start(self) -> None:
+        """Listen and announce this node."""
+        self.network.start()
+        self.members.start()
+
+    def stop(self) -> None:
+        """Tell peers that this node is gone and close all connections."""
+        self.members.stop()
+        self.network.stop()
+
+
+def build_peers(
+    settings: PeerSettings,
+    node: Node,
+    secret: bytes,
+    instances: InstanceList | None,
+    timers: TimerService,
+    table: RequestTable,
+    list_version: Callable[[], int],
+    restart: RestartCallback,
+    resume: ResumeCallback,
+    resolve: Callable[[str], Node | None] | None = None,
+) -> PeerParts:
+    """Return the parts, not started; ``resolve`` replaces the members' addresses."""
+    network = StreamPeerNetwork(
+        settings,
+        node,
+        resolve or (lambda node_id: members.get(node_id)),
+        timers,
+        secret,
+    )
+    news = FloodNews(network, timers, node.id)
+    members = HeartbeatMembers(settings, network, news, instances, timers, list_version)
+    kept = KeptStore(timers.wall)
+    keepers = PeerKeepers(network, members, table, kept, timers)
+    takeover = Takeover(network, members, table, kept, keepers, timers, restart, resume)
+    fetcher = RequestFetcher(network, members, table, kept, timers)
+    handover = Handover(
+        network, members, table, kept, keepers, takeover, fetcher, timers
+    )
+    return PeerParts(
+        network,
+        news,
+        members,
+        RendezvousOwnership(members),
+        kept,
+        keepers,
+        takeover,
+        fetcher,
+        handover,
+    )
+
+
+def read_secret(path: str) -> bytes:
+    """Return the secret of the nodes; raise ValueError when it is too short."""
+    with open(path, "rb") as file:
+        secret = file.read().strip()
+    if len(secret) < MIN_SECRET_BYTES:
+        raise ValueError(f"{path}: write at least {MIN_SECRET_BYTES} random bytes")
+    return secret
--- /dev/null
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -0,0 +1,214 @@
+"""Take over requests whose serving node is gone.
+
+Rule: each change of server or keeper raises the epoch of a request, and the copy
+of an epoch lists its holders in order. A holder runs a request only after the
+serving process is dead (or was replaced by a newer process of the same node) and
+after every other live node that may hold a copy has said that it neither runs nor
+finished it, and has no copy of a higher rank (higher epoch, then earlier in the
+list of holders). A holder that hears of a higher rank waits and asks again. Of two
+holders that hear each other only one runs the request. Holders that cannot hear
+each other (a partition) may both run it, which is why only idempotent requests
+are run again.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+import gevent
+
+from rattanwick.internal.base.errors import ProtocolError, StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.requests import ServingRequest
+from rattanwick.internal.model.transcripts import (
+    RequestRecord,
+    RequestTable,
+    Transcript,
+)
+from rattanwick.internal.peers.counters import RESTARTS
+from rattanwick.internal.peers.interfaces import PeerNetwork
+from rattanwick.internal.peers.keepers import PeerKeepers, keeper_order
+from rattanwick.internal.peers.kept import KeptRequest, KeptStore
+from rattanwick.internal.peers.members import HeartbeatMembers
+from rattanwick.internal.peers.records import MemberState
+
+log = get_logger("keepers")
+
+CLAIM_SECONDS = 1.0
+RETRY_SECONDS = 1.0
+ASKED_CANDIDATES = 4
+RestartCallback = Callable[[ServingRequest], None]
+ResumeCallback = Callable[[ServingRequest, Transcript], None]
+
+
+class HolderState(StrEnum):
+    """Tell what a node has of a request."""
+
+    NONE = "none"
+    KEPT = "kept"
+    RUNNING = "running"
+    FINISHED = "finished"
+
+
+@dataclass(slots=True, frozen=True)
+class HolderAnswer:
+    """Hold the reply of another node to a claim."""
+
+    node_id: str
+    state: HolderState
+    rank: tuple[int, int]
+
+    @classmethod
+    def from_body(cls, node_id: str, body: dict) -> "HolderAnswer":
+        """Return the answer of a map; raise ProtocolError."""
+        try:
+            state = HolderState(body["state"])
+            return cls(node_id, state, (int(body["epoch"]), int(body["position"])))
+        except (KeyError, TypeError, ValueError) as exc:
+            raise ProtocolError("keeper.claim", node_id, f"field is wrong: {exc}")
+
+
+class Takeover:
+    """Watch the serving nodes of copies and run what they left behind."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        members: HeartbeatMembers,
+        table: RequestTable,
+        kept: KeptStore,
+        keepers: PeerKeepers,
+        timers: TimerService,
+        restart: RestartCallback,
+        resume: ResumeCallback,
+        check_seconds: float = 0.5,
+    ):
+        self._network = network
+        self._members = members
+        self._table = table
+        self._kept = kept
+        self._keepers = keepers
+        self._timers = timers
+        self._restart = restart
+        self._resume = resume
+        network.handle("keeper.claim", self._on_claim)
+        timers.subscribe("takeover", check_seconds, self.check)
+
+    def check(self) -> None:
+        """Start a claim for each copy whose serving process is gone."""
+        now = self._timers.now()
+        for kept in self._kept.all():
+            due = not (kept.final or kept.lost or kept.claiming)
+            if due and kept.retry_at <= now and self._is_server_gone(kept):
+                kept.claiming = True
+                gevent.spawn(self._claim, kept)
+
+    def run(self, kept: KeptRequest) -> None:
+        """Run a request here from the copy's text, or from the start."""
+        content = kept.content()
+        req = ServingRequest.from_message(content["request"])
+        own = self._members.self_node
+        header = replace(
+            kept.header,
+            server=own.id,
+            server_start=own.incarnation,
+            epoch=kept.header.epoch + 1,
+        )
+        self._keepers.adopt(header, kept.packed)
+        if not kept.has_text:
+            RESTARTS.labels("restarted").inc()
+            log.warning("restarting %s of %s", req.id, kept.header.server)
+            gevent.spawn(self._restart, req)
+            return
+        transcript = Transcript()
+        transcript.append(content["text"])
+        transcript.tokens = content["tokens"]
+        transcript.restarted = content["restarted"]
+        self._table.put(RequestRecord(req, transcript))
+        RESTARTS.labels("resumed").inc()
+        log.info("resuming %s at %d characters", req.id, transcript.length)
+        gevent.spawn(self._resume, req, transcript)
+
+    def _is_server_gone(self, kept: KeptRequest) -> bool:
+        state = self._members.state(kept.header.server)
+        if state is MemberState.DEAD:
+            return True
+        node = self._members.get(kept.header.server)
+        replaced = node is not None and node.incarnation > kept.header.server_start
+        if state is not None and replaced:
+            return True
+        # The first holder that is leaving hands over itself, or says that it has
+        # nothing; _claim asks it.
+        return state is MemberState.LEAVING and kept.has_text
+
+    def _claim(self, kept: KeptRequest) -> None:
+        try:
+            answers = [self._ask(kept, node_id) for node_id in self._others(kept)]
+            if self._kept.get(kept.header.request_id) is kept:
+                self._decide(kept, [item for item in answers if item is not None])
+        finally:
+            kept.claiming = False
+            kept.retry_at = self._timers.now() + RETRY_SECONDS
+
+    def _others(self, kept: KeptRequest) -> list[str]:
+        """Return the live nodes that may hold or run the request."""
+        order = keeper_order(kept.header.request_id, self._members.live())
+        candidates = [node.id for node in order[:ASKED_CANDIDATES]]
+        ids = dict.fromkeys([*kept.header.holders, kept.header.server, *candidates])
+        ids.pop(self._members.self_node.id, None)
+        gone = (None, MemberState.DEAD)
+        return [item for item in ids if self._members.state(item) not in gone]
+
+    def _ask(self, kept: KeptRequest, node_id: str) -> HolderAnswer | None:
+        body = {"id": kept.header.request_id}
+        try:
+            reply = self._network.call(node_id, "keeper.claim", body, CLAIM_SECONDS)
+            return HolderAnswer.from_body(node_id, reply)
+        except StepError as exc:
+            log.info("claim of %s: %s", kept.header.request_id, exc)
+            return None
+
+    def _decide(self, kept: KeptRequest, answers: list[HolderAnswer]) -> None:
+        """Run the request, wait, or follow the node that runs it."""
+        own = kept.header.rank(self._members.self_node.id)
+        for answer in answers:
+            if answer.state in (HolderState.RUNNING, HolderState.FINISHED):
+                self._follow(kept, answer.node_id)
+                return
+        if any(
+            answer.state is HolderState.KEPT and answer.rank > own for answer in answers
+        ):
+            return
+        if not self._is_server_gone(kept):
+            return
+        if not kept.idempotent or kept.deadline < self._timers.wall():
+            kept.lost = True
+            RESTARTS.labels("not_restarted").inc()
+            return
+        self.run(kept)
+
+    def _follow(self, kept: KeptRequest, node_id: str) -> None:
+        node = self._members.get(node_id)
+        if node is not None:
+            kept.header.server = node_id
+            kept.header.server_start = node.incarnation
+
+    def _on_claim(self, node_id: str, body: dict) -> dict:
+        request_id = body["id"]
+        state, rank = self._own_state(request_id)
+        return {"state": str(state), "epoch": rank[0], "position": rank[1]}
+
+    def _own_state(self, request_id: str) -> tuple[HolderState, tuple[int, int]]:
+        kept = self._kept.get(request_id)
+        if kept is not None and kept.final:
+            return HolderState.FINISHED, (kept.header.epoch, 0)
+        epoch = self._keepers.served_epoch(request_id)
+        if epoch is not None:
+            return HolderState.RUNNING, (epoch, 0)
+        record = self._table.get(request_id)
+        if record is not None and record.transcript.outcome is not None:
+            return HolderState.FINISHED, (0, 0)
+        if kept is None or kept.lost:
+            return HolderState.NONE, (0, 0)
+        return HolderState.KEPT, kept.header.rank(self._members.self_node.id)
--- /dev/null
+++ b/tests/failure/test_drain.py
@@ -0,0 +1,137 @@
+"""A node that leaves interrupts no request, whatever fails meanwhile."""
+
+import unittest
+
+import gevent
+
+from tests.networks import wait_until
+from tests.serving import WHOLE, WORDS, ServingCluster
+
+
+class DrainTests(unittest.TestCase):
+    def setUp(self):
+        self.cluster = ServingCluster(6)
+        self.addCleanup(self.cluster.stop)
+        self.peers = self.cluster.peers
+        self.server = self.peers["n0"]
+
+    def test_a_planned_stop_waits_for_requests(self):
+        records = [self.server.serve(f"req-{i}") for i in range(3)]
+        self.server.drain().run()
+        self.assertEqual([r.transcript.text() for r in records], [WHOLE] * 3)
+        self.assertEqual([len(self.cluster.runs(r.req.id)) for r in records], [1] * 3)
+
+    def test_a_notice_moves_requests_and_relays_each_word_once(self):
+        records = [self.server.serve(f"req-{i}") for i in range(5)]
+        gevent.sleep(0.1)
+        self._reclaim(self.server, 2.0)
+        for record in records:
+            self.assertEqual(record.transcript.text(), WHOLE)
+            (_, first), (holder, second) = self.cluster.runs(record.req.id)
+            self.assertEqual((first, holder), (0, record.moved_to))
+            self.assertGreater(second, 0)
+
+    def test_callers_are_moved_when_the_notice_is_short(self):
+        record = self.server.serve("req-1")
+        self._reclaim(self.server, 0.1)
+        node = self.peers[record.moved_to].node
+        self.assertEqual(
+            self.server.moved, [("req-1", f"{node.host}:{node.caller_port}")]
+        )
+        self.server.crash()
+        text, _ = self.peers["n3"].fetch_all("req-1")
+        self.assertEqual(text, WHOLE)
+
+    def test_the_backup_runs_a_request_when_the_first_holder_dies(self):
+        record = self.server.serve("req-1")
+        gevent.sleep(0.1)
+        self.assertTrue(self.server.freeze("req-1"))
+        first = self.server.parts.handover.hand_over(record)
+        (backup,) = self.cluster.holding("req-1")
+        centres = {self.server.node, first, backup.node}
+        self.assertEqual(len({node.data_centre for node in centres}), 3)
+        self.peers[first.id].crash()
+        self.server.crash()
+        text, reply = backup.fetch_all("req-1")
+        self.assertEqual((text, reply.restarted), (WHOLE, False))
+        runs = [node_id for node_id, _ in self.cluster.runs("req-1")]
+        self.assertEqual(sorted(runs), sorted(["n0", first.id, backup.node.id]))
+
+    def test_a_holder_that_is_reclaimed_too_moves_the_request_on(self):
+        record = self.server.serve("req-1")
+        gevent.sleep(0.06)
+        drain = gevent.spawn(self._reclaim, self.server, 3.0)
+        self.assertTrue(wait_until(lambda: record.moved_to))
+        second = self.peers[record.moved_to]
+        gevent.sleep(0.06)
+        self._reclaim(second, 3.0)
+        drain.join()
+        self.assertEqual(record.transcript.text(), WHOLE)
+        starts = [words for _, words in self.cluster.runs("req-1")]
+        self.assertEqual(len(starts), 3)
+        self.assertLess(max(starts), WORDS)
+
+    def test_targets_that_leave_at_the_same_time_are_passed_over(self):
+        record = self.server.serve("req-1")
+        keeper = self.cluster.holding("req-1")[0]
+        # The keeper leaves, and its news has not reached the server yet.
+        keeper.parts.members._state = 2
+        self._reclaim(self.server, 2.0)
+        self.assertEqual(record.transcript.text(), WHOLE)
+        self.assertNotEqual(record.moved_to, keeper.node.id)
+
+    def test_a_reply_lost_at_handover_does_not_run_the_request_twice(self):
+        record = self.server.serve("req-1")
+        target = self.server.parts.handover.targets("req-1")[0]
+        take = self.peers[target.id].parts.handover._on_handover
+        lose = [True]
+
+        def take_and_lose_the_reply(node_id, body):
+            reply = take(node_id, body)
+            if lose and body["holders"][0] == target.id:
+                lose.clear()
+                gevent.sleep(1.2)
+            return reply
+
+        network = self.peers[target.id].parts.network
+        network.handle("keeper.handover", take_and_lose_the_reply)
+        self._reclaim(self.server, 4.0)
+        self.assertEqual(record.transcript.text(), WHOLE)
+        self.assertEqual(len(self.cluster.runs("req-1")), 2)
+
+    def test_a_node_killed_during_handover_loses_no_request(self):
+        records = [self.server.serve(f"req-{i}") for i in range(8)]
+        gevent.sleep(0.1)
+        drain = gevent.spawn(self._reclaim, self.server, 5.0)
+        wait_until(lambda: any(record.moved_to for record in records))
+        drain.kill()
+        self.server.crash()
+        for record in records:
+            text, _ = self.peers["n4"].fetch_all(record.req.id)
+            self.assertEqual(text, WHOLE)
+            others = [run for run in self.cluster.runs(record.req.id) if run[0] != "n0"]
+            self.assertEqual(len(others), 1)
+
+    def test_a_hanging_table_delays_no_handover(self):
+        self.server.leases_hang = True
+        record = self.server.serve("req-1")
+        drain = gevent.spawn(self._reclaim, self.server, 1.0)
+        self.assertTrue(wait_until(lambda: record.moved_to, 0.5))
+        drain.join()
+        self.assertEqual(record.transcript.text(), WHOLE)
+        settled = [body for peer in self.peers.values() for body in peer.settled]
+        self.assertEqual(settled, [{"claim": "c1"}])
+
+    def test_without_another_node_the_request_goes_on_here(self):
+        for peer in list(self.peers.values())[1:]:
+            peer.parts.members.stop()
+            peer.crash()
+        self.assertTrue(wait_until(lambda: len(self.server.parts.members.live()) == 1))
+        record = self.server.serve("req-1")
+        self._reclaim(self.server, 3.0)
+        self.assertEqual(record.transcript.text(), WHOLE)
+
+    def _reclaim(self, peer, seconds: float) -> None:
+        drain = peer.drain()
+        drain.notice(self.cluster.timers.wall() + seconds)
+        drain.run()
--- /dev/null
+++ b/tests/failure/test_keepers.py
@@ -0,0 +1,85 @@
+"""Requests survive the loss of their serving node and of their keepers."""
+
+import unittest
+
+import gevent
+
+from tests.networks import wait_until
+from tests.serving import WHOLE, ServingCluster
+
+
+class KeeperTests(unittest.TestCase):
+    def setUp(self):
+        self.cluster = ServingCluster(6)
+        self.addCleanup(self.cluster.stop)
+        self.peers = self.cluster.peers
+        self.server = self.peers["n0"]
+
+    def test_the_keeper_is_in_another_data_centre_and_forgets_after_the_end(self):
+        self.server.serve("req-1")
+        (keeper,) = self.cluster.holding("req-1")
+        self.assertNotEqual(keeper.node.data_centre, self.server.node.data_centre)
+        self.assertTrue(
+            wait_until(lambda: keeper.parts.kept.get("req-1").final, timeout=2.0)
+        )
+
+    def test_the_answer_outlives_its_node_at_the_keeper(self):
+        self.server.serve("req-1")
+        (keeper,) = self.cluster.holding("req-1")
+        self.assertTrue(wait_until(lambda: keeper.parts.kept.get("req-1").final))
+        self.server.crash()
+        self.assertTrue(self.cluster.wait_dead("n0", keeper))
+        for peer in self.peers.values():
+            if peer is not self.server:
+                text, reply = peer.fetch_all("req-1")
+                self.assertEqual((text, reply.outcome.tag), (WHOLE, "answered"))
+
+    def test_a_lost_node_is_replaced_by_one_run_that_any_node_finds(self):
+        self.server.serve("req-1")
+        gevent.sleep(0.1)
+        self.server.crash()
+        others = [peer for peer in self.peers.values() if peer is not self.server]
+        fetches = [gevent.spawn(peer.fetch_all, "req-1") for peer in others]
+        gevent.joinall(fetches, timeout=6, raise_error=True)
+        for fetch in fetches:
+            text, reply = fetch.value
+            self.assertEqual((text, reply.restarted), (WHOLE, True))
+        self.assertEqual(len(self.cluster.runs("req-1")), 2)
+
+    def test_a_call_that_must_not_run_again_is_unknown(self):
+        self.server.serve("req-1", idempotent=False)
+        gevent.sleep(0.05)
+        self.server.crash()
+        _, reply = self.peers["n1"].fetch_all("req-1")
+        self.assertEqual(reply.outcome.tag, "unknown")
+        self.assertEqual(len(self.cluster.runs("req-1")), 1)
+
+    def test_another_organisation_sees_nothing(self):
+        self.server.serve("req-1")
+        for peer in self.peers.values():
+            text, reply = peer.fetch_all("req-1", "bakers")
+            self.assertEqual((text, reply.state), ("", "absent"))
+
+    def test_a_lost_keeper_is_replaced(self):
+        self.server.generate = lambda req, transcript: None
+        self.server.serve("req-1")
+        (keeper,) = self.cluster.holding("req-1")
+        keeper.crash()
+        self.assertTrue(self.cluster.wait_dead(keeper.node.id, self.server))
+        new = lambda: [p for p in self.cluster.holding("req-1") if p is not keeper]  # noqa: E731
+        self.assertTrue(wait_until(lambda: len(new()) == 1, 3.0))
+
+    def test_two_keepers_of_one_request_run_it_once(self):
+        self.server.generate = lambda req, transcript: None
+        self.server.serve("req-1")
+        # A reply that is lost leaves a copy that the server has replaced.
+        served = self.server.parts.keepers._served["req-1"]
+        other = next(
+            p for p in self.peers.values() if p.node.id not in ("n0", served.holders[0])
+        )
+        self.server.parts.keepers._send(served, other.node, 1.0)
+        self.assertEqual(len(self.cluster.holding("req-1")), 2)
+        self.server.crash()
+        self.peers["n1"].fetch_all("req-1")
+        gevent.sleep(1.5)
+        self.assertEqual(self.cluster.runs("req-1"), [(other.node.id, 0)])
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,193 @@
+"""Peers that serve requests with a scripted generator, for tests."""
+
+import gevent
+
+from rattanwick.internal.base.outcomes import Answered
+from rattanwick.internal.base.settings import DrainSettings
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord, RequestTable
+from rattanwick.internal.peers.drain import Drain, DrainSteps
+from rattanwick.internal.peers.parts import build_peers
+from rattanwick.internal.peers.records import MemberState
+from tests.networks import (
+    SECRET,
+    GeventTimerService,
+    StaticInstances,
+    make_node,
+    make_settings,
+    wait_until,
+)
+
+WORDS = 20
+WORD_SECONDS = 0.02
+WHOLE = "".join(f"w{i} " for i in range(WORDS))
+
+
+def make_request(request_id: str, timers, **values) -> ServingRequest:
+    """Return a chat request."""
+    now = timers.wall()
+    return ServingRequest(
+        id=request_id,
+        kind=RequestKind.CHAT,
+        organisation=values.pop("organisation", "butchers"),
+        plan="plan",
+        pool="pool",
+        body={"messages": [{"role": "user", "content": "blade steel?"}]},
+        stream=True,
+        deadline=now + 60,
+        received=now,
+        prompt_tokens=5,
+        max_output_tokens=WORDS,
+        **values,
+    )
+
+
+class ServingPeer:
+    """Run the peer part with a generator that emits one word at a time."""
+
+    def __init__(self, node: Node, listed: dict[str, Node], timers):
+        self.node = node
+        self.timers = timers
+        self.table = RequestTable(timers.now)
+        self.started: list[tuple[str, int]] = []  # (request id, words at the start)
+        self.moved: list[tuple[str, str]] = []
+        self.settled: list[dict] = []
+        self.leases_hang = False
+        self._running: dict[str, gevent.Greenlet] = {}
+        self.parts = build_peers(
+            make_settings(node),
+            node,
+            SECRET,
+            StaticInstances(listed),
+            timers,
+            self.table,
+            lambda: 1,
+            self.restart,
+            self.generate,
+        )
+        self.parts.network.handle("claims.settle", self._on_settle)
+        self.parts.start()
+
+    def serve(self, request_id: str, **values) -> RequestRecord:
+        """Accept a request as a caller's node does."""
+        req = make_request(request_id, self.timers, **values)
+        record = RequestRecord(req)
+        self.table.put(record)
+        self.parts.keepers.copy(req.to_message(), 1.0)
+        self.generate(req, record.transcript)
+        return record
+
+    def restart(self, req) -> None:
+        """Run a request again from the start."""
+        record = RequestRecord(req)
+        record.transcript.restarted = True
+        self.table.put(record)
+        self.generate(req, record.transcript)
+
+    def generate(self, req, transcript) -> None:
+        """Continue a transcript in a task of its own."""
+        words = len(transcript.text().split())
+        self.started.append((req.id, words))
+        self._running[req.id] = gevent.spawn(self._generate, req, transcript, words)
+
+    def freeze(self, request_id: str) -> bool:
+        """Stop generation."""
+        self._running.pop(request_id).kill()
+        return True
+
+    def drain(self) -> Drain:
+        """Return a drain of this node."""
+        steps = DrainSteps(
+            withdraw=lambda: None,
+            release_leases=lambda: gevent.sleep(60) if self.leases_hang else None,
+            return_grants=lambda: None,
+            pending_settlements=lambda: [{"claim": "c1"}],
+            freeze=self.freeze,
+            resume=self.generate,
+            hand_off_callers=lambda *moved: self.moved.append(moved),
+        )
+        parts = self.parts
+        return Drain(
+            DrainSettings(),
+            parts.network,
+            parts.members,
+            self.table,
+            parts.keepers,
+            parts.handover,
+            steps,
+            self.timers,
+        )
+
+    def crash(self) -> None:
+        """Stop everything without a word to the others."""
+        for task in self._running.values():
+            task.kill()
+        for subscription in self.parts.members._subscriptions:
+            subscription.cancel()
+        self.parts.network.stop()
+
+    def fetch_all(self, request_id: str, organisation: str = "butchers"):
+        """Return the whole text and the last reply."""
+        text = ""
+        while True:
+            reply = self.parts.fetcher.fetch(request_id, organisation, len(text), 5.0)
+            text += reply.text
+            if reply.outcome is not None or reply.state != "here":
+                return text, reply
+
+    def _generate(self, req, transcript, words: int) -> None:
+        for index in range(words, WORDS):
+            gevent.sleep(WORD_SECONDS)
+            transcript.append(f"w{index} ")
+        transcript.finish(Answered())
+        self.table.finish(req.id)
+        self.parts.keepers.drop(req.id)
+
+    def _on_settle(self, node_id: str, body: dict) -> None:
+        self.settled.append(body)
+
+
+class ServingCluster:
+    """Run several serving peers in one process."""
+
+    def __init__(self, count: int, data_centres: int = 3):
+        self.timers = GeventTimerService()
+        self.listed: dict[str, Node] = {}
+        self.peers: dict[str, ServingPeer] = {}
+        for index in range(count):
+            node = make_node(f"n{index}", f"dc-{index % data_centres}")
+            self.listed[node.id] = node
+            self.peers[node.id] = ServingPeer(node, self.listed, self.timers)
+        if not wait_until(self._all_live):
+            raise AssertionError("the peers do not see each other")
+
+    def holding(self, request_id: str) -> list[ServingPeer]:
+        """Return the peers that keep a copy."""
+        return [p for p in self.peers.values() if p.parts.kept.get(request_id)]
+
+    def runs(self, request_id: str) -> list[tuple[str, int]]:
+        """Return each start of generation as (node id, words at the start)."""
+        return [
+            (peer.node.id, words)
+            for peer in self.peers.values()
+            for started, words in peer.started
+            if started == request_id
+        ]
+
+    def wait_dead(self, node_id: str, observer: ServingPeer) -> bool:
+        """Wait until a node counts as dead."""
+        members = observer.parts.members
+        return wait_until(lambda: members.state(node_id) is MemberState.DEAD)
+
+    def stop(self) -> None:
+        """Stop all peers."""
+        for peer in self.peers.values():
+            peer.crash()
+        self.timers.stop()
+
+    def _all_live(self) -> bool:
+        count = len(self.peers)
+        return all(
+            len(peer.parts.members.live()) == count for peer in self.peers.values()
+        )
