Add the policy bench with baselines

Cause: decisions need a measurement before they are tuned.

Change: python -m bench.policies drives six real routers over an in-process network that delays messages by the deployment's link latency, against in-process endpoints with slots, a prefix cache, slowings and late load reports. Arms alternate on the same seeds.

--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,245 @@
+"""Compare placement policies in alternated pairs: ``python -m bench.policies``."""
+
+import argparse
+import gc
+import json
+import statistics
+import sys
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from bench.bound import bound_short_waits, reference_short_waits
+from bench.cluster import ENDPOINTS, SLOTS, BenchCluster, Outcome
+from bench.endpoint import Slowing, nominal_seconds
+from bench.stats import make_histogram, summarize, summarize_ratios
+from bench.workload import Arrival, Profile, Work, make_trace
+from rattanwick.internal.base.settings import RoutingSettings
+
+RESULTS = Path(__file__).parent / "results"
+WARM_UP_SECONDS = 6.0
+LINK_SECONDS = {"guayas": 0.003, "bortolini": 0.007}
+SHORT_SECONDS = 0.35
+LONG_WAIT_SECONDS = 15.0
+LOAD_SEED = 7
+
+
+@dataclass(slots=True, frozen=True)
+class Arm:
+    """Hold one side of a comparison."""
+
+    name: str
+    policy: str
+    slowings: tuple[Slowing, ...] = ()
+    load: float | None = None
+
+
+@dataclass(slots=True)
+class Measured:
+    """Hold the figures of one run."""
+
+    arm: str
+    seed: int
+    figures: dict
+
+
+def slow_episodes(seconds: float) -> tuple[Slowing, ...]:
+    """Return brief slowings of two endpoints at a time, fivefold."""
+    slowings = []
+    pairs = ((0, 4), (2, 7), (3, 8), (1, 5))
+    start = WARM_UP_SECONDS + 1.0
+    for index in range(int(seconds // 9) + 1):
+        for endpoint in pairs[index % len(pairs)]:
+            slowings.append(Slowing(endpoint, start, start + 6.0, 5.0))
+        start += 9.0
+    return tuple(slowings)
+
+
+def measure(outcomes: list[Outcome], link: float) -> dict:
+    """Return the figures of a run after the warm-up."""
+    kept = [item for item in outcomes if item.arrival.at >= WARM_UP_SECONDS]
+    short = [item for item in kept if item.arrival.work == Work.SHORT]
+    long = [item for item in kept if item.arrival.work == Work.LONG]
+    refused: dict[str, int] = {}
+    for item in kept:
+        if item.refused:
+            refused[item.refused] = refused.get(item.refused, 0) + 1
+    first = [item.first_token for item in short if item.first_token is not None]
+    return {
+        "requests": len(kept),
+        "refused": refused,
+        "unknown": 0,
+        "hedged": sum(item.hedged for item in kept),
+        "short_wait": summarize(make_histogram(first)),
+        "short_total": _totals(short),
+        "long_total": _totals(long),
+        "all_total": _totals(kept),
+        "stretch_p99": _percentile([item.stretch for item in kept if item.total], 99),
+        "good_work": sum(
+            nominal_seconds(item.arrival) for item in kept if item.in_time
+        ),
+        "offered_work": sum(nominal_seconds(item.arrival) for item in kept),
+    }
+
+
+def _work(outcomes: Iterable[Outcome]) -> float:
+    return round(sum(nominal_seconds(item.arrival) for item in outcomes), 3)
+
+
+def _totals(outcomes: list[Outcome]) -> dict:
+    return summarize(make_histogram(item.total for item in outcomes if item.total))
+
+
+def _percentile(values: list[float], percent: int) -> float:
+    if len(values) < 2:
+        return 0.0
+    return round(statistics.quantiles(values, n=100)[percent - 1], 3)
+
+
+def make_profile(load: float, seconds: float, **fields) -> Profile:
+    """Return a profile whose work is a part of the pool's capacity."""
+    profile = Profile(rate=100.0, seconds=300.0, **fields)
+    trace = make_trace(profile, LOAD_SEED, 1)
+    mean = sum(nominal_seconds(item) for item in trace) / len(trace)
+    rate = load * ENDPOINTS * SLOTS / mean
+    return replace(profile, rate=rate, seconds=seconds)
+
+
+def run_arm(
+    arm: Arm, trace: list[Arrival], link: float, settings: RoutingSettings
+) -> dict:
+    """Run one arm on a trace."""
+    gc.collect()
+    cluster = BenchCluster(replace(settings, policy=arm.policy), link, arm.slowings)
+    cpu = time.process_time()
+    started = time.monotonic()
+    outcomes = cluster.run(trace)
+    figures = measure(outcomes, link)
+    busy = (time.process_time() - cpu) / (time.monotonic() - started)
+    figures["process_cpu"] = round(busy, 3)
+    figures["messages_per_request"] = round(cluster.hub.messages / len(trace), 2)
+    figures["bytes_per_request"] = round(cluster.hub.bytes / len(trace), 1)
+    figures["reasons"] = cluster.recorder.reasons
+    return figures
+
+
+def run_pairs(
+    arms: list[Arm], options: argparse.Namespace, **profile_fields
+) -> list[dict]:
+    """Run all arms on each seed, in alternated order."""
+    link = LINK_SECONDS[options.deployment]
+    settings = RoutingSettings(
+        short_seconds=SHORT_SECONDS, long_wait_seconds=LONG_WAIT_SECONDS
+    )
+    pairs = []
+    for number in range(options.pairs):
+        seed = options.seed + number
+        profile = make_profile(options.load, options.seconds, **profile_fields)
+        trace = make_trace(profile, seed, 6)
+        order = arms if number % 2 == 0 else list(reversed(arms))
+        pair: dict = {"seed": seed, "arms": {}}
+        for arm in order:
+            pair["arms"][arm.name] = run_arm(arm, trace, link, settings)
+            _print_arm(seed, arm.name, pair["arms"][arm.name])
+        waits = reference_short_waits(trace, link, WARM_UP_SECONDS)
+        pair["reference_short_wait"] = summarize(make_histogram(waits))
+        waits = bound_short_waits(trace, WARM_UP_SECONDS)
+        pair["bound_short_wait"] = summarize(make_histogram(waits))
+        pairs.append(pair)
+    return pairs
+
+
+def _print_arm(seed: int, name: str, figures: dict) -> None:
+    wait = figures["short_wait"]
+    total = figures["short_total"]
+    long = figures["long_total"]
+    print(
+        f"seed {seed} {name:16} wait p50 {wait['p50']:.0f} p99 {wait['p99']:.0f} "
+        f"p99.9 {wait['p99.9']:.0f} max {wait['max']:.0f} | short total "
+        f"p99 {total['p99']:.0f} | long p50 {long['p50']:.0f} p99 {long['p99']:.0f} "
+        f"| stretch {figures['stretch_p99']:.2f} | refused {figures['refused']} "
+        f"hedged {figures['hedged']} | cpu {figures['process_cpu']:.2f}",
+        flush=True,
+    )
+
+
+def ratio(pairs: list[dict], path: str, over: str, under: str) -> dict:
+    """Return the ratios of a figure between two arms."""
+    group, key = path.split(".") if "." in path else (path, "")
+
+    def read(pair: dict, name: str) -> float:
+        value = pair["arms"][name][group]
+        return value[key] if key else value
+
+    return summarize_ratios([read(pair, over) / read(pair, under) for pair in pairs])
+
+
+def bench_wait(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Compare the wait of short work behind long."""
+    arms = [Arm("owner", "owner")]
+    arms += [Arm(name, name) for name in options.baselines]
+    pairs = run_pairs(arms, options)
+    ratios = {
+        f"p99 wait of short, owner over {name}": ratio(
+            pairs, "short_wait.p99", "owner", name
+        )
+        for name in options.baselines
+    }
+    for name in ("reference", "bound"):
+        ratios[f"p99 wait of short, owner over the perfect-knowledge {name}"] = (
+            summarize_ratios(
+                [
+                    pair["arms"]["owner"]["short_wait"]["p99"]
+                    / pair[f"{name}_short_wait"]["p99"]
+                    for pair in pairs
+                ]
+            )
+        )
+    return pairs, ratios
+
+
+def bench_slow(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Compare the tail with two of nine endpoints slowed and without."""
+    slowings = slow_episodes(options.seconds)
+    arms = []
+    for policy in ["owner", *options.baselines]:
+        arms.append(Arm(f"{policy}", policy))
+        arms.append(Arm(f"{policy} slowed", policy, slowings))
+    pairs = run_pairs(arms, options)
+    ratios = {}
+    for policy in ["owner", *options.baselines]:
+        for path in ("short_wait.p99", "short_total.p99", "all_total.p99"):
+            name = f"{path}, {policy} slowed over not slowed"
+            ratios[name] = ratio(pairs, path, f"{policy} slowed", policy)
+    return pairs, ratios
+
+
+BENCHES = {"wait": bench_wait, "slow": bench_slow}
+
+
+def main() -> int:
+    """Run a bench and store its raw results."""
+    parser = argparse.ArgumentParser(prog="python -m bench.policies")
+    parser.add_argument("bench", choices=sorted(BENCHES))
+    parser.add_argument("--pairs", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=26.0)
+    parser.add_argument("--load", type=float, default=0.75)
+    parser.add_argument("--seed", type=int, default=100)
+    parser.add_argument("--deployment", choices=sorted(LINK_SECONDS), default="guayas")
+    parser.add_argument("--baselines", nargs="*", default=["least-in-flight"])
+    parser.add_argument("--name", default="", help="name of the results file")
+    options = parser.parse_args()
+    pairs, ratios = BENCHES[options.bench](options)
+    for name, value in ratios.items():
+        print(f"{name}: {value}")
+    RESULTS.mkdir(exist_ok=True)
+    path = RESULTS / f"{options.name or options.bench}.json"
+    content = {"options": vars(options), "ratios": ratios, "pairs": pairs}
+    path.write_text(json.dumps(content, indent=1) + "\n", encoding="utf-8")
+    print(f"wrote bench/results/{path.name}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -169,6 +169,11 @@
         """Return seconds to wait before a hedge, or None for no hedge."""
         return None
 
+    def report_load(
+        self, endpoint_id: str, running: int, waiting: int, age: float
+    ) -> None:
+        """Take in an endpoint's own load report, ``age`` seconds old."""
+
     def _select_cell(self, req: ServingRequest, excluded: frozenset[str]) -> Cell:
         region = self._members.self_node.region
         for cell in self._directory.cells(req.pool, region):
