Assemble the node and serve with it

Cause: the parts of the system existed side by side; nothing started them. Change: NodeRuntime builds platform, peers, state, routing and request path, joins the peers before it reads the lists, and drains on SIGTERM or on its own reclaim notice. Adapters connect the request path to claims, grants and lists.

--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted failure scenarios over real processes on loopback."""
--- /dev/null
+++ b/src/rattanwick/internal/adapters.py
@@ -0,0 +1,93 @@
+"""Connect the request path to the parts that keep state."""
+
+from rattanwick.internal.base.errors import Unavailable
+from rattanwick.internal.base.outcomes import NotRun, Outcome
+from rattanwick.internal.model.transcripts import StoredAnswer
+from rattanwick.internal.requests import interfaces as requests
+from rattanwick.internal.state import calls
+from rattanwick.internal.state.claims import Claims
+from rattanwick.internal.state.grants import Grants, Reservation
+from rattanwick.internal.state.identity import Identity
+
+
+class ListDirectory(requests.Directory):
+    """Answer from the lists in force."""
+
+    def __init__(self, identity: Identity):
+        self._identity = identity
+
+    def caller_for_key(self, key: str) -> requests.Caller | None:
+        """Return the owner of a key."""
+        caller = self._identity.caller_for_key(key)
+        if caller is None:
+            return None
+        return requests.Caller(caller.organisation, caller.plan)
+
+    def allowance(self, plan: str, pool: str) -> requests.Allowance | None:
+        """Return what a plan may use of a pool."""
+        found = self._identity.allowance(plan, pool)
+        if found is None:
+            return None
+        return requests.Allowance(
+            found.tokens_per_minute,
+            found.requests_per_minute,
+            found.max_output_tokens,
+            found.priority,
+            found.hedge,
+            found.max_deadline_seconds,
+        )
+
+
+class GrantSpending(requests.Grants):
+    """Spend the grants of this node."""
+
+    def __init__(self, grants: Grants):
+        self._grants = grants
+
+    def reserve(self, plan: str, pool: str, tokens: int) -> Reservation | NotRun:
+        """Charge one request with its upper bound of tokens, or refuse it."""
+        return self._grants.reserve(plan, pool, tokens)
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """Refund what was not used to the same window."""
+        self._grants.settle(reservation, used_tokens)
+
+
+class TableClaims(requests.Claims):
+    """Claim calls in the table service."""
+
+    def __init__(self, claims: Claims):
+        self._claims = claims
+        self._held: dict[str, calls.Claimed] = {}  # by claim id
+
+    def claim(self, call: requests.ServiceCall):
+        """Claim the key; StepError means that the call must not be dispatched."""
+        result = self._claims.claim(
+            calls.ServiceCall(
+                call.organisation,
+                call.service,
+                call.key,
+                call.body_digest,
+                call.deadline,
+                call.request_id,
+            )
+        )
+        if isinstance(result, NotRun):
+            raise Unavailable("claim", "table", result.reason)
+        if isinstance(result, calls.Replayed):
+            return requests.Replayed(result.outcome, result.answer, result.request_id)
+        if isinstance(result, calls.InProgress):
+            return requests.InProgress(result.retry_after)
+        if isinstance(result, calls.BodyMismatch):
+            return requests.BodyMismatch()
+        self._held[result.claim_id] = result
+        return requests.Claimed(call, result.claim_id)
+
+    def settle(
+        self,
+        claimed: requests.Claimed,
+        outcome: Outcome,
+        answer: StoredAnswer | None,
+    ) -> None:
+        """Store how the call ended."""
+        self._claims.settle(self._held.pop(claimed.claim_id), outcome, answer)
--- a/src/rattanwick/internal/commands/serve.py
+++ b/src/rattanwick/internal/commands/serve.py
@@ -1,9 +1,13 @@
 """Run a node."""
 
 import argparse
+import signal
 import sys
 
+import gevent
+
 from rattanwick.internal.base.ini import SettingsError
+from rattanwick.internal.base.log import configure_logs
 from rattanwick.internal.base.settings import load_settings
 from rattanwick.internal.commands.check import EXIT_FAULTS
 
@@ -18,8 +22,16 @@
 def run_serve(args: argparse.Namespace) -> int:
     """Serve until the node has drained."""
     try:
-        load_settings(args.config)
+        settings = load_settings(args.config)
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         return EXIT_FAULTS
+    configure_logs(settings.logging.level, settings.node.id)
+    # The parts are imported here, so that other commands start fast.
+    from rattanwick.internal.node import NodeRuntime
+
+    runtime = NodeRuntime(settings)
+    gevent.signal_handler(signal.SIGTERM, runtime.stop)
+    gevent.signal_handler(signal.SIGINT, runtime.stop)
+    runtime.run()
     return 0
--- /dev/null
+++ b/src/rattanwick/internal/node.py
@@ -0,0 +1,289 @@
+"""One node: all parts put together, started and stopped in order."""
+
+import gevent
+from gevent.event import Event
+
+from rattanwick.internal.adapters import GrantSpending, ListDirectory, TableClaims
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.ids import new_incarnation
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import Settings
+from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.base.tracing import Tracer
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.model.requests import ServingRequest
+from rattanwick.internal.model.transcripts import (
+    RequestRecord,
+    RequestTable,
+    Transcript,
+)
+from rattanwick.internal.peers.drain import Drain as NodeDrain, DrainSteps
+from rattanwick.internal.peers.parts import PeerParts, build_peers, read_secret
+from rattanwick.internal.platform.cloud import Ec2CloudApi
+from rattanwick.internal.platform.instances import CloudMapInstanceList
+from rattanwick.internal.platform.objects import S3Objects
+from rattanwick.internal.platform.table import DynamoTable
+from rattanwick.internal.recording.decisions import NullRecorder, Recorder
+from rattanwick.internal.requests.app import CallerApplication, build_application
+from rattanwick.internal.requests.runs import Run, RunControl
+from rattanwick.internal.requests.server import CallerServer
+from rattanwick.internal.requests.services import RequestServices
+from rattanwick.internal.routing.router import CellRouter
+from rattanwick.internal.state.claims import Claims
+from rattanwick.internal.state.grants import Grants
+from rattanwick.internal.state.identity import Identity
+from rattanwick.internal.state.leases import Leases
+from rattanwick.internal.state.lists import ListStore
+
+log = get_logger("node")
+
+NOTICE_SECONDS = 1.0  # between reads of this instance's own notice
+LOAD_RETRY_SECONDS = 0.5
+JOIN_SECONDS = 3.0  # time for the first instance list and the first peers
+
+
+class NodeRuntime:
+    """Build, run and drain one node."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.timers = GeventTimerService()
+        self.incarnation = new_incarnation()
+        self.node = self._describe_node()
+        self.ready = False
+        self._stop = Event()
+        tracing = settings.tracing
+        self.tracer = Tracer(self.node.id, tracing.otlp_url, tracing.sample_ratio)
+        self.recorder: Recorder = NullRecorder()
+        self._build_platform()
+        self._build_peers()
+        self._build_state()
+        self._build_routing()
+        self._build_requests()
+        self._build_drain()
+
+    def _describe_node(self) -> Node:
+        cfg = self.settings
+        return Node(
+            id=cfg.node.id,
+            data_centre=cfg.node.data_centre,
+            region=cfg.node.region,
+            host=cfg.callers.address,
+            caller_port=cfg.callers.port,
+            peer_port=cfg.peers.port,
+            operator_port=cfg.operators.port,
+            instance_id=cfg.node.instance_id,
+            incarnation=self.incarnation,
+        )
+
+    def _build_platform(self) -> None:
+        cfg, timers, name = self.settings.platform, self.timers, self.node.id
+        self.table = DynamoTable(cfg, timers, name)
+        self.objects = S3Objects(cfg, timers, name)
+        self.instances = CloudMapInstanceList(cfg, timers, name)
+        self.cloud = Ec2CloudApi(cfg, timers, name)
+
+    def _build_peers(self) -> None:
+        self.requests = RequestTable(self.timers.now)
+        self.peers: PeerParts = build_peers(
+            self.settings.peers,
+            self.node,
+            read_secret(self.settings.peers.secret_file),
+            self.instances,
+            self.timers,
+            self.requests,
+            list_version=lambda: self.lists.current().number,
+            restart=self._restart,
+            resume=self._resume,
+        )
+
+    def _build_state(self) -> None:
+        cfg, peers, timers = self.settings, self.peers, self.timers
+        holder = f"{self.node.id}.{self.incarnation}"
+        self.lists = ListStore(
+            self.table,
+            self.objects,
+            peers.network,
+            peers.news,
+            peers.members,
+            self.instances,
+            timers,
+            cfg.lists,
+            peers.members.confirmed_versions,
+        )
+        self.grants = Grants(
+            self.table,
+            peers.network,
+            peers.members,
+            self.lists,
+            timers,
+            cfg.allowances,
+        )
+        self.claims = Claims(self.table, self.objects, timers, cfg.claims, holder)
+        self.leases = Leases(self.table, holder, recorder=self.recorder)
+
+    def _build_routing(self) -> None:
+        peers = self.peers
+        self.router = CellRouter(
+            self.settings.routing,
+            peers.members,
+            peers.ownership,
+            peers.network,
+            self.instances,
+            peers.news,
+            self.timers,
+            self.recorder,
+        )
+
+    def _build_requests(self) -> None:
+        cfg, peers = self.settings, self.peers
+        self.services = RequestServices(
+            settings=cfg.callers,
+            default_deadline_seconds=cfg.routing.default_deadline_seconds,
+            directory=ListDirectory(Identity(self.lists)),
+            grants=GrantSpending(self.grants),
+            claims=TableClaims(self.claims),
+            router=self.router,
+            instances=self.instances,
+            members=peers.members,
+            ownership=peers.ownership,
+            peers=peers.network,
+            news=peers.news,
+            keepers=peers.keepers,
+            timers=self.timers,
+            tracer=self.tracer,
+            table=self.requests,
+        )
+        self.application: CallerApplication = build_application(self.services)
+        self.server = CallerServer(cfg.callers, self.application, self.timers)
+
+    def _build_drain(self) -> None:
+        peers = self.peers
+        self.drain = NodeDrain(
+            self.settings.drain,
+            peers.network,
+            peers.members,
+            self.requests,
+            peers.keepers,
+            peers.handover,
+            DrainSteps(
+                withdraw=self._withdraw,
+                release_leases=lambda: None,
+                return_grants=self.grants.return_all,
+                pending_settlements=self.claims.pending_settlements,
+                freeze=self._freeze,
+                resume=self._resume,
+                hand_off_callers=self._hand_off_callers,
+            ),
+            self.timers,
+        )
+
+    def run(self) -> None:
+        """Serve until the node has drained."""
+        self._start()
+        self._stop.wait()
+        self.ready = False
+        self.drain.run()
+        self.server.close_gracefully(self._close_limit())
+        self._shut_down()
+        log.info("stopped")
+
+    def stop(self) -> None:
+        """Begin a planned stop; return at once."""
+        self._stop.set()
+
+    def _start(self) -> None:
+        """Join the peers, load the newest lists, then serve callers.
+
+        A node must be known to the others before it reads the lists. Otherwise a
+        change could be accepted without its confirmation between its read and its
+        first request (specification ``lists``, variant "ready before the others
+        know the node").
+        """
+        self.instances.refresh()
+        self.peers.network.handle("claims.settle", self._adopt_settlement)
+        self.peers.start()
+        self._await_peers()
+        self.lists.start()
+        while not self.lists.load_newest() and not self._stop.is_set():
+            self.timers.sleep(LOAD_RETRY_SECONDS)
+        self.grants.start()
+        self.server.start()
+        self.timers.subscribe("own notice", NOTICE_SECONDS, self._check_notice)
+        self.ready = True
+        log.info("ready with version %d of the lists", self.lists.current().number)
+
+    def _await_peers(self) -> None:
+        """Wait until a listed peer knows this node, for a bounded time."""
+        limit = self.timers.now() + JOIN_SECONDS
+        while self.timers.now() < limit and not self._stop.is_set():
+            others = [
+                item for item in self.instances.nodes() if item.id != self.node.id
+            ]
+            known = [node for node in self.peers.members.live() if node in others]
+            if not others and self.instances.age() < JOIN_SECONDS:
+                return
+            if len(self.peers.members.live()) > 1 or known:
+                return
+            self.timers.sleep(self.settings.peers.heartbeat_seconds / 10)
+
+    def _check_notice(self) -> None:
+        try:
+            notice = self.cloud.own_notice()
+        except StepError as exc:
+            log.warning("cannot read the notice of this instance: %s", exc)
+            return
+        if notice is not None:
+            log.info("instance is reclaimed at %.1f", notice.not_before)
+            self.drain.notice(notice.not_before)
+            self._stop.set()
+
+    def _withdraw(self) -> None:
+        self.ready = False
+        live = [node for node in self.peers.members.live() if node.id != self.node.id]
+        address = f"http://{live[0].host}:{live[0].caller_port}" if live else ""
+        self.services.drain.refuse_new(address)
+
+    def _freeze(self, request_id: str) -> bool:
+        if self.application.live.get(request_id) is None:
+            return False
+        self.application.live.stop_attempt(request_id)
+        return True
+
+    def _hand_off_callers(self, request_id: str, address: str) -> None:
+        self.application.live.hand_off_callers(request_id, f"http://{address}")
+
+    def _restart(self, req: ServingRequest) -> None:
+        """Run a request of a lost node again from the start."""
+        transcript = Transcript()
+        transcript.restarted = True
+        self._run_detached(req, transcript)
+
+    def _resume(self, req: ServingRequest, transcript: Transcript) -> None:
+        """Continue a request that was handed over."""
+        self._run_detached(req, transcript)
+
+    def _run_detached(self, req: ServingRequest, transcript: Transcript) -> None:
+        live = self.application.live
+        control = RunControl()
+        steps = self.application.dispatcher.steps(req, transcript, control)
+        record = RequestRecord(req, transcript)
+        run = live.start(record, steps, control, lambda run: None)
+        gevent.spawn(self._finish_run, run)
+
+    def _finish_run(self, run: Run) -> None:
+        while run.advance():
+            pass
+
+    def _adopt_settlement(self, peer: str, body: dict) -> dict:
+        self.claims.adopt_settlement(body)
+        return {}
+
+    def _close_limit(self) -> float | None:
+        return self.settings.drain.limit_seconds or None
+
+    def _shut_down(self) -> None:
+        self.instances.stop()
+        self.peers.stop()
+        self.tracer.stop()
+        self.timers.stop()
