Read load reports and reclaim notices, and run scenarios

Cause: nobody read the endpoints' load reports or the cloud's notices, and the scenario steps had no runner. Change: owners of a cell read /load of its endpoints once a second; one node of each data centre reads notices and publishes leaving endpoints as news; the scenario runner judges by the endpoints' own ledgers.

--- /dev/null
+++ b/scenarios/records.py
@@ -0,0 +1,103 @@
+"""Judge a scenario by the endpoints' own ledgers."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, fields
+
+from fakes.endpoint_text import expected_text, render_messages
+from scenarios.caller import ANSWERED, FAILED, LOST, NOT_RUN, UNKNOWN, CallRecord
+
+
+@dataclass(slots=True)
+class Tally:
+    """Count what happened; ``broken`` counters must stay zero."""
+
+    requests: int = 0
+    bookings: int = 0
+    faults: int = 0
+    answered: int = 0
+    not_run: int = 0
+    failed: int = 0
+    unknown: int = 0
+    resumed: int = 0
+    restarted: int = 0
+    moved: int = 0
+    refused: int = 0
+    lost: int = 0
+    wrong_text: int = 0
+    wrongly_not_run: int = 0
+    bookings_run_twice: int = 0
+    answered_not_run: int = 0
+
+    def add(self, other: "Tally") -> None:
+        """Add the counts of another scenario."""
+        for item in fields(self):
+            total = getattr(self, item.name) + getattr(other, item.name)
+            setattr(self, item.name, total)
+
+    def broken(self) -> dict[str, int]:
+        """Return the counts of broken promises that are not zero."""
+        names = ("lost", "wrong_text", "wrongly_not_run")
+        names += ("bookings_run_twice", "answered_not_run")
+        return {name: getattr(self, name) for name in names if getattr(self, name)}
+
+
+@dataclass(slots=True)
+class Ledgers:
+    """Hold the ledger entries of all endpoints by request and by key."""
+
+    runs_by_request: Counter
+    runs_by_key: Counter
+    entries: dict[str, list[dict]]
+
+
+def read_ledgers(deployment) -> Ledgers:
+    """Return the ledgers of all endpoints of a deployment."""
+    entries = {
+        endpoint_id: deployment.endpoint(endpoint_id, "GET", "ledger")
+        for endpoint_id in deployment.endpoints
+    }
+    by_request: Counter = Counter()
+    by_key: Counter = Counter()
+    for endpoint_entries in entries.values():
+        for entry in endpoint_entries:
+            if entry["ran"]:
+                by_request[entry["request_id"]] += 1
+                by_key[entry["key"]] += bool(entry["key"])
+    return Ledgers(by_request, by_key, entries)
+
+
+def wanted_text(record: CallRecord) -> str:
+    """Return the whole answer that the engines give for a call."""
+    prompt = render_messages([{"role": "user", "content": record.prompt}])
+    return expected_text(prompt, record.max_tokens)
+
+
+def judge(records: list[CallRecord], ledgers: Ledgers, faults: int) -> Tally:
+    """Return the counts of a scenario."""
+    tally = Tally(faults=faults)
+    outcomes = {ANSWERED: "answered", NOT_RUN: "not_run", FAILED: "failed"}
+    outcomes |= {UNKNOWN: "unknown", LOST: "lost"}
+    keys = defaultdict(list)
+    for record in records:
+        tally.requests += 1
+        name = outcomes.get(record.outcome, "lost")
+        setattr(tally, name, getattr(tally, name) + 1)
+        tally.resumed += record.resumes
+        tally.restarted += record.restarts
+        tally.moved += record.moves
+        tally.refused += record.refusals
+        told = set(record.not_run_ids)
+        tally.wrongly_not_run += sum(
+            1 for name in told if ledgers.runs_by_request[name]
+        )
+        if record.kind == "booking":
+            keys[record.key].append(record)
+        elif record.outcome == ANSWERED and record.text != wanted_text(record):
+            tally.wrong_text += 1
+    for key, calls in keys.items():
+        tally.bookings += 1
+        runs = ledgers.runs_by_key[key]
+        tally.bookings_run_twice += runs > 1
+        answered = any(call.outcome == ANSWERED for call in calls)
+        tally.answered_not_run += answered and runs == 0
+    return tally
--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -18,6 +18,7 @@
     Transcript,
 )
 from rattanwick.internal.peers.drain import Drain as NodeDrain, DrainSteps
+from rattanwick.internal.peers.notices import NoticeWatch
 from rattanwick.internal.peers.parts import PeerParts, build_peers, read_secret
 from rattanwick.internal.platform.cloud import Ec2CloudApi
 from rattanwick.internal.platform.instances import CloudMapInstanceList
@@ -28,6 +29,7 @@
 from rattanwick.internal.requests.runs import Run, RunControl
 from rattanwick.internal.requests.server import CallerServer
 from rattanwick.internal.requests.services import RequestServices
+from rattanwick.internal.routing.load_watch import LoadWatch
 from rattanwick.internal.routing.router import CellRouter
 from rattanwick.internal.state.claims import Claims
 from rattanwick.internal.state.grants import Grants
@@ -135,6 +137,23 @@
             self.recorder,
         )
 
+        self.load = LoadWatch(
+            self.instances,
+            peers.members,
+            peers.ownership,
+            self.timers,
+            self.settings.routing.cell_endpoints,
+            self.router.report_load,
+        )
+        self.notices = NoticeWatch(
+            self.cloud,
+            peers.members,
+            peers.ownership,
+            peers.news,
+            self.instances,
+            self.timers,
+        )
+
     def _build_requests(self) -> None:
         cfg, peers = self.settings, self.peers
         self.services = RequestServices(
--- /dev/null
+++ b/src/rattanwick/internal/peers/notices.py
@@ -0,0 +1,70 @@
+"""Turn the cloud's notices for endpoints into news for all nodes."""
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.peers.interfaces import Members, News, Ownership
+from rattanwick.internal.peers.news import ENDPOINT_LEAVING
+from rattanwick.internal.platform.interfaces import CloudApi, InstanceList, Notice
+
+log = get_logger("notices")
+
+POLL_SECONDS = 1.0
+OWNER_KEY = "cloud notices"
+
+
+class NoticeWatch:
+    """Read notices at one node of each data centre.
+
+    One reader for each data centre keeps the load on the cloud API independent
+    of the number of nodes, and a data centre that is cut off still has its own.
+    """
+
+    def __init__(
+        self,
+        cloud: CloudApi,
+        members: Members,
+        ownership: Ownership,
+        news: News,
+        instances: InstanceList,
+        timers: TimerService,
+    ):
+        self._cloud = cloud
+        self._members = members
+        self._ownership = ownership
+        self._news = news
+        self._instances = instances
+        self._timers = timers
+        self._published: dict[str, float] = {}  # endpoint id -> Unix seconds
+        self._reading = False
+        timers.subscribe("notices", POLL_SECONDS, self.check)
+
+    def check(self) -> None:
+        """Read the notices if this node is the reader of its data centre."""
+        own = self._members.self_node
+        reader = self._ownership.owner(OWNER_KEY, own.data_centre)
+        if self._reading or reader is None or reader.id != own.id:
+            return
+        self._reading = True
+        try:
+            for notice in self._cloud.notices():
+                self._publish(notice)
+        except StepError as exc:
+            log.warning("cannot read notices: %s", exc)
+        finally:
+            self._reading = False
+
+    def _publish(self, notice: Notice) -> None:
+        known = {endpoint.id for endpoint in self._instances.endpoints()}
+        endpoint_id = notice.instance_id
+        if endpoint_id not in known:
+            return
+        if self._published.get(endpoint_id) == notice.not_before:
+            return
+        self._published[endpoint_id] = notice.not_before
+        log.info("endpoint %s is leaving", endpoint_id)
+        # Readers of several data centres publish the same version, so that the
+        # item is spread once.
+        version = int(notice.not_before * 1000)
+        body = {"leaving": True, "not_before": notice.not_before}
+        self._news.publish(ENDPOINT_LEAVING, endpoint_id, version, body)
