Measure the cost of control between nodes and reduce its CPU share

Change: bench/peer_cost.py with real processes; one task writes to all sockets, heartbeats are encoded once, links are chosen only after a change, drops and takeover checks run on demand. Conclusion: fewer timers and tasks; the effect is still to be measured.

--- /dev/null
+++ b/bench/peer_cost.py
@@ -0,0 +1,162 @@
+"""Measure what control between nodes costs: bytes, CPU, memory, news delay."""
+
+import argparse
+import json
+import statistics
+import time
+from pathlib import Path
+
+import numpy as np
+
+from bench.peer_process import HEADER_BYTES
+from bench.peer_processes import ROOT, PeerProcesses
+
+RESULTS = ROOT / "bench" / "results"
+SETTLE_SECONDS = 12.0
+NEWS_PER_SECOND = 5
+PROPAGATED_ITEMS = 20
+TARGET_NODES = 390
+TARGET_LINKS = 16  # chosen by the node or by the peer, at 390 nodes
+
+
+def measure_usage(peers: PeerProcesses, seconds: float, work=None) -> dict:
+    """Return the mean use per node and second over an interval."""
+    before = peers.ask_all("stats")
+    end = time.monotonic() + seconds
+    done = 0
+    while time.monotonic() < end:
+        if work is None:
+            time.sleep(end - time.monotonic())
+        else:
+            work(done)
+            done += 1
+            time.sleep(1 / NEWS_PER_SECOND)
+    after = peers.ask_all("stats")
+    rows = [use_between(*pair) for pair in zip(before, after, strict=True)]
+    return {
+        "seconds": seconds,
+        "items_published": done,
+        "cpu_percent": spread([row["cpu_percent"] for row in rows]),
+        "payload_bytes_per_second": spread([row["payload"] for row in rows]),
+        "wire_bytes_per_second": spread([row["wire"] for row in rows]),
+        "links": spread([stats["links"] for stats in after]),
+        "rss_mib": spread([stats["rss_kib"] / 1024 for stats in after]),
+        "news_items": spread([stats["news"] for stats in after]),
+    }
+
+
+def use_between(before: dict, after: dict) -> dict:
+    """Return the use of one process per second, sent and received together."""
+    seconds = after["at"] - before["at"]
+    payload = after["payload_bytes"] - before["payload_bytes"]
+    segments = after["segments"] - before["segments"]
+    return {
+        "cpu_percent": 100 * (after["cpu_seconds"] - before["cpu_seconds"]) / seconds,
+        "payload": payload / seconds,
+        "wire": (payload + HEADER_BYTES * segments) / seconds,
+    }
+
+
+def spread(values: list[float]) -> dict:
+    """Return mean, smallest and largest value."""
+    return {
+        "mean": round(statistics.fmean(values), 4),
+        "min": round(min(values), 4),
+        "max": round(max(values), 4),
+    }
+
+
+def measure_propagation(peers: PeerProcesses) -> dict:
+    """Return the time in milliseconds for single items to reach all nodes."""
+    sent = {}
+    for number in range(PROPAGATED_ITEMS):
+        index = number % len(peers.nodes)
+        key = f"probe-{number}"
+        sent[key] = peers.ask(index, "publish", key=key, version=1)["at"]
+        time.sleep(0.25)
+    time.sleep(1.0)
+    arrivals = [answer["arrivals"] for answer in peers.ask_all("arrivals")]
+    reached = sum(all(key in item for item in arrivals) for key in sent)
+    delays = [
+        1000 * (max(item[key] for item in arrivals if key in item) - at)
+        for key, at in sent.items()
+    ]
+    return {
+        "items": len(sent),
+        "reached_all": reached,
+        "milliseconds_p50": round(statistics.median(delays), 2),
+        "milliseconds_max": round(max(delays), 2),
+    }
+
+
+def run_size(count: int, max_links: int, seconds: float, news: bool) -> dict:
+    """Return the measurements with so many nodes."""
+    data_centres = 3 if count < 12 else 6
+    peers = PeerProcesses(count, data_centres, max_links=max_links)
+    try:
+        all_live = peers.wait_live(list(range(count)), count)
+        time.sleep(SETTLE_SECONDS)
+        result = {
+            "nodes": count,
+            "data_centres": data_centres,
+            "max_links": max_links,
+            "all_live_seconds": round(all_live, 2),
+            "rss_imported_mib": spread([kib / 1024 for kib in peers.rss_imported_kib]),
+            "idle": measure_usage(peers, seconds),
+        }
+        if news:
+            result["news"] = measure_usage(
+                peers,
+                seconds,
+                lambda n: peers.ask(n % count, "publish", key=f"k{n % 50}", version=n),
+            )
+            result["propagation"] = measure_propagation(peers)
+    finally:
+        peers.stop()
+    return result
+
+
+def fit_slopes(runs: list[dict]) -> dict:
+    """Return slopes per link and per item, and what they give at 390 nodes."""
+    links = [run["idle"]["links"]["mean"] for run in runs]
+    slopes = {}
+    for name in ("cpu_percent", "wire_bytes_per_second", "payload_bytes_per_second"):
+        values = [run["idle"][name]["mean"] for run in runs]
+        slope, base = np.polyfit(links, values, 1)
+        slopes[name] = {
+            "per_link": round(float(slope), 5),
+            "base": round(float(base), 5),
+            f"at_{TARGET_NODES}_nodes": round(float(base + slope * TARGET_LINKS), 3),
+        }
+    for run in (run for run in runs if "news" in run):
+        rate = run["news"]["items_published"] / run["news"]["seconds"]
+        for name in ("cpu_percent", "wire_bytes_per_second"):
+            more = run["news"][name]["mean"] - run["idle"][name]["mean"]
+            per_item = slopes.setdefault(f"{name}_per_item_per_second", {})
+            per_item[f"{run['nodes']}_nodes"] = round(more / rate, 4)
+    return slopes
+
+
+def main() -> None:
+    """Run all sizes and store the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", type=int, nargs="+", default=[6, 12, 24, 48])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--name", default="peer_cost")
+    args = parser.parse_args()
+    runs = []
+    for count in args.nodes:
+        runs.append(run_size(count, 8, args.seconds, news=True))
+        print(json.dumps(runs[-1]), flush=True)
+    for max_links in (2, 4):
+        runs.append(run_size(24, max_links, args.seconds, news=False))
+        print(json.dumps(runs[-1]), flush=True)
+    result = {"runs": runs, "slopes": fit_slopes(runs)}
+    print(json.dumps(result["slopes"], indent=1))
+    RESULTS.mkdir(exist_ok=True)
+    path = Path(RESULTS / f"{args.name}.json")
+    path.write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/peer_process.py
@@ -0,0 +1,146 @@
+"""Run only the peer part of a node, directed by JSON lines on standard input."""
+
+import json
+import resource
+import struct
+import sys
+import time
+
+from gevent.fileobject import FileObjectThread
+from gevent.socket import IPPROTO_TCP
+
+from rattanwick.internal.base.log import configure_logs
+from rattanwick.internal.base.settings import PeerSettings
+from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.model.instances import Endpoint, Node
+from rattanwick.internal.model.transcripts import RequestTable
+from rattanwick.internal.peers.counters import RECEIVED_BYTES, SENT_BYTES
+from rattanwick.internal.peers.parts import PeerParts, build_peers
+from rattanwick.internal.platform.interfaces import InstanceList
+
+SECRET = b"a secret for the benchmark"
+TCP_INFO = 11
+SEGMENTS = struct.Struct("=II")  # out, in
+SEGMENTS_OFFSET = 136  # of tcpi_segs_out in struct tcp_info
+HEADER_BYTES = 52  # IPv4, TCP and the timestamp option
+TOPIC = "bench"
+
+
+class FixedInstances(InstanceList):
+    """Show a fixed list of nodes."""
+
+    def __init__(self, nodes: tuple[Node, ...]):
+        self._nodes = nodes
+
+    def endpoints(self, pool: str | None = None) -> tuple[Endpoint, ...]:
+        """Return no endpoints."""
+        return ()
+
+    def nodes(self) -> tuple[Node, ...]:
+        """Return the nodes."""
+        return self._nodes
+
+    def age(self) -> float:
+        """Return the age of a list that never changes."""
+        return 0.0
+
+    def subscribe(self, callback) -> None:
+        """Never call back."""
+
+
+class PeerProcess:
+    """Answer commands about the peer part of one node."""
+
+    def __init__(self, config: dict):
+        timers = GeventTimerService()
+        node = Node(**config["node"])
+        listed = tuple(Node(**item) for item in config["listed"])
+        settings = PeerSettings(
+            address=node.host,
+            port=node.peer_port,
+            secret_file="",
+            **config["settings"],
+        )
+        self._arrivals: dict[str, float] = {}  # key: Unix seconds
+        self._parts: PeerParts = build_peers(
+            settings,
+            node,
+            SECRET,
+            FixedInstances(listed),
+            timers,
+            RequestTable(timers.now),
+            lambda: 1,
+            lambda req: None,
+            lambda req, transcript: None,
+        )
+        self._parts.news.subscribe(TOPIC, self._note)
+        self._parts.start()
+
+    def run_command(self, command: dict) -> dict:
+        """Return the answer to a command."""
+        return getattr(self, "run_" + command.pop("do"))(**command)
+
+    def run_live(self) -> dict:
+        """Return the ids of live nodes."""
+        return {"live": [node.id for node in self._parts.members.live()]}
+
+    def run_publish(self, key: str, version: int) -> dict:
+        """Publish an item and return when."""
+        now = time.time()
+        self._parts.news.publish(TOPIC, key, version, {"text": "x" * 60})
+        return {"at": now}
+
+    def run_arrivals(self) -> dict:
+        """Return when each key arrived."""
+        return {"arrivals": self._arrivals}
+
+    def run_stats(self) -> dict:
+        """Return what this process has used so far."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        segments = self._segments()
+        payload = int(SENT_BYTES._value.get() + RECEIVED_BYTES._value.get())
+        return {
+            "at": time.monotonic(),
+            "cpu_seconds": usage.ru_utime + usage.ru_stime,
+            "payload_bytes": payload,
+            "segments": segments,
+            "links": len(self._parts.members.links.ids()),
+            "connections": len(list(self._parts.network._table)),
+            "live": len(self._parts.members.live()),
+            "news": len(self._parts.news),
+            "rss_kib": read_rss_kib(),
+        }
+
+    def _segments(self) -> int:
+        total = 0
+        for conn in self._parts.network._table:
+            info = conn._sock.getsockopt(IPPROTO_TCP, TCP_INFO, 192)
+            total += sum(SEGMENTS.unpack_from(info, SEGMENTS_OFFSET))
+        return total
+
+    def _note(self, key: str, version: int, body: dict) -> None:
+        self._arrivals.setdefault(key, time.time())
+
+
+def read_rss_kib() -> int:
+    """Return the resident memory of this process."""
+    with open("/proc/self/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1])
+    return 0
+
+
+def main() -> None:
+    """Read the configuration from the first line, then commands."""
+    configure_logs("ERROR")
+    lines = FileObjectThread(sys.stdin.buffer, "rb")
+    imported = read_rss_kib()
+    process = PeerProcess(json.loads(lines.readline()))
+    print(json.dumps({"ready": True, "rss_kib": imported}), flush=True)
+    while line := lines.readline():
+        print(json.dumps(process.run_command(json.loads(line))), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/peer_processes.py
@@ -0,0 +1,102 @@
+"""Start and direct several peer processes on loopback."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+
+from rattanwick.internal.model.instances import Node
+
+ROOT = Path(__file__).resolve().parent.parent
+LOOPBACK = "127.0.0.1"
+START_SECONDS = 60.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that nothing listens on."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind((LOOPBACK, 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+class PeerProcesses:
+    """Hold peer processes that list each other."""
+
+    def __init__(self, count: int, data_centres: int, **settings):
+        self.nodes = [
+            Node(
+                id=f"node-{index:03d}",
+                data_centre=f"dc-{index % data_centres}",
+                region=f"region-{index % data_centres % 2}",
+                host=LOOPBACK,
+                caller_port=1,
+                peer_port=port,
+                operator_port=2,
+                incarnation=int(time.time() * 1000),
+            )
+            for index, port in enumerate(free_ports(count))
+        ]
+        self._settings = settings
+        self.processes = [self._start(node) for node in self.nodes]
+        self.rss_imported_kib = [
+            json.loads(process.stdout.readline())["rss_kib"]
+            for process in self.processes
+        ]
+
+    def ask(self, index: int, do: str, **values) -> dict:
+        """Send a command to one process and return the answer."""
+        process = self.processes[index]
+        process.stdin.write(json.dumps({"do": do, **values}) + "\n")
+        process.stdin.flush()
+        return json.loads(process.stdout.readline())
+
+    def ask_all(self, do: str) -> list[dict]:
+        """Send a command to all processes and return the answers."""
+        return [self.ask(index, do) for index in range(len(self.processes))]
+
+    def wait_live(self, indexes: list[int], wanted: int) -> float:
+        """Wait until these see so many live nodes; return seconds."""
+        began = time.monotonic()
+        while not all(
+            len(self.ask(index, "live")["live"]) == wanted for index in indexes
+        ):
+            if time.monotonic() - began > START_SECONDS:
+                raise TimeoutError("the processes do not agree on who is live")
+            time.sleep(0.02)
+        return time.monotonic() - began
+
+    def stop(self) -> None:
+        """End the processes."""
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+            process.stdin.close()
+            process.stdout.close()
+
+    def _start(self, node: Node) -> subprocess.Popen:
+        env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"}
+        process = subprocess.Popen(
+            [sys.executable, "-m", "bench.peer_process"],
+            cwd=ROOT,
+            env=env,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        config = {
+            "node": asdict(node),
+            "listed": [asdict(item) for item in self.nodes],
+            "settings": self._settings,
+        }
+        process.stdin.write(json.dumps(config) + "\n")
+        process.stdin.flush()
+        return process
--- a/src/rattanwick/internal/peers/connection.py
+++ b/src/rattanwick/internal/peers/connection.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent.event import AsyncResult
+from gevent.ssl import SSLSocket
 
 from rattanwick.internal.base.errors import (
     ConnectionLost,
@@ -30,10 +31,34 @@
 FrameHandler = Callable[["Connection", Frame], None]
 
 
+class Flusher:
+    """Write what connections have queued in one pass of the event loop.
+
+    One task writes to all sockets that take the data at once; a task for each
+    connection and heartbeat would cost more than the writes.
+    """
+
+    def __init__(self):
+        self._waiting: list[Connection] = []
+
+    def add(self, conn: "Connection") -> None:
+        """Write to the connection in the next pass."""
+        if not self._waiting:
+            gevent.spawn(self._run)
+        self._waiting.append(conn)
+
+    def _run(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for conn in waiting:
+            if not conn.flush_at_once():
+                gevent.spawn(conn.flush)
+
+
 class Connection:
     """Send and receive frames; the task that calls ``run`` is the reader."""
 
     __slots__ = (
+        "_flusher",
         "_flushing",
         "_on_frame",
         "_pending",
@@ -56,10 +81,12 @@
         node: Node,
         dialled: bool,
         on_frame: FrameHandler,
+        flusher: Flusher,
     ):
         self._sock = sock
         self._reader = reader
         self._on_frame = on_frame
+        self._flusher = flusher
         self._pending: dict[int, AsyncResult] = {}
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
@@ -109,18 +136,21 @@
 
     def send(self, frame: Frame) -> None:
         """Queue a frame; raise ConnectionLost when it cannot be sent."""
-        data = encode_frame(frame)
+        self.send_encoded(frame.kind, encode_frame(frame))
+
+    def send_encoded(self, kind: str, data: bytes) -> None:
+        """Queue an encoded frame; raise ConnectionLost when it cannot be sent."""
         if self.closed:
-            raise ConnectionLost(frame.kind, self.node.id, self.closed, sent=False)
+            raise ConnectionLost(kind, self.node.id, self.closed, sent=False)
         if self._queued_bytes + len(data) > MAX_QUEUED_BYTES:
             self.close("the peer does not read")
-            raise ConnectionLost(frame.kind, self.node.id, self.closed, sent=False)
+            raise ConnectionLost(kind, self.node.id, self.closed, sent=False)
         self._queue.append(data)
         self._queued_bytes += len(data)
         self.last_used = time.monotonic()
         if not self._flushing:
             self._flushing = True
-            gevent.spawn(self._flush)
+            self._flusher.add(self)
 
     def is_busy(self) -> bool:
         """Tell whether a call waits on either side."""
@@ -151,16 +181,38 @@
         if result is not None:
             result.set(frame)
 
-    def _flush(self) -> None:
-        # Frames queued in one pass of the event loop leave in one write.
+    def flush_at_once(self) -> bool:
+        """Write the queue if the socket takes all of it without waiting."""
+        if self.closed or isinstance(self._sock, SSLSocket):
+            return False
+        data = b"".join(self._queue)
+        self._queue.clear()
+        try:
+            sent = self._sock.send(data, timeout=0.0)
+        except OSError:
+            # Either the buffer is full or the connection is broken; ``flush``
+            # finds out.
+            sent = 0
+        self._count_sent(sent)
+        if sent < len(data):
+            self._queue.appendleft(data[sent:])
+            return False
+        self._flushing = False
+        return True
+
+    def flush(self) -> None:
+        """Write the queue, waiting for the socket."""
         try:
             while self._queue and not self.closed:
                 data = b"".join(self._queue)
                 self._queue.clear()
                 self._sock.sendall(data)
-                self._queued_bytes -= len(data)
-                SENT_BYTES.inc(len(data))
+                self._count_sent(len(data))
         except OSError as exc:
             self.close(exc.strerror or type(exc).__name__)
         finally:
             self._flushing = False
+
+    def _count_sent(self, size: int) -> None:
+        self._queued_bytes -= size
+        SENT_BYTES.inc(size)
--- a/src/rattanwick/internal/peers/heartbeats.py
+++ b/src/rattanwick/internal/peers/heartbeats.py
@@ -68,9 +68,22 @@
         """Return the link to a peer."""
         return self._links.get(node_id)
 
+    def has_unconnected(self) -> bool:
+        """Tell whether a chosen peer is not connected or waits to be dialled."""
+        return bool(self._redials) or any(
+            link.chosen and not self._network.is_connected(link.node_id)
+            for link in self._links.values()
+        )
+
     def choose(self, candidates: list[Node]) -> list[Link]:
         """Choose links anew, dial those not connected, return those given up."""
         now = self._now()
+        known = {node.id for node in candidates}
+        self._redials = {
+            node_id: redial
+            for node_id, redial in self._redials.items()
+            if node_id in known
+        }
         reachable = [node for node in candidates if self._may_dial(node.id, now)]
         chosen = choose_links(self._network.node, reachable, self._max_links)
         ids = {node.id for node in chosen}
--- a/src/rattanwick/internal/peers/keepers.py
+++ b/src/rattanwick/internal/peers/keepers.py
@@ -88,7 +88,6 @@
         network.handle("keeper.drop", self._on_drop)
         members.subscribe(self._note_change)
         timers.subscribe("keepers", CHECK_SECONDS, self.check)
-        timers.subscribe("keeper drops", DROP_SECONDS, self.flush)
 
     def copy(self, message: dict, timeout: float) -> int:
         """Send a request's message to a keeper and return the copies made."""
@@ -115,8 +114,7 @@
         record = self._table.get(request_id)
         final = pack_final(record) if record is not None else b""
         for position, holder in enumerate(served.holders):
-            drop = Drop(request_id, final if position == 0 else b"", served.epoch)
-            self._drops.setdefault(holder, []).append(drop)
+            self._add_drop(holder, served, final if position == 0 else b"")
 
     def adopt(self, header: CopyHeader, packed: bytes) -> None:
         """Count a request taken over from another node as served here."""
@@ -223,9 +221,13 @@
             self._add_drop(keeper.id, served)
         return True
 
-    def _add_drop(self, holder: str, served: ServedCopy) -> None:
-        drop = Drop(served.request_id, b"", served.epoch)
-        self._drops.setdefault(holder, []).append(drop)
+    def _add_drop(self, holder: str, served: ServedCopy, final: bytes = b"") -> None:
+        self._queue_drops(holder, [Drop(served.request_id, final, served.epoch)])
+
+    def _queue_drops(self, holder: str, items: list[Drop]) -> None:
+        if not self._drops:
+            self._timers.after(DROP_SECONDS, self.flush)
+        self._drops.setdefault(holder, []).extend(items)
 
     def _send_drops(self, holder: str, items: list[Drop]) -> None:
         while items:
@@ -253,7 +255,7 @@
             item.attempts += 1
         again = [item for item in items if item.attempts < DROP_ATTEMPTS]
         if again:
-            self._drops.setdefault(holder, []).extend(again)
+            self._queue_drops(holder, again)
 
     def _note_change(self) -> None:
         self._changed = True
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -30,9 +30,11 @@
 log = get_logger("peers")
 
 TOPIC = "member"
-CHECKS_PER_HEARTBEAT = 4
+CHECKS_PER_HEARTBEAT = 2
+CHOOSE_EVERY = 8  # heartbeats, where nothing has changed
 # A region may be cut off for an hour; its dead must not come back after it.
 DEAD_KEPT_SECONDS = 7200
+FORGET_SECONDS = 60.0
 VERSION_PINGS = 16  # at once
 
 
@@ -62,6 +64,9 @@
         self._connected: dict[str, Node] = {}
         self._callbacks: list[Callable[[], None]] = []
         self._live: tuple[Node, ...] | None = None
+        self._suspects: set[str] = set()
+        self._links_changed = True
+        self._beats = 0
         self._last_check = timers.now()
         self._subscriptions = []
         self.links = HeartbeatLinks(
@@ -97,6 +102,7 @@
         self._last_check = self._timers.now()
         self._subscriptions = [
             self._timers.subscribe("heartbeat", cfg.heartbeat_seconds, self._beat),
+            self._timers.subscribe("dead members", FORGET_SECONDS, self._forget_dead),
             self._timers.subscribe(
                 "member checks",
                 cfg.heartbeat_seconds / CHECKS_PER_HEARTBEAT,
@@ -202,6 +208,7 @@
 
     def _changed(self) -> None:
         self._live = None
+        self._links_changed = True
         for callback in self._callbacks:
             callback()
 
@@ -219,8 +226,10 @@
         old = self._records.get(node_id)
         now = self._timers.now()
         record = MemberRecord(node, incarnation, state, now)
+        self._suspects.discard(node_id)
         if state is MemberState.SUSPECT:
             record.dead_at = now + self._suspicion_seconds(node_id)
+            self._suspects.add(node_id)
         self._records[node_id] = record
         if old is None or old.state is not state or old.node != node:
             log.info("%s is %s", node_id, state.name.lower())
@@ -312,14 +321,25 @@
 
     def _beat(self) -> None:
         """Choose links, send heartbeats, and probe a node without a link."""
-        for link in self.links.choose(self._candidates()):
-            if self._network.is_connected(link.node_id):
-                self._send_heartbeat(link.node_id, wanted=False)
-        for link in self.links.all():
-            if self._network.is_connected(link.node_id):
-                self._send_heartbeat(link.node_id, link.chosen)
+        self._beats += 1
+        parted = self._choose_links()
+        links = self.links.all()
+        for wanted in (True, False):
+            ids = [link.node_id for link in links if link.chosen is wanted]
+            if not wanted:
+                ids += [node_id for node_id in parted if node_id not in ids]
+            body = self._heartbeat(wanted).to_body()
+            self._network.notify_connected(ids, "heartbeat", body)
         self._probes.run()
 
+    def _choose_links(self) -> list[str]:
+        """Choose links when something has changed; return the peers given up."""
+        due = self._beats % CHOOSE_EVERY == 0
+        if not (due or self._links_changed or self.links.has_unconnected()):
+            return []
+        self._links_changed = False
+        return [link.node_id for link in self.links.choose(self._candidates())]
+
     def _candidates(self) -> list[Node]:
         own = self._self_node.id
         live = [
@@ -342,13 +362,15 @@
         for link in self.links.all():
             if self.links.silence(link) > self._settings.suspect_seconds:
                 self.suspect(link.node_id)
-        for node_id, record in list(self._records.items()):
-            if record.state is MemberState.SUSPECT and now >= record.dead_at:
+        for node_id in list(self._suspects):
+            record = self._records[node_id]
+            if now >= record.dead_at:
                 self._publish(record.node, record.incarnation, MemberState.DEAD)
-            elif (
-                record.state is MemberState.DEAD
-                and now - record.changed > DEAD_KEPT_SECONDS
-            ):
+
+    def _forget_dead(self) -> None:
+        limit = self._timers.now() - DEAD_KEPT_SECONDS
+        for node_id, record in list(self._records.items()):
+            if record.state is MemberState.DEAD and record.changed < limit:
                 del self._records[node_id]
 
     def _ping_for_version(self, node_id: str, timeout: float) -> None:
--- a/src/rattanwick/internal/peers/network.py
+++ b/src/rattanwick/internal/peers/network.py
@@ -14,10 +14,15 @@
 from rattanwick.internal.base.settings import PeerSettings
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.model.instances import Node
-from rattanwick.internal.peers.connection import ERROR, REPLY, Connection
+from rattanwick.internal.peers.connection import ERROR, REPLY, Connection, Flusher
 from rattanwick.internal.peers.connections import ConnectionTable
 from rattanwick.internal.peers.counters import DROPPED, HANDSHAKES
-from rattanwick.internal.peers.frames import MAX_FRAME_BYTES, Frame, FrameReader
+from rattanwick.internal.peers.frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameReader,
+    encode_frame,
+)
 from rattanwick.internal.peers.handshake import (
     HANDSHAKE_SECONDS,
     MAX_HANDSHAKE_FRAME_BYTES,
@@ -32,7 +37,7 @@
 MAX_UNAUTHENTICATED = 64
 MAX_SERVING_CALLS = 2048  # calls of one peer that run here at once
 MAX_DIALLING_NOTICES = 256
-SWEEP_SECONDS = 1.0
+SWEEP_SECONDS = 2.0
 STOP_SECONDS = 0.5  # for frames still queued
 ConnectionCallback = Callable[[Node, bool], None]  # (node, whether it is connected)
 
@@ -57,6 +62,7 @@
         self._secret = secret
         self._tls = PeerTls(settings) if settings.tls_certificate else None
         self._table = ConnectionTable(node.id)
+        self._flusher = Flusher()
         self._handlers: dict[str, Handler] = {}
         self._inline: set[str] = set()
         self._callbacks: list[ConnectionCallback] = []
@@ -115,6 +121,17 @@
             self._dialling_notices += 1
             gevent.spawn(self._connect_and_send, node_id, frame)
 
+    def notify_connected(self, node_ids: list[str], kind: str, body: dict) -> None:
+        """Send one message to those nodes that are connected."""
+        data = encode_frame(Frame(kind, 0, 0, body))
+        for node_id in node_ids:
+            conn = self._table.get(node_id)
+            if conn is not None:
+                try:
+                    conn.send_encoded(kind, data)
+                except StepError:
+                    DROPPED.labels("not_sent").inc()
+
     def handle(self, kind: str, handler: Handler, inline: bool = False) -> None:
         """Register a handler; an inline one runs in the reader and never blocks."""
         self._handlers[kind] = handler
@@ -250,7 +267,9 @@
     ) -> Connection:
         reader.limit = MAX_FRAME_BYTES
         reader.peer = other.node_id
-        return Connection(sock, reader, other.to_node(), dialled, self._on_frame)
+        return Connection(
+            sock, reader, other.to_node(), dialled, self._on_frame, self._flusher
+        )
 
     def _reject(self, peer: str, result: str, reason: str) -> None:
         HANDSHAKES.labels(result).inc()
--- a/src/rattanwick/internal/peers/ownership.py
+++ b/src/rattanwick/internal/peers/ownership.py
@@ -32,8 +32,11 @@
     ranked = rank_nodes(own.id, candidates)
     local = [node for node in ranked if node.data_centre == own.data_centre]
     others = [node for node in ranked if node.data_centre != own.data_centre]
-    chosen = local[:LOCAL_LINKS] + spread_data_centres(others)
-    return (chosen + local[LOCAL_LINKS:])[:limit]
+    # At least half of the links leave the data centre, or few links would leave
+    # data centres without a path to each other.
+    near = min(LOCAL_LINKS, limit // 2)
+    chosen = local[:near] + spread_data_centres(others)
+    return (chosen + local[near:])[:limit]
 
 
 class RendezvousOwnership(Ownership):
--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -82,7 +82,6 @@
         timers: TimerService,
         restart: RestartCallback,
         resume: ResumeCallback,
-        check_seconds: float = 0.5,
     ):
         self._network = network
         self._members = members
@@ -93,7 +92,8 @@
         self._restart = restart
         self._resume = resume
         network.handle("keeper.claim", self._on_claim)
-        timers.subscribe("takeover", check_seconds, self.check)
+        members.subscribe(self.check)
+        timers.subscribe("takeover", RETRY_SECONDS, self.check)
 
     def check(self) -> None:
         """Start a claim for each copy whose serving process is gone."""
--- a/tests/unit/test_peer_network.py
+++ b/tests/unit/test_peer_network.py
@@ -1,10 +1,12 @@
 """Nodes call each other over authenticated connections."""
 
 import unittest
+from unittest import mock
 
 import gevent
 
 from rattanwick.internal.base.errors import Refused, TimedOut, Unavailable
+from rattanwick.internal.peers import connections
 from tests.networks import Networks, make_node, wait_until
 
 
@@ -51,6 +53,8 @@
             for network, other in [(self.first, "n2"), (self.second, "n1")] * 5
         ]
         gevent.joinall(calls, raise_error=True)
+        short = mock.patch.object(connections, "DUPLICATE_IDLE_SECONDS", 0.1)
+        self.enterContext(short)
         one_left = lambda: all(  # noqa: E731
             len(list(network._table)) == 1 for network in (self.first, self.second)
         )
