--- a/tests/failure/test_drain.py
+++ b/tests/failure/test_drain.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from rattanwick.internal.peers import drain
+from rattanwick.internal.peers import drain, handover
 from tests.networks import wait_until
 from tests.serving import WHOLE, WORDS, ServingCluster
 
@@ -83,6 +83,7 @@
         self.assertNotEqual(record.moved_to, keeper.node.id)
 
     def test_a_reply_lost_at_handover_does_not_run_the_request_twice(self):
+        self.enterContext(mock.patch.object(handover, "CALL_SECONDS", 0.3))
         record = self.server.serve("req-1")
         target = self.server.parts.handover.targets("req-1")[0]
         take = self.peers[target.id].parts.handover._on_handover
@@ -92,7 +93,7 @@
             reply = take(node_id, body)
             if lose and body["holders"][0] == target.id:
                 lose.clear()
-                gevent.sleep(1.2)
+                gevent.sleep(0.5)
             return reply
 
         network = self.peers[target.id].parts.network
--- a/tests/failure/test_keepers.py
+++ b/tests/failure/test_keepers.py
@@ -1,15 +1,18 @@
 """Requests survive the loss of their serving node and of their keepers."""
 
 import unittest
+from unittest import mock
 
 import gevent
 
+from rattanwick.internal.peers import takeover
 from tests.networks import wait_until
 from tests.serving import WHOLE, ServingCluster
 
 
 class KeeperTests(unittest.TestCase):
     def setUp(self):
+        self.enterContext(mock.patch.object(takeover, "RETRY_SECONDS", 0.3))
         self.cluster = ServingCluster(6)
         self.addCleanup(self.cluster.stop)
         self.peers = self.cluster.peers
@@ -81,5 +84,5 @@
         self.assertEqual(len(self.cluster.holding("req-1")), 2)
         self.server.crash()
         self.peers["n1"].fetch_all("req-1")
-        gevent.sleep(1.5)
+        gevent.sleep(0.7)
         self.assertEqual(self.cluster.runs("req-1"), [(other.node.id, 0)])
--- a/tests/failure/test_members.py
+++ b/tests/failure/test_members.py
@@ -20,7 +20,7 @@
         began = time.monotonic()
         rest = [peer.node.id for peer in peers[1:]]
         self.assertTrue(wait_until(lambda: self.cluster.agree(rest), 3.0))
-        self.assertLess(time.monotonic() - began, 0.8 + 0.3)
+        self.assertLess(time.monotonic() - began, 0.5 + 0.3)
 
     def test_a_listed_node_that_nobody_hears_of_is_not_live(self):
         peers = self.cluster.add_many(3)
@@ -42,7 +42,7 @@
         peers[0].cut("n1")
         peers[1].cut("n0")
         seen = set()
-        limit = time.monotonic() + 1.3
+        limit = time.monotonic() + 1.0
         while time.monotonic() < limit:
             seen.update(tuple(peer.live_ids()) for peer in peers)
             gevent.sleep(0.02)
--- /dev/null
+++ b/tests/failure/test_peer_handshake.py
@@ -0,0 +1,133 @@
+"""Nobody without the secret is heard, and strangers do not lock nodes out."""
+
+import unittest
+from dataclasses import asdict
+from unittest import mock
+
+import gevent
+from gevent import socket
+
+from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.peers import network as network_module
+from rattanwick.internal.peers.frames import Frame, FrameReader, encode_frame
+from rattanwick.internal.peers.handshake import Handshake, Hello
+from tests.networks import SECRET, Networks, make_node, wait_until
+
+
+class Recorder:
+    """Keep the bytes that one side of a handshake sends."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self.sent = b""
+
+    def send(self, data: bytes) -> None:
+        """Send and keep."""
+        self.sent += data
+        self._sock.sendall(data)
+
+
+class HandshakeTests(unittest.TestCase):
+    def setUp(self):
+        self.networks = Networks()
+        self.addCleanup(self.networks.stop)
+        self.network = self.networks.add("n1")
+        self.node = self.networks.nodes["n1"]
+        self.served = []
+        self.network.handle("act", lambda peer, body: self.served.append(body))
+
+    def test_a_recorded_handshake_is_refused_when_replayed(self):
+        sock = self._connect()
+        recorder = Recorder(sock)
+        reader = FrameReader(sock.recv, "n1", 4096)
+        own = Hello.from_node(make_node("n2"))
+        Handshake(SECRET, own, reader, recorder.send).dial("n1")
+        act = encode_frame(Frame("act", 0, 0, {}))
+        sock.sendall(act)
+        self.assertTrue(wait_until(lambda: len(self.served) == 1))
+        replay = self._connect()
+        replay.sendall(recorder.sent + act)
+        self.assertEqual(self._frames_until_closed(replay), ["hello"])
+        self.assertEqual(len(self.served), 1)
+
+    def test_a_proof_sent_back_to_its_maker_is_refused(self):
+        left, right = socket.socketpair()
+        own, other = (Hello.from_node(make_node(name)) for name in ("n2", "n3"))
+        reader = FrameReader(left.recv, "peer", 4096)
+        dial = gevent.spawn(Handshake(SECRET, own, reader, left.sendall).dial, "n3")
+        from_dialler = FrameReader(right.recv, "peer", 4096)
+        from_dialler.read()
+        right.sendall(encode_frame(Frame("hello", 0, 0, asdict(other))))
+        right.sendall(encode_frame(from_dialler.read()))
+        with self.assertRaises(Refused) as caught:
+            dial.get(timeout=2)
+        self.assertIn("wrong proof", caught.exception.reason)
+
+    def test_a_node_with_this_node_s_id_is_refused(self):
+        sock = self._connect()
+        twin = Hello.from_node(make_node("n1"))
+        sock.sendall(encode_frame(Frame("hello", 0, 0, asdict(twin))))
+        self.assertEqual(self._frames_until_closed(sock), [])
+
+    def test_no_frame_is_acted_on_before_the_proof(self):
+        sock = self._connect()
+        sock.sendall(encode_frame(Frame("act", 0, 0, {})))
+        self.assertEqual(self._frames_until_closed(sock), [])
+        self.assertEqual(self.served, [])
+
+    def test_an_oversize_frame_before_the_proof_closes_the_connection(self):
+        sock = self._connect()
+        sock.sendall(b"\x00\x01\x00\x00")
+        self.assertEqual(self._frames_until_closed(sock), [])
+
+    def test_a_silent_stranger_is_closed_in_time(self):
+        self.enterContext(mock.patch.object(network_module, "HANDSHAKE_SECONDS", 0.1))
+        sock = self._connect()
+        with gevent.Timeout(2):
+            self.assertEqual(sock.recv(1), b"")
+
+    def test_many_silent_strangers_do_not_lock_a_node_out(self):
+        limit = network_module.MAX_UNAUTHENTICATED
+        strangers = [self._connect() for _ in range(limit + 20)]
+        wait_until(lambda: len(self.network._unauthenticated) >= limit)
+        other = self.networks.add("n2")
+        self.assertEqual(other.call("n1", "echo", {}, 2.0)["peer"], "n2")
+        self.assertLessEqual(len(self.network._unauthenticated), limit)
+        self.assertEqual(len(strangers), limit + 20)
+
+    def test_a_relayed_proof_fails_against_another_certificate(self):
+        left, right = socket.socketpair()
+        dialler, acceptor = make_node("n2"), make_node("n3")
+        sides = [
+            Handshake(
+                SECRET,
+                Hello.from_node(node),
+                FrameReader(sock.recv, "peer", 4096),
+                sock.sendall,
+                binding,
+            )
+            for node, sock, binding in (
+                (dialler, left, b"certificate of the relay"),
+                (acceptor, right, b"own certificate"),
+            )
+        ]
+        dial = gevent.spawn(sides[0].dial, "n3")
+        with self.assertRaises(Refused):
+            sides[1].accept()
+        dial.kill()
+
+    def _connect(self):
+        sock = socket.create_connection((self.node.host, self.node.peer_port))
+        self.addCleanup(sock.close)
+        return sock
+
+    def _frames_until_closed(self, sock) -> list[str]:
+        reader = FrameReader(sock.recv, "n1", 4096)
+        kinds = []
+        try:
+            with gevent.Timeout(2):
+                while (frame := reader.read()) is not None:
+                    kinds.append(frame.kind)
+        except ConnectionError:
+            pass
+        return kinds
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -40,7 +40,7 @@
 
 def make_settings(node: Node, **values) -> PeerSettings:
     """Return settings with short times."""
-    times = {"heartbeat_seconds": 0.1, "suspect_seconds": 0.4, "dead_seconds": 0.8}
+    times = {"heartbeat_seconds": 0.07, "suspect_seconds": 0.3, "dead_seconds": 0.5}
     return PeerSettings(
         address=node.host, port=node.peer_port, secret_file="", **(times | values)
     )
--- /dev/null
+++ b/tests/property/test_peer_frames.py
@@ -0,0 +1,174 @@
+"""Hostile bytes from a stranger or a peer neither act nor do damage."""
+
+import struct
+import unittest
+
+import gevent
+import msgpack
+from gevent import socket
+from hypothesis import given, settings, strategies as st
+
+from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, StepError
+from rattanwick.internal.peers.frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameReader,
+    decode_payload,
+    encode_frame,
+)
+from rattanwick.internal.peers.items import NewsItem, NewsStore
+from rattanwick.internal.peers.kept import CopyHeader, make_kept
+from rattanwick.internal.peers.records import Heartbeat, node_from_body
+from tests.networks import Cluster, wait_until
+
+PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.binary(max_size=9)
+    | st.text(max_size=9) | st.floats(),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.text(max_size=6), inner, max_size=4),
+    max_leaves=8,
+)  # fmt: skip
+EXAMPLES = settings(max_examples=60, deadline=None, derandomize=True)
+
+
+def read_all(data: bytes, step: int = 7) -> list[Frame]:
+    """Return the frames of a stream that arrives in small pieces."""
+    pieces = [data[i : i + step] for i in range(0, len(data), step)]
+    reader = FrameReader(lambda _: pieces.pop(0) if pieces else b"", "peer", 4096)
+    return list(iter(reader.read, None))
+
+
+class FrameTests(unittest.TestCase):
+    @EXAMPLES
+    @given(st.binary(max_size=200))
+    def test_any_bytes_give_a_frame_or_a_step_error(self, data):
+        for read in (lambda: decode_payload(data, "peer"), lambda: read_all(data)):
+            try:
+                read()
+            except StepError:
+                pass
+
+    @EXAMPLES
+    @given(PLAIN)
+    def test_any_msgpack_gives_a_frame_or_a_protocol_error(self, value):
+        try:
+            frame = decode_payload(msgpack.packb(value), "peer")
+        except ProtocolError:
+            return
+        self.assertIsInstance(frame.body, dict)
+
+    @EXAMPLES
+    @given(st.dictionaries(st.text(max_size=6), PLAIN, max_size=4), st.integers(1, 40))
+    def test_a_stream_cut_anywhere_is_reported(self, body, cut):
+        data = encode_frame(Frame("kind", 1, 0, body))
+        self.assertEqual(len(read_all(data + data)), 2)
+        with self.assertRaises(ConnectionLost):
+            read_all(data[: -min(cut, len(data) - 1)])
+
+    def test_an_oversize_length_is_refused_before_its_bytes_arrive(self):
+        with self.assertRaises(ProtocolError) as caught:
+            read_all(struct.pack(">I", MAX_FRAME_BYTES + 1))
+        self.assertIn("more than", caught.exception.reason)
+        with self.assertRaises(ProtocolError):
+            encode_frame(Frame("kind", 0, 0, {"x": b"0" * MAX_FRAME_BYTES}))
+
+    def test_an_unknown_version_is_named(self):
+        data = encode_frame(Frame("kind", 0, 0, {}), version=9)
+        with self.assertRaises(ProtocolError) as caught:
+            read_all(data)
+        self.assertIn("version 9 is unknown; expected 1", caught.exception.reason)
+
+    @EXAMPLES
+    @given(st.dictionaries(st.sampled_from("isvndw"), PLAIN), PLAIN, st.binary())
+    def test_hostile_bodies_give_a_protocol_error(self, body, value, packed):
+        header = {"id": "r", "server": "n", "start": 1, "epoch": 1, "holders": ["n"]}
+        for read in (
+            lambda: Heartbeat.from_body(body, "peer"),
+            lambda: NewsItem.from_message([value] * 5),
+            lambda: NewsItem.from_message(value),
+            lambda: node_from_body("n", {"n": value}),
+            lambda: CopyHeader.from_body({**header, "holders": value}),
+            lambda: make_kept(CopyHeader.from_body(header), packed),
+        ):
+            try:
+                read()
+            except ProtocolError:
+                pass
+
+    def test_hostile_frames_of_a_peer_leave_the_node_serving(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.stop)
+        first, second = cluster.add_many(2)
+        kinds = ["heartbeat", "news", "news.sync", "member.ping", "nothing", "reply"]
+        self._send_hostile_frames(first, kinds)
+        self.assertTrue(wait_until(lambda: cluster.agree(["n0", "n1"])))
+        self.assertLess(len(second.news), 10)
+
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(st.data())
+    def _send_hostile_frames(self, peer, kinds, data):
+        body = data.draw(st.dictionaries(st.sampled_from(["items", "i", "s"]), PLAIN))
+        kind = data.draw(st.sampled_from(kinds))
+        peer.network.notify("n1", kind, body)
+        gevent.sleep(0)
+
+
+class StrangerTests(unittest.TestCase):
+    def test_bytes_of_a_stranger_do_nothing(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.stop)
+        first, _ = cluster.add_many(2)
+        served = []
+        first.network.handle("echo", lambda peer, body: served.append(body))
+        self._send_as_stranger(first.node)
+        self.assertEqual(served, [])
+        self.assertTrue(cluster.agree(["n0", "n1"]))
+        self.assertTrue(wait_until(lambda: not first.network._unauthenticated))
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.binary(max_size=100), st.booleans())
+    def _send_as_stranger(self, node, data, framed):
+        if framed:
+            data = encode_frame(Frame("echo", 1, 0, {"x": data}))
+        with socket.create_connection((node.host, node.peer_port)) as sock:
+            sock.sendall(data)
+        gevent.sleep(0)
+
+
+class NewsStoreTests(unittest.TestCase):
+    ITEMS = st.lists(
+        st.tuples(st.sampled_from("ab"), st.integers(0, 5), st.integers(0, 2)),
+        max_size=12,
+    )
+
+    @EXAMPLES
+    @given(ITEMS, st.randoms(use_true_random=False))
+    def test_all_orders_of_items_end_in_the_same_state(self, items, random):
+        shuffled = random.sample(items, len(items))
+        digests = set()
+        for order in (items, shuffled, items + shuffled):
+            store = NewsStore()
+            newest: dict[str, int] = {}
+            for key, version, text in order:
+                store.merge(NewsItem.make("t", key, version, 0, {"x": text}), 0.0)
+                held = store.get("t", key).version
+                self.assertGreaterEqual(held, newest.get(key, 0))
+                newest[key] = held
+            digests.add((store.digest, tuple(store.buckets)))
+        self.assertEqual(len(digests), 1)
+
+    def test_a_flood_of_one_topic_leaves_the_others(self):
+        store = NewsStore(limit=20)
+        store.merge(NewsItem.make("member", "n1", 1, 0, {}), 0.0)
+        for index in range(100):
+            store.merge(NewsItem.make("flood", str(index), 1, 1000 + index, {}), 0.0)
+        self.assertEqual(len(store), 20)
+        self.assertIsNotNone(store.get("member", "n1"))
+
+    def test_expired_items_go_and_do_not_come_back(self):
+        store = NewsStore()
+        item = NewsItem.make("t", "k", 3, 100, {})
+        self.assertTrue(store.merge(item, 99.0))
+        store.drop_expired(100.0)
+        self.assertEqual((len(store), store.digest), (0, 0))
+        self.assertFalse(store.merge(item, 100.0))
--- a/tests/unit/test_peer_network.py
+++ b/tests/unit/test_peer_network.py
@@ -53,6 +53,8 @@
             for network, other in [(self.first, "n2"), (self.second, "n1")] * 5
         ]
         gevent.joinall(calls, raise_error=True)
+        for conns in (self.first._table, self.second._table):
+            self.networks.timers.subscribe("test", 0.1, conns.close_idle)
         short = mock.patch.object(connections, "DUPLICATE_IDLE_SECONDS", 0.1)
         self.enterContext(short)
         one_left = lambda: all(  # noqa: E731
