Reload the TLS key into new contexts and test TLS between nodes

Cause: a load that fails halfway can leave a context without its key. Change: a reload builds new contexts and replaces the old ones only when all is loaded; tests of encryption, a foreign authority and half a key change with certificates made for the tests. Conclusion: a half-replaced key leaves the old one in use.

--- a/src/rattanwick/internal/peers/tls.py
+++ b/src/rattanwick/internal/peers/tls.py
@@ -18,6 +18,7 @@
 from rattanwick.internal.base.settings import PeerSettings
 
 log = get_logger("peers")
+PEM_START = "-----BEGIN CERTIFICATE-----"
 PEM_END = "-----END CERTIFICATE-----"
 
 
@@ -30,15 +31,6 @@
 
     def __init__(self, settings: PeerSettings):
         self._settings = settings
-        self._server = SSLContext(PROTOCOL_TLS_SERVER)
-        self._client = SSLContext(PROTOCOL_TLS_CLIENT)
-        self._client.check_hostname = False
-        verify = CERT_REQUIRED if settings.tls_authority else CERT_NONE
-        for context in (self._server, self._client):
-            context.minimum_version = TLSVersion.TLSv1_2
-            context.verify_mode = verify
-            if settings.tls_authority:
-                context.load_verify_locations(settings.tls_authority)
         self._stamp = self._read_stamp()
         self._load()
 
@@ -72,11 +64,25 @@
         return tuple(os.stat(path).st_mtime_ns for path in paths)
 
     def _load(self) -> None:
+        # New contexts, because a failed load leaves a context without its key.
+        server = self._make_context(PROTOCOL_TLS_SERVER)
+        client = self._make_context(PROTOCOL_TLS_CLIENT)
+        self._digest = self._read_digest()
+        self._server, self._client = server, client
+
+    def _make_context(self, protocol: int) -> SSLContext:
         cfg = self._settings
-        with open(cfg.tls_certificate, encoding="ascii") as file:
+        context = SSLContext(protocol)
+        context.check_hostname = False
+        context.minimum_version = TLSVersion.TLSv1_2
+        context.verify_mode = CERT_REQUIRED if cfg.tls_authority else CERT_NONE
+        if cfg.tls_authority:
+            context.load_verify_locations(cfg.tls_authority)
+        context.load_cert_chain(cfg.tls_certificate, cfg.tls_key)
+        return context
+
+    def _read_digest(self) -> bytes:
+        with open(self._settings.tls_certificate, encoding="ascii") as file:
             first = file.read().partition(PEM_END)[0] + PEM_END
-        start = first.index("-----BEGIN CERTIFICATE-----")
-        digest = hashlib.sha256(PEM_cert_to_DER_cert(first[start:])).digest()
-        for context in (self._server, self._client):
-            context.load_cert_chain(cfg.tls_certificate, cfg.tls_key)
-        self._digest = digest
+        der = PEM_cert_to_DER_cert(first[first.index(PEM_START) :])
+        return hashlib.sha256(der).digest()
--- /dev/null
+++ b/tests/failure/test_peer_tls.py
@@ -0,0 +1,78 @@
+"""Connections between nodes are encrypted, and a new key is taken up."""
+
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+
+from rattanwick.internal.base.errors import Unavailable
+from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.peers.network import StreamPeerNetwork
+from tests.networks import SECRET, make_node, make_settings, wait_until
+
+DATA = Path(__file__).parent.parent / "data"
+
+
+class TlsTests(unittest.TestCase):
+    def setUp(self):
+        self.timers = GeventTimerService()
+        self.addCleanup(self.timers.stop)
+        self.nodes = {}
+
+    def _start(self, node_id: str, certificate: str, authority: str):
+        directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self._install(directory, certificate)
+        node = self.nodes[node_id] = make_node(node_id)
+        settings = make_settings(
+            node,
+            tls_certificate=str(directory / "node.pem"),
+            tls_key=str(directory / "node.key"),
+            tls_authority=str(DATA / authority),
+        )
+        network = StreamPeerNetwork(settings, node, self.nodes.get, self.timers, SECRET)
+        network.handle("echo", lambda peer, body: {"peer": peer, **body})
+        network.start()
+        self.addCleanup(network.stop)
+        return network, directory
+
+    def _install(self, directory: Path, certificate: str) -> None:
+        for suffix in ("pem", "key"):
+            shutil.copyfile(
+                DATA / f"peer-{certificate}.{suffix}", directory / f"node.{suffix}"
+            )
+
+    def test_large_messages_cross_in_both_directions(self):
+        first, _ = self._start("n1", "first", "peer-authority.pem")
+        second, _ = self._start("n2", "second", "peer-authority.pem")
+        data = b"x" * 900_000
+        for network, other in ((first, "n2"), (second, "n1")):
+            self.assertEqual(network.call(other, "echo", {"x": data}, 2.0)["x"], data)
+
+    def test_a_certificate_of_another_authority_is_refused(self):
+        self._start("n1", "first", "peer-first.pem")
+        stranger, _ = self._start("n2", "second", "peer-authority.pem")
+        with self.assertRaises(Unavailable):
+            stranger.call("n1", "echo", {}, 2.0)
+
+    def test_a_new_key_is_taken_up_and_half_a_change_is_not(self):
+        first, directory = self._start("n1", "first", "peer-authority.pem")
+        only_second, _ = self._start("n2", "second", "peer-second.pem")
+        shutil.copyfile(DATA / "peer-second.pem", directory / "node.pem")
+        self.assertFalse(first._tls.reload_if_changed())
+        with self.assertRaises(Unavailable):
+            only_second.call("n1", "echo", {}, 2.0)
+        both, _ = self._start("n3", "first", "peer-authority.pem")
+        self.assertEqual(both.call("n1", "echo", {}, 2.0)["peer"], "n3")
+        self._install(directory, "second")
+        self.assertTrue(first._tls.reload_if_changed())
+        self.assertEqual(only_second.call("n1", "echo", {}, 2.0)["peer"], "n2")
+
+    def test_a_plain_connection_is_refused(self):
+        self._start("n1", "first", "peer-authority.pem")
+        node = self.nodes["n3"] = make_node("n3")
+        plain = StreamPeerNetwork(
+            make_settings(node), node, self.nodes.get, self.timers, SECRET
+        )
+        with self.assertRaises(Unavailable):
+            plain.call("n1", "echo", {}, 2.0)
+        self.assertTrue(wait_until(lambda: not plain.is_connected("n1")))
