--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -4,6 +4,7 @@
 import tempfile
 import time
 from pathlib import Path
+from urllib.parse import urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "src")]
@@ -33,8 +34,8 @@
         "GET", node.host, node.caller_port, "/v1/entry", headers=authorization()
     )
     print(f"entry: {reply}")
-    chosen = reply["addresses"][0]
-    return chosen["host"], chosen["port"]
+    chosen = urlsplit(reply["addresses"][0])
+    return chosen.hostname, chosen.port
 
 
 def send_chat(host: str, port: int, trace_id: str) -> None:
--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -2,6 +2,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pywsgi import WSGIServer
 
 from rattanwick.internal.adapters import GrantSpending, ListDirectory, TableClaims
 from rattanwick.internal.base.errors import StepError
@@ -17,6 +18,7 @@
     RequestTable,
     Transcript,
 )
+from rattanwick.internal.operators.app import build_operator_application
 from rattanwick.internal.peers.drain import Drain as NodeDrain, DrainSteps
 from rattanwick.internal.peers.notices import NoticeWatch
 from rattanwick.internal.peers.parts import PeerParts, build_peers, read_secret
@@ -63,6 +65,7 @@
         self._build_routing()
         self._build_requests()
         self._build_drain()
+        self._build_operators()
 
     def _describe_node(self) -> Node:
         cfg = self.settings
@@ -176,6 +179,11 @@
         self.application: CallerApplication = build_application(self.services)
         self.server = CallerServer(cfg.callers, self.application, self.timers)
 
+    def _build_operators(self) -> None:
+        cfg = self.settings.operators
+        app = build_operator_application(lambda: self.ready, self.lists)
+        self.operator_server = WSGIServer((cfg.address, cfg.port), app, log=None)
+
     def _build_drain(self) -> None:
         peers = self.peers
         self.drain = NodeDrain(
@@ -219,6 +227,7 @@
         first request (specification ``lists``, variant "ready before the others
         know the node").
         """
+        self.operator_server.start()
         self.instances.refresh()
         self.peers.network.handle("claims.settle", self._adopt_settlement)
         self.peers.start()
--- /dev/null
+++ b/src/rattanwick/internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Interface for operators."""
--- a/src/rattanwick/internal/state/lists.py
+++ b/src/rattanwick/internal/state/lists.py
@@ -281,16 +281,16 @@
         return {"version": self._current.number}
 
     def unconfirmed(self, number: int) -> tuple[str, ...]:
-        """Return the listed nodes that have not confirmed a version."""
+        """Return the nodes that have not confirmed a version.
+
+        A node that peers know counts as well, because the instance list lags: a
+        node that has just started may serve before it is listed.
+        """
         confirmed = dict(self._confirmed_versions())
         confirmed[self._members.self_node.id] = self._current.number
-        return tuple(
-            sorted(
-                node.id
-                for node in self._instances.nodes()
-                if confirmed.get(node.id, 0) < number
-            )
-        )
+        known = {node.id for node in self._instances.nodes()}
+        known |= {node.id for node in self._members.live()}
+        return tuple(sorted(name for name in known if confirmed.get(name, 0) < number))
 
     def wait_confirmed(self, number: int) -> tuple[str, ...]:
         """Wait for all listed nodes; return those that have not confirmed."""
