Let scenario callers treat a broken response as cut off

Cause: a node that was killed while it streamed gave a parse error that ended the caller's task. Change: parse errors count as a cut-off answer, which the caller resumes.

--- a/scenarios/caller.py
+++ b/scenarios/caller.py
@@ -8,6 +8,7 @@
 
 import gevent
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 NETWORK_SECONDS = 30.0
 PAUSE_SECONDS = 0.1
@@ -22,6 +23,9 @@
     """Report an answer that broke off."""
 
 
+CUT_OFF = (OSError, HTTPParseError, ValueError, Stopped)
+
+
 @dataclass(slots=True)
 class CallRecord:
     """Hold what a caller sent and was told."""
@@ -83,7 +87,7 @@
         while time.monotonic() < limit and not record.outcome:
             try:
                 self._send_chat(record, address, body)
-            except (OSError, Stopped):
+            except CUT_OFF:
                 record.resumes += 1
                 if record.accepted:
                     self._resume_until(record, limit)
@@ -107,7 +111,7 @@
         while time.monotonic() < limit:
             try:
                 self._send_booking(record, address, body, pool)
-            except OSError:
+            except CUT_OFF:
                 # The answer was lost; only a repeat of the key can tell.
                 record.resumes += 1
                 record.outcome = UNKNOWN
@@ -216,7 +220,7 @@
             url = urlsplit(f"//{host}:{port}/v1/requests/{record.request_ids[-1]}")
             try:
                 self._get(record, url)
-            except (OSError, Stopped):
+            except CUT_OFF:
                 record.resumes += 1
             if not record.outcome:
                 gevent.sleep(PAUSE_SECONDS)
--- a/scenarios/records.py
+++ b/scenarios/records.py
@@ -53,7 +53,7 @@
 def read_ledgers(deployment) -> Ledgers:
     """Return the ledgers of all endpoints of a deployment."""
     entries = {
-        endpoint_id: deployment.endpoint(endpoint_id, "GET", "ledger")
+        endpoint_id: deployment.endpoint(endpoint_id, "GET", "ledger")["entries"]
         for endpoint_id in deployment.endpoints
     }
     by_request: Counter = Counter()
