Bound unwanted bodies, follow requests taken over, trace each step

Cause: a refused body was read to its end, however long; a request line could trickle in without a limit; an answer that another task grows was polled without a pause; only one span was opened for a request. Change: at most 1 MiB of an unwanted body is read for at most 1 s; request line, header and body have time limits; take_over runs a request from its text so far; spans for reserve, copy, place, attempt or call, claim and settle where the trace is kept.

--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -33,6 +33,13 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def resident_megabytes(pid: int) -> float:
+    """Return the resident memory of a process."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+
 class Server:
     """Hold a child process that prints its ports."""
 
@@ -101,6 +108,7 @@
     engine = {"id": "e1", **ENGINE, "first_token_seconds": 0.02, "token_seconds": 0.005}
     fake = Server("fakes.endpoints", [engine])
     node = Server("bench.relay_node", fake.ports)
+    print(f"idle resident memory: {resident_megabytes(node.process.pid):.1f} MB")
     targets = {"direct": fake.ports["e1"], "node": node.ports["port"]}
     clients = {name: Client(port) for name, port in targets.items()}
     medians, tails = [], []
--- a/src/rattanwick/internal/requests/app.py
+++ b/src/rattanwick/internal/requests/app.py
@@ -1,9 +1,11 @@
 """Falcon application for callers."""
 
 import falcon
+import gevent
 
 from rattanwick.internal.base.log import get_logger
-from rattanwick.internal.model.requests import RequestKind
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord
 from rattanwick.internal.requests.attempts import AttemptRunner
 from rattanwick.internal.requests.caller_errors import (
     CallerError,
@@ -17,11 +19,12 @@
 from rattanwick.internal.requests.endpoint_index import EndpointIndex
 from rattanwick.internal.requests.entry import EntryResource
 from rattanwick.internal.requests.fetch import AnswerFetch
-from rattanwick.internal.requests.runs import LiveRequests
+from rattanwick.internal.requests.runs import LiveRequests, Run, RunControl
 from rattanwick.internal.requests.service_calls import ServiceResource
 from rattanwick.internal.requests.service_client import ServiceClient
 from rattanwick.internal.requests.service_dispatch import ServiceDispatcher
 from rattanwick.internal.requests.services import Admission, RequestServices
+from rattanwick.internal.requests.spans import RequestSpans
 from rattanwick.internal.requests.stored import StoredAnswerResource
 
 log = get_logger("requests")
@@ -39,14 +42,20 @@
         self.connections = EndpointConnections()
         self.live = LiveRequests(services.table, timers)
         self.crashes = CrashRegister(services.news, timers)
-        attempts = AttemptRunner(services.router, endpoints, self.connections, timers)
-        self.dispatcher = Dispatcher(services.router, attempts, self.crashes, timers)
+        self.spans = RequestSpans(services.tracer)
+        attempts = AttemptRunner(
+            services.router, endpoints, self.connections, timers, self.spans
+        )
+        self.dispatcher = Dispatcher(
+            services.router, attempts, self.crashes, timers, self.spans
+        )
         self.service_dispatcher = ServiceDispatcher(
             services.router,
             endpoints,
             ServiceClient(self.connections, timers.wall),
             services.claims,
             timers,
+            self.spans,
         )
         self._add_resources(services)
         timers.subscribe("requests.clean", CLEAN_SECONDS, self._clean)
@@ -60,10 +69,12 @@
         }
         for kind, path in paths.items():
             resource = ModelResource(
-                kind, services, admission, self.dispatcher, self.live
+                kind, services, admission, self.dispatcher, self.live, self.spans
             )
             self.add_route(path, resource)
-        calls = ServiceResource(services, admission, self.service_dispatcher, self.live)
+        calls = ServiceResource(
+            services, admission, self.service_dispatcher, self.live, self.spans
+        )
         self.add_route("/v1/services/{name}/{path:path}", calls)
         fetch = AnswerFetch(services, self.live)
         stored = StoredAnswerResource(services, self.live, fetch)
@@ -73,6 +84,27 @@
         self.add_error_handler(Exception, _answer_fault)
         self.set_error_serializer(_serialize_http_error)
 
+    def take_over(
+        self, req: ServingRequest, text: str, tokens: int, restarted: bool = False
+    ) -> Run:
+        """Run a request of another node from its text so far, in its own task.
+
+        The node that accepted it has charged its allowance. A request that is
+        already here is not run a second time.
+        """
+        run = self.live.get(req.id)
+        if run is not None:
+            return run
+        record = RequestRecord(req)
+        record.transcript.append(text)
+        record.transcript.tokens = tokens
+        record.transcript.restarted = restarted
+        control = RunControl()
+        steps = self.dispatcher.steps(req, record.transcript, control)
+        run = self.live.start(record, steps, control, lambda run: None)
+        gevent.spawn(run.finish)
+        return run
+
     def _clean(self) -> None:
         self.live.drop_expired()
         self.connections.close_idle(self._endpoints.by_id)
--- a/src/rattanwick/internal/requests/attempts.py
+++ b/src/rattanwick/internal/requests/attempts.py
@@ -18,6 +18,7 @@
 from rattanwick.internal.requests.endpoint_index import EndpointIndex
 from rattanwick.internal.requests.engine_client import EngineStream
 from rattanwick.internal.requests.runs import TICK_SECONDS, RunControl
+from rattanwick.internal.requests.spans import RequestSpans
 from rattanwick.internal.routing.interfaces import Router
 
 HEDGE_LOST = "hedge_lost"
@@ -102,18 +103,20 @@
         endpoints: EndpointIndex,
         connections: EndpointConnections,
         timers: TimerService,
+        spans: RequestSpans,
     ):
         self._router = router
         self._endpoints = endpoints
         self._connections = connections
         self._timers = timers
         self._now = timers.now
+        self._spans = spans
 
     def place(
         self, req: ServingRequest, excluded: frozenset[str], control: RunControl
     ) -> Iterator[None]:
         """Wait for a placement; return an Attempt, or None when stopped."""
-        task = Task(self._router.place, req, excluded)
+        task = Task(self._place, req, excluded)
         control.abort = task.cancel
         granted = False
         try:
@@ -131,6 +134,10 @@
                     self._router.release(task.result, Usage(reason=STOPPED))
         return Attempt(self._router, task.value()) if granted else None
 
+    def _place(self, req: ServingRequest, excluded: frozenset[str]) -> Placement:
+        with self._spans.step(req, "place"):
+            return self._router.place(req, excluded)
+
     def _check_deadline(self, req: ServingRequest) -> None:
         if self._timers.wall() > req.deadline:
             raise Refused("place", req.pool, DEADLINE)
@@ -210,7 +217,7 @@
                     placing = None
                 elif not hedged and self._now() - started >= delay:
                     avoid = excluded | {first.endpoint_id}
-                    placing = Task(self._router.place, req, avoid)
+                    placing = Task(self._place, req, avoid)
                 yield
         finally:
             control.abort = None
--- a/src/rattanwick/internal/requests/chat.py
+++ b/src/rattanwick/internal/requests/chat.py
@@ -1,5 +1,7 @@
 """Resources for chat and completion requests."""
 
+from contextlib import ExitStack
+
 import falcon
 
 from rattanwick.internal.base.ids import new_request_id
@@ -33,6 +35,7 @@
     Admitted,
     RequestServices,
 )
+from rattanwick.internal.requests.spans import RequestSpans
 from rattanwick.internal.requests.validation import (
     check_chat_body,
     check_completion_body,
@@ -62,7 +65,9 @@
         admission: Admission,
         dispatcher: Dispatcher,
         live: LiveRequests,
+        spans: RequestSpans,
     ):
+        self._spans = spans
         self._kind = kind
         self._services = services
         self._admission = admission
@@ -74,15 +79,12 @@
         req.context.request_id = new_request_id()
         admitted = self._admission.check(req)
         serving = self._serving_request(req, admitted)
-        with self._services.tracer.span(
-            f"{self._kind} request", admitted.traceparent, request_id=serving.id
-        ) as span:
-            serving.traceparent = self._services.tracer.header(span)
-        reservation = self._reserve(serving)
-        copy = RequestCopy(
-            self._services.keepers, serving, self._services.members.self_node.id
-        )
-        run = self._start(serving, reservation, copy)
+        with ExitStack() as stack:
+            self._spans.request(serving, admitted.traceparent, stack)
+            reservation = self._reserve(serving)
+            node_id = self._services.members.self_node.id
+            copy = RequestCopy(self._services.keepers, serving, node_id, self._spans)
+            run = self._start(serving, reservation, copy, stack.pop_all())
         if serving.stream:
             self._answer_stream(run, copy, resp)
         else:
@@ -116,14 +118,20 @@
 
     def _reserve(self, serving: ServingRequest) -> Reservation:
         tokens = serving.prompt_tokens + serving.max_output_tokens
-        reserved = self._services.grants.reserve(serving.plan, serving.pool, tokens)
+        with self._spans.step(serving, "reserve"):
+            grants = self._services.grants
+            reserved = grants.reserve(serving.plan, serving.pool, tokens)
         if isinstance(reserved, NotRun):
             REQUESTS.labels(self._kind, NotRun.tag).inc()
             raise outcome_error(reserved)
         return reserved
 
     def _start(
-        self, serving: ServingRequest, reservation: Reservation, copy: RequestCopy
+        self,
+        serving: ServingRequest,
+        reservation: Reservation,
+        copy: RequestCopy,
+        span: ExitStack,
     ) -> Run:
         record = RequestRecord(serving)
         control = RunControl()
@@ -135,7 +143,9 @@
             outcome = transcript.outcome
             unrun = isinstance(outcome, NotRun)
             used = 0 if unrun else serving.prompt_tokens + transcript.tokens
-            self._services.grants.settle(reservation, used)
+            with self._spans.step(serving, "settle"):
+                self._services.grants.settle(reservation, used)
+            span.close()
             if outcome is None:
                 return  # handed over: the keeper's copy is still needed
             copy.drop()
--- a/src/rattanwick/internal/requests/copies.py
+++ b/src/rattanwick/internal/requests/copies.py
@@ -8,6 +8,7 @@
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.model.requests import ServingRequest
 from rattanwick.internal.peers.interfaces import Keepers
+from rattanwick.internal.requests.spans import RequestSpans
 
 log = get_logger("requests")
 
@@ -20,9 +21,25 @@
 class RequestCopy:
     """Send the copy of one request and tell when it was acknowledged."""
 
-    __slots__ = ("_done", "_keepers", "_message", "_stopped", "copies")
+    __slots__ = (
+        "_done",
+        "_keepers",
+        "_message",
+        "_req",
+        "_spans",
+        "_stopped",
+        "copies",
+    )
 
-    def __init__(self, keepers: Keepers, req: ServingRequest, node_id: str):
+    def __init__(
+        self,
+        keepers: Keepers,
+        req: ServingRequest,
+        node_id: str,
+        spans: RequestSpans,
+    ):
+        self._req = req
+        self._spans = spans
         self._keepers = keepers
         self._message = {**req.to_message(), "node": node_id}
         self._done = Event()
@@ -53,7 +70,8 @@
 
     def _try(self, timeout: float) -> int:
         try:
-            copies = self._keepers.copy(self._message, timeout)
+            with self._spans.step(self._req, "copy"):
+                copies = self._keepers.copy(self._message, timeout)
         except StepError as exc:
             log.info("copy failed: %s", exc)
             copies = 0
--- a/src/rattanwick/internal/requests/dispatch.py
+++ b/src/rattanwick/internal/requests/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatcher of model requests: placement, attempts and resumption."""
 
 from collections.abc import Iterator
+from contextlib import ExitStack
 
 from rattanwick.internal.base.errors import (
     ConnectionLost,
@@ -22,6 +23,7 @@
 from rattanwick.internal.requests.crashes import REASON as CRASHES, CrashRegister
 from rattanwick.internal.requests.engine_client import EngineRefused
 from rattanwick.internal.requests.runs import TICK_SECONDS, RunControl
+from rattanwick.internal.requests.spans import RequestSpans
 from rattanwick.internal.routing.interfaces import Router
 
 log = get_logger("requests")
@@ -58,7 +60,9 @@
         attempts: AttemptRunner,
         crashes: CrashRegister,
         timers: TimerService,
+        spans: RequestSpans,
     ):
+        self._spans = spans
         self._router = router
         self._attempts = attempts
         self._crashes = crashes
@@ -113,6 +117,10 @@
         progress.tokens_before = transcript.tokens
         error: StepError | None = None
         reason = STOPPED
+        span = ExitStack()
+        span.enter_context(
+            self._spans.step(req, "attempt", endpoint=attempt.endpoint_id)
+        )
         try:
             attempt = yield from self._open(attempt, req, transcript, control, progress)
             yield from self._stream(attempt, req, transcript, control)
@@ -123,6 +131,7 @@
             control.abort = None
             progress.sent = progress.sent or attempt.sent
             usage = attempt.end(reason)
+            span.close()
             self._count(usage, progress, transcript)
         if error is not None and not control.stopped:
             self._note_failure(req, attempt, error, progress)
--- a/src/rattanwick/internal/requests/fetch.py
+++ b/src/rattanwick/internal/requests/fetch.py
@@ -78,11 +78,13 @@
         if record is None or record.req.organisation != organisation:
             return {"found": False, "holder": self._services.copy_holder(request_id)}
         run = self._live.get(request_id)
-        if wait > 0 and run is not None:
+        if run is not None:
             run.followers += 1
-            try:
+        try:
+            if wait > 0:
                 record.transcript.wait(offset, wait)
-            finally:
+        finally:
+            if run is not None:
                 run.followers -= 1
         return _reply(record, offset, self._live.moved_address(request_id))
 
--- a/src/rattanwick/internal/requests/relay.py
+++ b/src/rattanwick/internal/requests/relay.py
@@ -6,7 +6,7 @@
 from rattanwick.internal.model.requests import ServingRequest
 from rattanwick.internal.model.transcripts import RequestRecord, Transcript
 from rattanwick.internal.requests.events import KEEP_ALIVE, AnswerFormat, moved_event
-from rattanwick.internal.requests.runs import LiveRequests, Run
+from rattanwick.internal.requests.runs import TICK_SECONDS, LiveRequests, Run
 
 KEEP_ALIVE_SECONDS = 10.0
 OVERDUE_SECONDS = 5.0  # past the deadline, after which a relay stops waiting
@@ -84,14 +84,15 @@
         self._run.followers -= 1
 
 
-class FinishedAnswer(AnswerSource):
-    """Repeat an answer that is whole."""
+class KeptRecord(AnswerSource):
+    """Repeat an answer that is whole, or that grows without a run of this node."""
 
     def __init__(self, record: RequestRecord):
         self.record = record
 
     def advance(self) -> None:
-        """Wait for nothing."""
+        """Wait for whatever adds to the answer."""
+        self.transcript.wait(self.transcript.length, TICK_SECONDS)
 
     def moved_address(self) -> str:
         """Return empty; the answer is here."""
--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -16,6 +16,7 @@
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.requests.caller_errors import OUTCOME_HEADER, error_body
 from rattanwick.internal.requests.close_watch import CONNECTION_KEY
+from rattanwick.internal.requests.services import BODY_READ_KEY
 
 log = get_logger("requests")
 
@@ -23,6 +24,8 @@
 CONNECTIONS_PER_REQUEST = 4  # connections for each request that may be in flight
 HEADER_SECONDS = 10.0  # time to send a whole header
 IDLE_SECONDS = 75.0  # silence on a connection, also while a caller reads nothing
+DISCARD_BYTES = 1 << 20  # of an unwanted body
+DISCARD_SECONDS = 1.0
 KEY_CHECK_SECONDS = 10.0
 BACKLOG = 1024
 
@@ -99,6 +102,13 @@
         finally:
             self.server.idle.discard(conn)
 
+    def read_requestline(self):
+        """Wait for a request, then read its first line within the time limit."""
+        if not self.rfile.peek(1):
+            return ""
+        with gevent.Timeout(HEADER_SECONDS, TimeoutError("header took too long")):
+            return super().read_requestline()
+
     def MessageClass(self, rfile, seekable=0):  # noqa: N802 (name of the base class)
         """Read the header within its limits of size and time."""
         with gevent.Timeout(HEADER_SECONDS, TimeoutError("header took too long")):
@@ -139,10 +149,39 @@
         elif not issubclass(t, gevent.GreenletExit):
             log.error("request failed", exc_info=(t, v, tb))
 
+    def run_application(self):
+        """Answer, and read no more than a little of a body that was not wanted."""
+        try:
+            super().run_application()
+        finally:
+            has_body = self.content_length or "HTTP_TRANSFER_ENCODING" in self.environ
+            if has_body and not self.environ.get(BODY_READ_KEY):
+                self._discard_some()
+
+    def _discard_some(self) -> None:
+        """Let a caller that still sends read the answer before the connection ends.
+
+        The base class would read the rest of the body, however long it is.
+        """
+        try:
+            with gevent.Timeout(DISCARD_SECONDS, TimeoutError("body is late")):
+                self.wsgi_input.read(DISCARD_BYTES)
+        except OSError:
+            pass
+        self.wsgi_input = _NoInput()
+        self.close_connection = True
+
     def log_request(self):
         """Write no access log; metrics and traces tell more."""
 
 
+class _NoInput:
+    """Stand for a body of which nothing more is read."""
+
+    def _discard(self) -> None:
+        """Read nothing."""
+
+
 def _refusal(status: str, message: str) -> bytes:
     """Return a whole response for a request that cannot be read."""
     body = json.dumps(error_body(message, "invalid_request", message.split(":")[0]))
--- a/src/rattanwick/internal/requests/service_calls.py
+++ b/src/rattanwick/internal/requests/service_calls.py
@@ -1,6 +1,7 @@
 """Resource for calls to plain services."""
 
 import hashlib
+from contextlib import ExitStack
 from urllib.parse import quote
 
 import falcon
@@ -30,6 +31,7 @@
     Admitted,
     RequestServices,
 )
+from rattanwick.internal.requests.spans import RequestSpans
 from rattanwick.internal.requests.validation import (
     check_key,
     check_service_path,
@@ -50,7 +52,9 @@
         admission: Admission,
         dispatcher: ServiceDispatcher,
         live: LiveRequests,
+        spans: RequestSpans,
     ):
+        self._spans = spans
         self._services = services
         self._admission = admission
         self._dispatcher = dispatcher
@@ -73,13 +77,11 @@
             body_digest=_body_digest(serving),
             deadline=serving.deadline,
         )
-        with self._services.tracer.span(
-            "service request", admitted.traceparent, request_id=serving.id
-        ) as span:
-            serving.traceparent = self._services.tracer.header(span)
-        reservation = self._reserve(serving)
         resp.set_header(KEY_HEADER, key)
-        self._run(call, serving, reservation, callers_key is not None, resp)
+        with ExitStack() as stack:
+            self._spans.request(serving, admitted.traceparent, stack)
+            reservation = self._reserve(serving)
+            self._run(call, serving, reservation, callers_key is not None, resp)
 
     def _serving_request(
         self, req: falcon.Request, admitted: Admitted, name: str, path: str
@@ -109,7 +111,8 @@
         )
 
     def _reserve(self, serving: ServingRequest) -> Reservation:
-        reserved = self._services.grants.reserve(serving.plan, serving.pool, 0)
+        with self._spans.step(serving, "reserve"):
+            reserved = self._services.grants.reserve(serving.plan, serving.pool, 0)
         if isinstance(reserved, NotRun):
             REQUESTS.labels(serving.kind, NotRun.tag).inc()
             raise outcome_error(reserved)
--- a/src/rattanwick/internal/requests/service_dispatch.py
+++ b/src/rattanwick/internal/requests/service_dispatch.py
@@ -19,6 +19,7 @@
     ServiceClient,
     provably_not_run,
 )
+from rattanwick.internal.requests.spans import RequestSpans
 from rattanwick.internal.routing.interfaces import Router
 
 log = get_logger("requests")
@@ -42,7 +43,9 @@
         client: ServiceClient,
         claims: Claims,
         timers: TimerService,
+        spans: RequestSpans,
     ):
+        self._spans = spans
         self._router = router
         self._endpoints = endpoints
         self._client = client
@@ -61,13 +64,15 @@
             if known is not None:
                 return known
         try:
-            placement = self._router.place(record.req, frozenset())
+            with self._spans.step(record.req, "place"):
+                placement = self._router.place(record.req, frozenset())
         except StepError as exc:
             self._finish(record, NotRun(exc.reason, retry_after=1.0))
             return None
         claimed = None
         try:
-            claimed = self._claims.claim(call)
+            with self._spans.step(record.req, "claim"):
+                claimed = self._claims.claim(call)
         except StepError as exc:
             # The caller of a claim that may have been written dispatches nothing,
             # and no other node may: the call can never run.
@@ -80,7 +85,8 @@
         if not isinstance(claimed, Claimed):
             return claimed
         outcome, answer = self._dispatch(claimed, record, placement)
-        self._claims.settle(claimed, outcome, answer)
+        with self._spans.step(record.req, "settle"):
+            self._claims.settle(claimed, outcome, answer)
         self._finish(record, outcome, answer)
         return None
 
@@ -110,7 +116,8 @@
             started = self._timers.now()
             reason = "stopped"
             try:
-                answer = self._send(placement, req, claimed)
+                with self._spans.step(req, "call", endpoint=placement.endpoint_id):
+                    answer = self._send(placement, req, claimed)
                 reason = ""
                 return Answered(), answer
             except StepError as exc:
--- a/src/rattanwick/internal/requests/services.py
+++ b/src/rattanwick/internal/requests/services.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import falcon
+import gevent
 
 from rattanwick.internal.base.settings import CallerSettings
 from rattanwick.internal.base.timers import TimerService
@@ -34,6 +35,7 @@
 from rattanwick.internal.requests.validation import body_too_large, read_deadline
 from rattanwick.internal.routing.interfaces import Router
 
+BODY_READ_KEY = "rattanwick.body_read"  # WSGI environment, tells the server
 BODY_SECONDS = 30.0  # time for a caller to send a body
 
 
@@ -99,14 +101,17 @@
         limit = self._services.settings.max_body_bytes
         if (req.content_length or 0) > limit:
             raise body_too_large(limit)
+        late = invalid("body", f"took longer than {BODY_SECONDS:g} s", status=408)
         try:
-            body = req.env["wsgi.input"].read(limit + 1)
+            with gevent.Timeout(BODY_SECONDS, late):
+                body = req.env["wsgi.input"].read(limit + 1)
         except OSError as exc:
             raise invalid("body", f"could not be read: {exc}")
         if len(body) > limit:
             raise body_too_large(limit)
         if req.content_length and len(body) < req.content_length:
             raise invalid("body", "ended before Content-Length")
+        req.env[BODY_READ_KEY] = True
         return body
 
     def allowance(self, caller: Caller, pool: str, field: str) -> Allowance:
--- a/src/rattanwick/internal/requests/stored.py
+++ b/src/rattanwick/internal/requests/stored.py
@@ -15,8 +15,8 @@
 from rattanwick.internal.requests.interfaces import Caller
 from rattanwick.internal.requests.relay import (
     AnswerSource,
-    FinishedAnswer,
     FollowedRun,
+    KeptRecord,
     relay_events,
 )
 from rattanwick.internal.requests.runs import LiveRequests
@@ -73,7 +73,7 @@
             run = self._live.get(request_id)
             if run is not None:
                 return FollowedRun(run)
-            return FinishedAnswer(record)
+            return KeptRecord(record)
         found = self._fetch.find(request_id, caller.organisation)
         if found is None:
             raise _not_found()
--- a/tests/failure/test_callers_and_drain.py
+++ b/tests/failure/test_callers_and_drain.py
@@ -11,12 +11,17 @@
 
 from fakes.collaborators import MemoryPeers, node, request_services
 from fakes.endpoint_text import chat_text_of as chat_text
+from rattanwick.internal.base.outcomes import Answered
 from rattanwick.internal.base.settings import CallerSettings
-from rattanwick.internal.requests import runs
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord
+from rattanwick.internal.requests import runs, server, services
 from rattanwick.internal.requests.app import build_application
+from rattanwick.internal.requests.interfaces import Allowance
 from rattanwick.internal.requests.server import CallerServer, TlsKeys
 from tests.request_case import (
     CHAT,
+    SERVICE,
     Caller,
     RequestCase,
     chat_body,
@@ -102,6 +107,61 @@
         self.assertEqual(text_of(caller.answer().body), chat_text(prompt))
 
 
+class TakeOverTests(RequestCase):
+    def test_a_request_taken_over_goes_on_after_the_text_that_came_with_it(self):
+        prompt = "taken over #tokens=20"
+        tokens = chat_text(prompt).split(" ")[1:8]
+        text = "".join(f" {token}" for token in tokens)
+        now = self.timers.wall()
+        req = ServingRequest(
+            id="req_other",
+            kind=RequestKind.CHAT,
+            organisation="org-a",
+            plan="gold",
+            pool="rattan",
+            body=chat_body(prompt),
+            stream=True,
+            deadline=now + 10,
+            received=now,
+            prompt_tokens=5,
+            max_output_tokens=100,
+        )
+        run = self.app.take_over(req, text, len(tokens))
+        self.assertIs(self.app.take_over(req, text, len(tokens)), run)
+        answer = self.call("GET", f"/v1/requests/req_other?offset={len(text)}")
+        self.assertEqual(text + text_of(answer.body), chat_text(prompt))
+        self.assertEqual(self.ledger("e1")[0].output_tokens, 13)
+
+    def test_a_restarted_answer_is_sent_whole_and_marked(self):
+        # A sampled answer may differ, so the text before the offset is void.
+        prompt = "restarted #tokens=6"
+        now = self.timers.wall()
+        body = chat_body(prompt)
+        req = ServingRequest(
+            "req_again", RequestKind.CHAT, "org-a", "gold", "rattan", body, True,
+            now + 10, now, 5, 100,
+        )  # fmt: skip
+        self.app.take_over(req, "", 0, restarted=True)
+        answer = self.call("GET", "/v1/requests/req_again?offset=9")
+        self.assertEqual(text_of(answer.body), chat_text(prompt))
+        self.assertEqual(answer.headers["rattanwick-restarted"], "true")
+
+    def test_a_record_that_another_task_fills_is_followed_to_its_end(self):
+        now = self.timers.wall()
+        req = ServingRequest(
+            "req_kept", RequestKind.CHAT, "org-a", "gold", "rattan", {}, True,
+            now + 10, now, 5, 100,
+        )  # fmt: skip
+        record = RequestRecord(req)
+        self.services.table.put(record)
+        task = gevent.spawn(self.call, "GET", "/v1/requests/req_kept")
+        for text in ("one", "two"):
+            gevent.sleep(0.02)
+            record.transcript.append(text)
+        record.transcript.finish(Answered())
+        self.assertEqual(text_of(task.get(timeout=2).body), "onetwo")
+
+
 class DrainTests(RequestCase):
     engine = {"first_token_seconds": 0.0, "token_seconds": 0.005}
 
@@ -151,6 +211,29 @@
         self.app.live.hand_off_callers(next(iter(self.app.live._runs)), OTHER)
         self.assertEqual(task.get(timeout=1.0).status, 303)
 
+    def test_a_caller_is_redirected_while_two_attempts_race(self):
+        # Stopping a race must free both placements, opened or not.
+        self.services.directory.default = Allowance(10**9, 10**9, 4096, hedge=True)
+        self.services.router.hedge_after = 0.02
+        for name in ("e1", "e2"):
+            self.fakes[name].engine.spec.first_token_seconds = 3.0
+        task = gevent.spawn(self.chat, "racing")
+        self.until(lambda: self.ledger("e2"))
+        self.app.live.hand_off_callers(next(iter(self.app.live._runs)), OTHER)
+        self.assertEqual(task.get(timeout=1.0).status, 303)
+        self.assertEqual(sum(self.services.router.in_flight.values()), 0)
+        self.assertEqual(self.services.grants.open, 0)
+
+    def test_a_service_call_is_not_handed_off(self):
+        # It was sent, so only this node can tell its outcome.
+        self.fakes["s1"].call_seconds = 0.1
+        task = gevent.spawn(self.call, "POST", SERVICE, b"{}")
+        self.until(lambda: self.ledger("s1"))
+        request_id = next(iter(self.app.live._runs))
+        self.app.live.stop_attempt(request_id)
+        self.app.live.hand_off_callers(request_id, OTHER)
+        self.assertEqual(task.get().outcome, "answered")
+
     def test_a_graceful_stop_waits_for_the_request_in_flight(self):
         prompt = "finish #tokens=40"
         caller = self.stream(prompt, 2)
@@ -162,6 +245,39 @@
         self.assertTrue(stopping.get(timeout=2.0))
 
 
+class TraceTests(RequestCase):
+    """Each step of a kept trace is a span under the caller's."""
+
+    parent = "00-" + "a" * 32 + "-" + "b" * 16
+
+    def spans_of(self, path: str, body, flags: str) -> list[str]:
+        names = []
+        tracer = self.services.tracer
+        original = tracer.span
+
+        def span(name, parent=None, **attributes):
+            names.append((name, parent[3:35]))
+            return original(name, parent, **attributes)
+
+        tracer.span = span
+        traceparent = f"{self.parent}-{flags}"
+        answer = self.call("POST", path, body, traceparent=traceparent)
+        self.assertEqual(answer.outcome, "answered")
+        self.assertEqual({trace for _, trace in names}, {"a" * 32})
+        return sorted(name for name, _ in names)
+
+    def test_a_kept_trace_has_a_span_for_each_step(self):
+        body = chat_body("traced #tokens=2")
+        wanted = ["attempt", "chat request", "copy", "place", "reserve", "settle"]
+        self.assertEqual(self.spans_of(CHAT, body, "01"), wanted)
+        wanted = ["call", "claim", "place", "reserve", "service request", "settle"]
+        self.assertEqual(self.spans_of(SERVICE, b"{}", "01"), wanted)
+
+    def test_a_trace_that_is_not_kept_costs_one_span(self):
+        body = chat_body("traced #tokens=2")
+        self.assertEqual(self.spans_of(CHAT, body, "00"), ["chat request"])
+
+
 class CopyTests(RequestCase):
     def test_headers_wait_for_the_copy_of_the_request(self):
         self.services.keepers.delay = 0.1
@@ -214,6 +330,15 @@
         )
         self.assertIn(b" 413 ", self.raw(head + chunk * 4 + b"0\r\n\r\n"))
 
+    def test_an_endless_body_is_not_read_to_its_end(self):
+        head = (
+            b"POST /v1/completions HTTP/1.1\r\nHost: n\r\nContent-Length: 99999999999"
+        )
+        started = time.monotonic()
+        received = self.raw(head + b"\r\n\r\n" + b"x" * 50_000)
+        self.assertIn(b" 401 ", received)
+        self.assertLess(time.monotonic() - started, 3.0)
+
     def test_oversized_headers_are_refused_with_a_clear_error(self):
         head = b"GET /v1/entry HTTP/1.1\r\nHost: n\r\nX-Long: " + b"x" * 20_000
         received = self.raw(head + b"\r\n\r\n")
@@ -234,6 +359,21 @@
                 received = self.raw(head + b"\r\n\r\nxx")
                 self.assertTrue(received.startswith(b"HTTP/1.1 400 "), received[:80])
 
+    def test_a_body_that_does_not_come_is_refused(self):
+        self.addCleanup(setattr, services, "BODY_SECONDS", services.BODY_SECONDS)
+        services.BODY_SECONDS = 0.05
+        head = (
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nConnection: close\r\n"
+            b"Authorization: Bearer key-a\r\nContent-Length: 9\r\n\r\n{"
+        )
+        self.assertIn(b" 408 ", self.raw(head))
+
+    def test_a_header_that_does_not_end_closes_the_connection(self):
+        self.addCleanup(setattr, server, "HEADER_SECONDS", server.HEADER_SECONDS)
+        server.HEADER_SECONDS = 0.05
+        self.assertEqual(self.raw(b"GET /v1/en"), b"")
+        self.assertIn(b" 400 ", self.raw(b"GET /v1/entry HTTP/1.1\r\nHost: n\r\n"))
+
     def test_more_requests_than_allowed_are_not_run(self):
         self.fakes["e1"].engine.spec.first_token_seconds = 0.2
         first = gevent.spawn(self.chat, "one #tokens=1")
--- a/tests/property/test_answer_offsets.py
+++ b/tests/property/test_answer_offsets.py
@@ -17,7 +17,7 @@
 from rattanwick.internal.model.transcripts import RequestRecord, Transcript
 from rattanwick.internal.requests.connections import EndpointConnections
 from rattanwick.internal.requests.engine_client import EngineStream
-from rattanwick.internal.requests.relay import FinishedAnswer, relay_events
+from rattanwick.internal.requests.relay import KeptRecord, relay_events
 from tests.request_case import events_of, text_of
 
 TEXTS = st.lists(st.text(min_size=1, max_size=8), max_size=12)
@@ -38,7 +38,7 @@
         transcript.finish(Answered())
         record = RequestRecord(serving(), transcript)
         whole = "".join(texts)
-        source = FinishedAnswer(record)
+        source = KeptRecord(record)
         body = b"".join(relay_events(source, offset, lambda: 0.0, lambda: 0.0))
         self.assertEqual(text_of(body), whole[offset:])
         position = min(offset, len(whole))
