Resume answers by generation and offset, at any node

Cause: the model checker found that resumption by offset alone mixes two texts, and two parts answered request.fetch with different formats. A request of a reclaimed data centre that was not streamed ended as unknown, because its task saw the end of the local run before the new holder was known. Streams lost with a reclaimed endpoint counted as crashes where only news told of the reclaim. Change: transcripts carry a lineage of generations, events and moved answers name the generation, and a caller whose text is of another generation gets the whole answer again. The request path uses the peers' fetcher. Waiting for the new holder ends with the answer that the drain relays. The endpoint index follows news.

--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -200,11 +200,9 @@
 
     def endpoint(self, endpoint_id: str, method: str, path: str, body=None):
         """Call the interface for tests of an endpoint, also of one that is down."""
-        config = self.endpoints[endpoint_id]
-        helper = next(
-            item for item in self.endpoints.values() if item["id"] != endpoint_id
-        )
-        for target in (config, helper):
+        # Every endpoint of the process answers for the others.
+        others = [item for item in self.endpoints.values() if item["id"] != endpoint_id]
+        for target in (self.endpoints[endpoint_id], *others):
             full = f"/_fake/endpoints/{endpoint_id}/{path}"
             try:
                 status, reply = http_json(
--- a/scenarios/caller.py
+++ b/scenarios/caller.py
@@ -40,6 +40,7 @@
     not_run_ids: list[str] = field(default_factory=list)
     accepted: bool = False
     text: str = ""
+    last_event: str = ""  # id of the last event with text
     outcome: str = ""
     reason: str = ""
     restarts: int = 0
@@ -185,7 +186,7 @@
 
     def _read_events(self, record: CallRecord, response) -> None:
         if response.get("rattanwick-restarted") == "true":
-            record.text = ""
+            record.text = record.last_event = ""
             record.restarts += 1
         for event in iter_events(response):
             if event.get("event") == "rattanwick.moved":
@@ -193,11 +194,12 @@
                 record.moves += 1
                 url = f"//{moved['address'].removeprefix('http://')}"
                 path = f"/v1/requests/{moved['request_id']}"
-                self._get(record, urlsplit(url + path), event.get("id", ""))
+                self._get(record, urlsplit(url + path))
                 return
             if event.get("data") == "[DONE]":
                 return
             self._apply(record, json.loads(event.get("data", "{}")))
+            record.last_event = event.get("id", record.last_event)
             if record.outcome and record.outcome != ANSWERED:
                 return
         if not record.outcome:
@@ -225,15 +227,12 @@
             if not record.outcome:
                 gevent.sleep(PAUSE_SECONDS)
 
-    def _get(self, record: CallRecord, url, last_event: str = "") -> None:
+    def _get(self, record: CallRecord, url) -> None:
         """Resume at an address, after the text that has been received."""
         client = _connect((url.hostname, url.port))
         headers = self.headers()
-        if last_event:
-            headers["Last-Event-ID"] = last_event
-        elif record.text:
-            request_id = url.path.rsplit("/", 1)[-1]
-            headers["Last-Event-ID"] = f"{request_id}:{len(record.text)}"
+        if record.last_event:
+            headers["Last-Event-ID"] = record.last_event
         path = url.path + (f"?{url.query}" if url.query else "")
         try:
             response = client.request("GET", path, headers=headers)
--- a/src/rattanwick/internal/base/ids.py
+++ b/src/rattanwick/internal/base/ids.py
@@ -16,6 +16,11 @@
     return secrets.token_hex(16)
 
 
+def new_generation() -> str:
+    """Return the id of one generation of a request's text."""
+    return secrets.token_hex(4)
+
+
 def new_incarnation() -> int:
     """Return a number that grows with each start of a process."""
     return int(time.time() * 1000)
--- a/src/rattanwick/internal/model/transcripts.py
+++ b/src/rattanwick/internal/model/transcripts.py
@@ -21,6 +21,7 @@
         "_starts",
         "finish_reason",
         "length",
+        "lineage",
         "outcome",
         "restarted",
         "tokens",
@@ -31,6 +32,9 @@
         self._starts: list[int] = []
         self._changed = Event()
         self.length = 0  # characters
+        # (generation id, offset at which it started); two nodes can generate the
+        # same request, and each generation can give another text.
+        self.lineage: list[tuple[str, int]] = []
         self.tokens = 0
         self.outcome: Outcome | None = None
         self.finish_reason = ""
@@ -46,6 +50,23 @@
         self.tokens += 1
         self._changed.set()
 
+    @property
+    def generation(self) -> str:
+        """Return the id of the current generation."""
+        return self.lineage[-1][0] if self.lineage else ""
+
+    def begin_generation(self, generation: str) -> None:
+        """Note that what follows comes from a new generation."""
+        self.lineage.append((generation, self.length))
+
+    def contains(self, generation: str, offset: int) -> bool:
+        """Tell whether this text has what a generation gave before an offset."""
+        ends = [start for _, start in self.lineage[1:]] + [self.length]
+        for (known, _), end in zip(self.lineage, ends, strict=True):
+            if known == generation:
+                return offset <= end
+        return False
+
     def finish(self, outcome: Outcome, finish_reason: str = "stop") -> None:
         """Set the outcome; only the first one counts."""
         if self.outcome is None:
@@ -95,6 +116,7 @@
     finished_at: float | None = None  # monotonic seconds
     moved_to: str = ""  # node that took the request over
     endpoint_id: str = ""
+    followed_at: float = 0.0  # monotonic seconds, last question of another node
     started_at: float = 0.0  # monotonic seconds
 
 
--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -175,6 +175,7 @@
             timers=self.timers,
             tracer=self.tracer,
             table=self.requests,
+            fetcher=peers.fetcher,
         )
         self.application: CallerApplication = build_application(self.services)
         self.server = CallerServer(cfg.callers, self.application, self.timers)
--- a/src/rattanwick/internal/peers/fetch.py
+++ b/src/rattanwick/internal/peers/fetch.py
@@ -10,8 +10,14 @@
     RequestRecord,
     RequestTable,
     StoredAnswer,
+    Transcript,
+)
+from rattanwick.internal.peers.finals import (
+    pack_answer,
+    unpack_answer,
+    unpack_final,
+    unpack_lineage,
 )
-from rattanwick.internal.peers.finals import pack_answer, unpack_answer, unpack_final
 from rattanwick.internal.peers.interfaces import PeerNetwork
 from rattanwick.internal.peers.keepers import keeper_order
 from rattanwick.internal.peers.kept import KeptRequest, KeptStore
@@ -47,6 +53,10 @@
     finish_reason: str = ""
     restarted: bool = False
     answer: StoredAnswer | None = None
+    lineage: list[tuple[str, int]] = field(default_factory=list)
+    mismatch: bool = False  # the text is of another generation than asked for
+    tokens: int = 0
+    request: dict = field(default_factory=dict)  # without its body
     nodes: list[str] = field(default_factory=list)
 
     def to_body(self) -> dict:
@@ -60,6 +70,10 @@
             "finish_reason": self.finish_reason,
             "restarted": self.restarted,
             "answer": pack_answer(self.answer),
+            "lineage": self.lineage,
+            "mismatch": self.mismatch,
+            "tokens": self.tokens,
+            "request": self.request,
             "nodes": self.nodes,
         }
 
@@ -76,6 +90,10 @@
                 body["finish_reason"],
                 body["restarted"],
                 unpack_answer(body["answer"]),
+                unpack_lineage(body["lineage"]),
+                body["mismatch"],
+                body["tokens"],
+                body["request"],
                 body["nodes"],
             )
         except (KeyError, TypeError, ValueError) as exc:
@@ -101,12 +119,21 @@
         network.handle("request.fetch", self._on_fetch)
 
     def fetch(
-        self, request_id: str, organisation: str, offset: int, wait: float
+        self,
+        request_id: str,
+        organisation: str,
+        offset: int,
+        wait: float,
+        generation: str = "",
     ) -> FetchReply:
-        """Return text after an offset, waiting up to ``wait`` seconds for more."""
+        """Return text after an offset, waiting up to ``wait`` seconds for more.
+
+        ``generation`` is the one that the text before the offset came from. The
+        reply starts at 0 and is marked where the holder has another text.
+        """
         due = self._timers.now() + wait
         while True:
-            reply = self._ask_all(request_id, organisation, offset, due)
+            reply = self._ask_all(request_id, organisation, offset, due, generation)
             left = due - self._timers.now()
             settled = reply.state in (FetchState.HERE, FetchState.ABSENT)
             if settled or left <= 0:
@@ -114,7 +141,12 @@
             self._timers.sleep(min(PENDING_SECONDS, left))
 
     def local(
-        self, request_id: str, organisation: str, offset: int, wait: float
+        self,
+        request_id: str,
+        organisation: str,
+        offset: int,
+        wait: float,
+        generation: str = "",
     ) -> FetchReply:
         """Return what this node has of a request."""
         record = self._table.get(request_id)
@@ -123,13 +155,15 @@
                 return FetchReply(FetchState.ABSENT)
             if record.moved_to and record.transcript.outcome is None:
                 return FetchReply(FetchState.ELSEWHERE, nodes=[record.moved_to])
-            record.transcript.wait(offset, min(max(wait, 0.0), MAX_WAIT_SECONDS))
-            return self._from_record(record, offset)
+            record.followed_at = self._timers.now()
+            if not generation or record.transcript.contains(generation, offset):
+                record.transcript.wait(offset, min(max(wait, 0.0), MAX_WAIT_SECONDS))
+            return self._from_record(record, offset, generation)
         kept = self._kept.get(request_id)
         if kept is not None:
             if kept.organisation != organisation:
                 return FetchReply(FetchState.ABSENT)
-            return self._from_kept(kept, offset)
+            return self._from_kept(kept, offset, generation)
         return FetchReply(FetchState.ABSENT, nodes=self._hints(request_id))
 
     def _hints(self, request_id: str) -> list[str]:
@@ -138,7 +172,12 @@
         return [node.id for node in order[:HINTS]]
 
     def _ask_all(
-        self, request_id: str, organisation: str, offset: int, due: float
+        self,
+        request_id: str,
+        organisation: str,
+        offset: int,
+        due: float,
+        generation: str,
     ) -> FetchReply:
         """Ask this node, then each node that is named, until one has it."""
         own = self._members.self_node.id
@@ -151,7 +190,9 @@
             asked.add(node_id)
             wait = max(due - self._timers.now(), 0.0)
             try:
-                reply = self._ask(node_id, request_id, organisation, offset, wait)
+                reply = self._ask(
+                    node_id, request_id, organisation, offset, wait, generation
+                )
             except StepError:
                 worst = FetchReply(FetchState.UNREACHABLE, nodes=[node_id])
                 # The serving node is lost; its keepers may know more.
@@ -169,11 +210,18 @@
         return worst
 
     def _ask(
-        self, node_id: str, request_id: str, organisation: str, offset: int, wait: float
+        self,
+        node_id: str,
+        request_id: str,
+        organisation: str,
+        offset: int,
+        wait: float,
+        generation: str,
     ) -> FetchReply:
         if node_id == self._members.self_node.id:
-            return self.local(request_id, organisation, offset, wait)
+            return self.local(request_id, organisation, offset, wait, generation)
         body = {"id": request_id, "org": organisation, "offset": offset, "wait": wait}
+        body["generation"] = generation
         timeout = wait + MARGIN_SECONDS
         reply = self._network.call(node_id, "request.fetch", body, timeout)
         return FetchReply.from_body(reply, node_id)
@@ -187,54 +235,78 @@
         if type(wait) not in (int, float) or body["offset"] < 0:
             reason = "field wait or offset is wrong"
             raise ProtocolError("request.fetch", node_id, reason)
-        reply = self.local(body["id"], body["org"], body["offset"], wait)
+        generation = str(body.get("generation", ""))
+        reply = self.local(body["id"], body["org"], body["offset"], wait, generation)
         return reply.to_body()
 
-    def _from_record(self, record: RequestRecord, offset: int) -> FetchReply:
+    def _from_record(
+        self, record: RequestRecord, offset: int, generation: str
+    ) -> FetchReply:
         transcript = record.transcript
         if record.moved_to and transcript.outcome is None:
             # It moved during the wait.
             return FetchReply(FetchState.ELSEWHERE, nodes=[record.moved_to])
-        text = "".join(part for part, _ in transcript.parts_after(offset))
+        mismatch = bool(generation) and not transcript.contains(generation, offset)
+        start = 0 if mismatch else offset
+        text = "".join(part for part, _ in transcript.parts_after(start))
         return self._here(
-            text,
-            transcript.length,
-            transcript.outcome,
-            transcript.finish_reason,
-            transcript.restarted,
-            record.answer,
+            FetchReply(
+                FetchState.HERE,
+                text,
+                transcript.length,
+                transcript.outcome,
+                transcript.finish_reason,
+                transcript.restarted,
+                record.answer,
+                list(transcript.lineage),
+                mismatch,
+                transcript.tokens,
+                {**record.req.to_message(), "body": {}},
+            )
         )
 
-    def _from_kept(self, kept: KeptRequest, offset: int) -> FetchReply:
+    def _from_kept(self, kept: KeptRequest, offset: int, generation: str) -> FetchReply:
         if kept.final:
-            final = unpack_final(kept.final)
-            return self._here(
-                final.text[offset:],
-                len(final.text),
-                final.outcome,
-                final.finish_reason,
-                final.restarted,
-                final.answer,
-            )
+            return self._from_final(kept, offset, generation)
         if kept.lost:
             outcome = Unknown("serving_node_lost")
-            return FetchReply(FetchState.HERE, outcome=outcome)
+            request = _without_body(kept)
+            return FetchReply(FetchState.HERE, outcome=outcome, request=request)
         if self._members.state(kept.header.server) in (None, MemberState.DEAD):
             return FetchReply(FetchState.PENDING, nodes=list(kept.header.holders))
         return FetchReply(FetchState.ELSEWHERE, nodes=[kept.header.server])
 
-    def _here(
-        self,
-        text: str,
-        length: int,
-        outcome: Outcome | None,
-        finish_reason: str,
-        restarted: bool,
-        answer: StoredAnswer | None,
+    def _from_final(
+        self, kept: KeptRequest, offset: int, generation: str
     ) -> FetchReply:
-        if len(text) > MAX_TEXT_CHARACTERS:
-            # The rest follows with the next question.
-            text, outcome, answer = text[:MAX_TEXT_CHARACTERS], None, None
-        return FetchReply(
-            FetchState.HERE, text, length, outcome, finish_reason, restarted, answer
+        final = unpack_final(kept.final)
+        whole = Transcript()
+        whole.append(final.text)
+        whole.lineage = final.lineage
+        mismatch = bool(generation) and not whole.contains(generation, offset)
+        return self._here(
+            FetchReply(
+                FetchState.HERE,
+                final.text[0 if mismatch else offset :],
+                len(final.text),
+                final.outcome,
+                final.finish_reason,
+                final.restarted,
+                final.answer,
+                final.lineage,
+                mismatch,
+                final.tokens,
+                _without_body(kept),
+            )
         )
+
+    def _here(self, reply: FetchReply) -> FetchReply:
+        if len(reply.text) > MAX_TEXT_CHARACTERS:
+            # The rest follows with the next question.
+            reply.text = reply.text[:MAX_TEXT_CHARACTERS]
+            reply.outcome = reply.answer = None
+        return reply
+
+
+def _without_body(kept: KeptRequest) -> dict:
+    return {**kept.content()["request"], "body": {}}
--- a/src/rattanwick/internal/peers/finals.py
+++ b/src/rattanwick/internal/peers/finals.py
@@ -1,6 +1,6 @@
 """Final answers as they travel to keepers and to nodes that ask."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.outcomes import Outcome, outcome_from_tag
@@ -19,6 +19,8 @@
     finish_reason: str = ""
     restarted: bool = False
     answer: StoredAnswer | None = None
+    lineage: list[tuple[str, int]] = field(default_factory=list)
+    tokens: int = 0
 
 
 def pack_final(record: RequestRecord) -> bytes:
@@ -35,6 +37,8 @@
             "finish_reason": record.transcript.finish_reason,
             "restarted": record.transcript.restarted,
             "answer": pack_answer(answer),
+            "lineage": record.transcript.lineage,
+            "tokens": record.transcript.tokens,
         }
     )
     return packed if len(packed) <= MAX_FINAL_BYTES else b""
@@ -50,11 +54,18 @@
             value["finish_reason"],
             value["restarted"],
             unpack_answer(value["answer"]),
+            unpack_lineage(value["lineage"]),
+            int(value["tokens"]),
         )
     except (KeyError, TypeError, ValueError) as exc:
         raise ProtocolError("unpack", "final", f"field missing or wrong: {exc}")
 
 
+def unpack_lineage(value: list) -> list[tuple[str, int]]:
+    """Return the lineage of a text; raise ValueError or TypeError."""
+    return [(str(generation), int(start)) for generation, start in value]
+
+
 def pack_answer(answer: StoredAnswer | None) -> list | None:
     """Return the answer of a service call as a list."""
     if answer is None:
--- a/src/rattanwick/internal/peers/handover.py
+++ b/src/rattanwick/internal/peers/handover.py
@@ -98,6 +98,9 @@
             reply = self._fetch_from_holder(record)
             if reply.state is FetchState.HERE:
                 record.moved_to = reply.nodes[0]
+                if reply.mismatch:
+                    # Another generation; callers start again at the new holder.
+                    return
                 self._take(record, reply)
             else:
                 self._timers.sleep(RELAY_RETRY_SECONDS)
@@ -106,6 +109,7 @@
 
     def _take(self, record: RequestRecord, reply: FetchReply) -> None:
         record.transcript.append(reply.text)
+        record.transcript.lineage = reply.lineage
         if reply.outcome is not None:
             record.answer = reply.answer
             record.transcript.finish(reply.outcome, reply.finish_reason)
@@ -115,7 +119,11 @@
         # The own table points to the holder, so that the fetcher starts there and
         # follows the request when it moves again.
         return self._fetcher.fetch(
-            req.id, req.organisation, record.transcript.length, RELAY_WAIT_SECONDS
+            req.id,
+            req.organisation,
+            record.transcript.length,
+            RELAY_WAIT_SECONDS,
+            record.transcript.generation,
         )
 
     def _pack(self, record: RequestRecord) -> bytes:
@@ -126,6 +134,7 @@
                 "text": transcript.text(),
                 "tokens": transcript.tokens,
                 "restarted": transcript.restarted,
+                "lineage": transcript.lineage,
             }
         )
 
--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -27,6 +27,7 @@
     Transcript,
 )
 from rattanwick.internal.peers.counters import RESTARTS
+from rattanwick.internal.peers.finals import unpack_lineage
 from rattanwick.internal.peers.interfaces import PeerNetwork
 from rattanwick.internal.peers.keepers import PeerKeepers, keeper_order
 from rattanwick.internal.peers.kept import KeptRequest, KeptStore
@@ -125,6 +126,7 @@
         transcript.append(content["text"])
         transcript.tokens = content["tokens"]
         transcript.restarted = content["restarted"]
+        transcript.lineage = unpack_lineage(content["lineage"])
         self._table.put(RequestRecord(req, transcript))
         RESTARTS.labels("resumed").inc()
         log.info("resuming %s at %d characters", req.id, transcript.length)
--- a/src/rattanwick/internal/requests/app.py
+++ b/src/rattanwick/internal/requests/app.py
@@ -18,7 +18,6 @@
 from rattanwick.internal.requests.dispatch import Dispatcher
 from rattanwick.internal.requests.endpoint_index import EndpointIndex
 from rattanwick.internal.requests.entry import EntryResource
-from rattanwick.internal.requests.fetch import AnswerFetch
 from rattanwick.internal.requests.runs import LiveRequests, Run, RunControl
 from rattanwick.internal.requests.service_calls import ServiceResource
 from rattanwick.internal.requests.service_client import ServiceClient
@@ -38,7 +37,7 @@
     def __init__(self, services: RequestServices):
         super().__init__()
         timers = services.timers
-        endpoints = EndpointIndex(services.instances)
+        endpoints = EndpointIndex(services.instances, services.news)
         self.connections = EndpointConnections()
         self.live = LiveRequests(services.table, timers)
         self.crashes = CrashRegister(services.news, timers)
@@ -76,8 +75,7 @@
             services, admission, self.service_dispatcher, self.live, self.spans
         )
         self.add_route("/v1/services/{name}/{path:path}", calls)
-        fetch = AnswerFetch(services, self.live)
-        stored = StoredAnswerResource(services, self.live, fetch)
+        stored = StoredAnswerResource(services, self.live)
         self.add_route("/v1/requests/{request_id}", stored)
         self.add_route("/v1/entry", EntryResource(services))
         self.add_error_handler(CallerError, answer_caller_error)
--- a/src/rattanwick/internal/requests/attempts.py
+++ b/src/rattanwick/internal/requests/attempts.py
@@ -166,8 +166,7 @@
 
     def is_leaving(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint was announced to leave, or is gone."""
-        endpoint = self._endpoints.get(endpoint_id)
-        return endpoint is None or endpoint.leaving
+        return self._endpoints.is_leaving(endpoint_id)
 
     def first_texts(self, attempt: Attempt, req: ServingRequest) -> None:
         """Open an attempt and wait for its first text, for a race."""
--- a/src/rattanwick/internal/requests/dispatch.py
+++ b/src/rattanwick/internal/requests/dispatch.py
@@ -9,6 +9,7 @@
     TimedOut,
     Unavailable,
 )
+from rattanwick.internal.base.ids import new_generation
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter, histogram
 from rattanwick.internal.base.outcomes import Answered, Failed, NotRun, Outcome
@@ -80,6 +81,7 @@
         """Run a request step by step; a step ends with new text or after a tick."""
         progress = _Progress()
         progress.sent = transcript.length > 0
+        transcript.begin_generation(new_generation())
         for _ in range(MAX_ATTEMPTS):
             if self._crashes.refuses(req.fingerprint):
                 transcript.finish(Failed(CRASHES))
--- a/src/rattanwick/internal/requests/endpoint_index.py
+++ b/src/rattanwick/internal/requests/endpoint_index.py
@@ -1,21 +1,33 @@
 """Endpoints of the instance list by id."""
 
 from rattanwick.internal.model.instances import Endpoint
+from rattanwick.internal.peers.interfaces import News
+from rattanwick.internal.peers.news import ENDPOINT_LEAVING
 from rattanwick.internal.platform.interfaces import InstanceList
 
 
 class EndpointIndex:
-    """Find endpoints by id, as the instance list last showed them."""
+    """Find endpoints by id, as the instance list and news last showed them."""
 
-    def __init__(self, instances: InstanceList):
+    def __init__(self, instances: InstanceList, news: News):
         self._instances = instances
+        self._leaving: set[str] = set()
         self.by_id: dict[str, Endpoint] = {}
         self._read()
         instances.subscribe(self._read)
+        news.subscribe(ENDPOINT_LEAVING, self._hear_leaving)
 
     def _read(self) -> None:
         self.by_id = {item.id: item for item in self._instances.endpoints()}
 
+    def _hear_leaving(self, key: str, version: int, body: dict) -> None:
+        self._leaving.add(key)
+
+    def is_leaving(self, endpoint_id: str) -> bool:
+        """Tell whether an endpoint leaves or is not listed any more."""
+        endpoint = self.by_id.get(endpoint_id)
+        return endpoint is None or endpoint.leaving or endpoint_id in self._leaving
+
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Return an endpoint, or None where it is not listed any more."""
         return self.by_id.get(endpoint_id)
--- a/src/rattanwick/internal/requests/events.py
+++ b/src/rattanwick/internal/requests/events.py
@@ -40,13 +40,15 @@
     def texts(self, offset: int) -> tuple[bytes, int]:
         """Return the events after an offset, and the offset after them.
 
-        The id of each event is the request id and the characters sent so far, so
-        that a caller can resume right after the last event that it received.
+        The id of each event is the request id, the generation and the characters
+        sent so far, so that a caller can resume right after the last event that it
+        received.
         """
         if not self._head:
             self._prepare()
         events = []
-        id_line, head, tail = f"id: {self._req.id}:", self._head, self._tail
+        id_line = f"id: {self._req.id}:{self._transcript.generation}:"
+        head, tail = self._head, self._tail
         for text, end in self._transcript.parts_after(offset):
             events.append(f"{id_line}{end}{head}{encode_basestring_ascii(text)}{tail}")
             offset = end
@@ -96,11 +98,16 @@
         }
 
 
-def moved_event(request_id: str, address: str, offset: int) -> bytes:
+def moved_event(request_id: str, generation: str, offset: int, address: str) -> bytes:
     """Return the event that sends a streaming caller to another node."""
-    body = {"request_id": request_id, "address": address, "offset": offset}
-    data = json.dumps(body)
-    event = f"id: {request_id}:{offset}\nevent: rattanwick.moved\ndata: {data}\n\n"
+    body = {
+        "request_id": request_id,
+        "address": address,
+        "generation": generation,
+        "offset": offset,
+    }
+    id_line = f"id: {request_id}:{generation}:{offset}"
+    event = f"{id_line}\nevent: rattanwick.moved\ndata: {json.dumps(body)}\n\n"
     return event.encode()
 
 
--- a/src/rattanwick/internal/requests/relay.py
+++ b/src/rattanwick/internal/requests/relay.py
@@ -16,6 +16,7 @@
     """Let a relay wait for more of an answer."""
 
     record: RequestRecord
+    broken = False  # what follows does not continue the text that was relayed
 
     @property
     def req(self) -> ServingRequest:
@@ -125,7 +126,8 @@
                 return
             address = source.moved_address()
             if address:
-                yield moved_event(source.req.id, address, offset)
+                generation = transcript.generation
+                yield moved_event(source.req.id, generation, offset, address)
                 return
             if wall() > source.req.deadline + OVERDUE_SECONDS:
                 return
@@ -134,5 +136,7 @@
                 last_sent = now()
             if outcome is None:
                 source.advance()
+            if source.broken:
+                return
     finally:
         source.close()
--- a/src/rattanwick/internal/requests/runs.py
+++ b/src/rattanwick/internal/requests/runs.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterator
 
 import gevent
-from gevent.event import Event
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.outcomes import Failed
@@ -15,9 +14,11 @@
 log = get_logger("requests")
 
 TICK_SECONDS = 1.0  # a step returns at least this often
+MOVE_TICK_SECONDS = 0.1  # between looks at whether a request has moved
 GRACE_SECONDS = 15.0  # time for a caller to come back before its request stops
 FINISHED_KEPT = 20_000
 FINISHED_KEPT_CHARS = 64 << 20
+FOLLOWED_SECONDS = 5.0  # a question of another node counts as a follower so long
 CALLER_LEFT = "caller_left"
 
 
@@ -50,7 +51,6 @@
         "_on_end",
         "_steps",
         "control",
-        "_moved",
         "followers",
         "handing_over",
         "moved_address",
@@ -69,7 +69,6 @@
         self.followers = 0
         self.handing_over = False
         self.moved_address = ""  # where callers find the answer now
-        self._moved = Event()
         self._steps = steps
         self._on_end = on_end
         self._busy = False
@@ -83,10 +82,7 @@
     def advance(self) -> bool:
         """Take one step; tell whether there may be more."""
         if self._ended:
-            if self.handing_over and not self.moved_address:
-                self._moved.wait(TICK_SECONDS)
-                return True
-            return False
+            return self._wait_for_move()
         if self._busy:
             transcript = self.record.transcript
             transcript.wait(transcript.length, TICK_SECONDS)
@@ -105,13 +101,26 @@
         if self.control.stopped and not self._ended:
             self._steps.close()
             self._end()
-        return not self._ended
+        return not self._ended or self.handing_over
+
+    def _wait_for_move(self) -> bool:
+        """Wait for the new holder of a request that ended here; tell whether to go on.
+
+        Meanwhile the drain relays the new holder's text, perhaps to its end.
+        """
+        transcript = self.record.transcript
+        if not self.handing_over or self.moved_address:
+            return False
+        if transcript.outcome is not None:
+            return False
+        transcript.wait(transcript.length, MOVE_TICK_SECONDS)
+        return True
 
     def advance_by_other(self, seen: int) -> None:
         """Wait until the task that drives the run gets beyond ``seen`` characters."""
-        if self._ended and self.handing_over and not self.moved_address:
-            self._moved.wait(TICK_SECONDS)
-        elif not self._ended:
+        if self._ended:
+            self._wait_for_move()
+        else:
             self.record.transcript.wait(seen, TICK_SECONDS)
 
     def finish(self) -> None:
@@ -133,7 +142,6 @@
         self.handing_over = True
         self.moved_address = address
         self.stop()
-        self._moved.set()
 
     def _end(self) -> None:
         if not self._ended:
@@ -207,7 +215,8 @@
         alone_since = self._timers.now()
         while run.advance():
             now = self._timers.now()
-            if run.followers:
+            followed = now - run.record.followed_at <= FOLLOWED_SECONDS
+            if run.followers or followed:
                 alone_since = now
             elif now - alone_since > GRACE_SECONDS:
                 run.stop(CALLER_LEFT)
--- a/src/rattanwick/internal/requests/services.py
+++ b/src/rattanwick/internal/requests/services.py
@@ -10,6 +10,7 @@
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.base.tracing import HEADER as TRACE_HEADER, Tracer
 from rattanwick.internal.model.transcripts import RequestTable
+from rattanwick.internal.peers.fetch import RequestFetcher
 from rattanwick.internal.peers.interfaces import (
     Keepers,
     Members,
@@ -66,8 +67,8 @@
     drain: Drain = field(default_factory=Drain)
     # Share of its capacity that a node uses, by id; orders /v1/entry.
     node_load: Callable[[str], float] = no_load
-    # Node that holds a copy's original, by request id; the keepers know it.
-    copy_holder: Callable[[str], str | None] = lambda request_id: None
+    # Finds answers at other nodes; None where there are no other nodes.
+    fetcher: RequestFetcher | None = None
 
 
 @dataclass(slots=True)
--- a/src/rattanwick/internal/requests/stored.py
+++ b/src/rattanwick/internal/requests/stored.py
@@ -3,14 +3,14 @@
 import falcon
 
 from rattanwick.internal.model.requests import RequestKind, ServingRequest
-from rattanwick.internal.model.transcripts import RequestRecord
+from rattanwick.internal.model.transcripts import RequestRecord, Transcript
 from rattanwick.internal.requests.caller_errors import CallerError
 from rattanwick.internal.requests.chat import (
     answer_whole,
     redirect,
     set_stream_headers,
 )
-from rattanwick.internal.requests.fetch import AnswerFetch
+from rattanwick.internal.requests.fetch import find_answer
 from rattanwick.internal.requests.identity import authenticate
 from rattanwick.internal.requests.interfaces import Caller
 from rattanwick.internal.requests.relay import (
@@ -22,7 +22,7 @@
 from rattanwick.internal.requests.runs import LiveRequests
 from rattanwick.internal.requests.service_calls import answer_service
 from rattanwick.internal.requests.services import RequestServices
-from rattanwick.internal.requests.validation import read_offset
+from rattanwick.internal.requests.validation import ResumePoint, read_resume_point
 
 MAX_ID_CHARS = 64
 
@@ -30,30 +30,27 @@
 class StoredAnswerResource:
     """Answer GET /v1/requests/ID."""
 
-    def __init__(
-        self, services: RequestServices, live: LiveRequests, fetch: AnswerFetch
-    ):
+    def __init__(self, services: RequestServices, live: LiveRequests):
         self._services = services
         self._live = live
-        self._fetch = fetch
 
     def on_get(self, req: falcon.Request, resp: falcon.Response, request_id: str):
         """Resume or repeat an answer for the organisation that asked for it."""
         caller = authenticate(req, self._services.directory)
         if len(request_id) > MAX_ID_CHARS:
             raise _not_found()
-        offset = read_offset(
-            req.get_param("offset"), req.get_header("Last-Event-ID"), request_id
+        point = read_resume_point(
+            req.get_param("offset"),
+            req.get_param("generation"),
+            req.get_header("Last-Event-ID"),
+            request_id,
         )
         address = self._live.moved_address(request_id)
         if address:
-            if offset:
-                request_id = f"{request_id}?offset={offset}"
-            redirect(resp, address, request_id)
+            redirect(resp, address, request_id + point.query())
             return
         source = self._source(request_id, caller)
-        if source.transcript.restarted:
-            offset = 0  # the text before the offset may have been another one
+        offset = self._offset_in(source.transcript, point)
         if self._is_streamed(req, source.req):
             set_stream_headers(resp, source.record)
             timers = self._services.timers
@@ -74,11 +71,27 @@
             if run is not None:
                 return FollowedRun(run)
             return KeptRecord(record)
-        found = self._fetch.find(request_id, caller.organisation)
+        fetcher = self._services.fetcher
+        if fetcher is None:
+            raise _not_found()
+        found = find_answer(fetcher, request_id, caller.organisation)
         if found is None:
             raise _not_found()
         return found
 
+    def _offset_in(self, transcript: Transcript, point: ResumePoint) -> int:
+        """Return where to continue; from the start for text of another generation."""
+        if not point.offset:
+            return 0
+        # Without a generation, only a text that never was another one is safe.
+        unique = len(transcript.lineage) == 1 and not transcript.restarted
+        if not point.generation and unique:
+            return min(point.offset, transcript.length)
+        if transcript.contains(point.generation, point.offset):
+            return point.offset
+        transcript.restarted = True
+        return 0
+
     def _is_streamed(self, req: falcon.Request, serving: ServingRequest) -> bool:
         if serving.kind is RequestKind.SERVICE:
             return False
--- a/src/rattanwick/internal/requests/validation.py
+++ b/src/rattanwick/internal/requests/validation.py
@@ -3,6 +3,7 @@
 import json
 import math
 import re
+from dataclasses import dataclass
 
 from rattanwick.internal.requests.caller_errors import (
     DEADLINE_HEADER,
@@ -21,6 +22,7 @@
 ROLES = ("system", "developer", "user", "assistant")
 BYTES_PER_TOKEN = 3  # fewer than tokenizers need for prose, to estimate high
 TOKENS_PER_MESSAGE = 4
+GENERATION = re.compile(r"[0-9a-f]{1,32}")
 PRINTABLE = re.compile(r"[\x21-\x7e]+")
 SERVICE_PATH = re.compile(r"[A-Za-z0-9._~!$&'()*+,;=:@%/-]+")
 
@@ -202,19 +204,38 @@
     return path
 
 
-def read_offset(value: str | None, event_id: str | None, request_id: str) -> int:
-    """Return the character offset from which a caller wants the answer."""
+@dataclass(slots=True, frozen=True)
+class ResumePoint:
+    """Tell up to where a caller has an answer."""
+
+    offset: int = 0  # characters
+    generation: str = ""  # empty where the caller does not name it
+
+    def query(self) -> str:
+        """Return the query that names this point, or empty for the start."""
+        if not self.offset:
+            return ""
+        return f"?generation={self.generation}&offset={self.offset}"
+
+
+def read_resume_point(
+    offset: str | None, generation: str | None, event_id: str | None, request_id: str
+) -> ResumePoint:
+    """Return the point after which a caller wants the answer."""
     field = "offset"
-    if value is None and event_id is not None:
+    if offset is None and event_id is not None:
         field = "Last-Event-ID"
-        named, _, value = event_id.rpartition(":")
+        named, _, rest = event_id.partition(":")
+        generation, _, offset = rest.rpartition(":")
         if named != request_id:
             raise invalid(field, "belongs to another request")
-    if value is None:
-        return 0
-    if not value.isascii() or not value.isdigit() or len(value) > 10:
+    if offset is None:
+        return ResumePoint()
+    if not offset.isascii() or not offset.isdigit() or len(offset) > 10:
         raise invalid(field, "must be a whole number of characters")
-    return int(value)
+    if generation and not GENERATION.fullmatch(generation):
+        raise invalid("generation", "is not one that was sent")
+    return ResumePoint(int(offset), generation or "")
 
 
 def body_too_large(limit: int) -> CallerError:
