--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -24,6 +24,8 @@
   DescribeInstanceStatus and in the metadata of the instance. For an endpoint
   ``instance_id`` is the id of the endpoint.
 - ``DELETE /_fake/notices``: close all notices
+- ``PUT /_fake/credentials``: ``{ACCESS_KEY: SECRET_KEY}``; from then on signatures
+  are checked. Without it any well-formed signature is accepted.
 - ``GET /_fake/started``: instances that were started, with their parameters
 - ``GET /_fake/counters``: reads and writes by service
 - ``GET /_fake/spans?trace_id=HEX``: spans as a JSON list, ordered by start
@@ -41,18 +43,27 @@
 
 from fakes.platform_cloud import FakeCloud, FakeInstanceList
 from fakes.platform_objects import FakeObjects
+from fakes.platform_signatures import SignatureCheck
 from fakes.platform_state import AnswerLost, Call, FakeState, Reply, json_reply
 from fakes.platform_table import FakeTable
 from fakes.platform_traces import FakeTraces
 
 
 class Handler(WSGIHandler):
-    """Let the application close the connection without an answer."""
+    """Let the application drop the connection and see the raw request target."""
+
+    def handle(self) -> None:
+        """Serve one connection."""
+        # Head and body leave in two segments; without this the second one waits
+        # for the client's delayed acknowledgement, about 40 ms.
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
 
     def get_environ(self) -> dict:
-        """Return the environment with a function that drops the connection."""
+        """Return the environment with what the fake adds to it."""
         environ = super().get_environ()
         environ["fake.drop"] = self._drop
+        environ["fake.target"] = self.path
         return environ
 
     def _drop(self) -> None:
@@ -75,11 +86,12 @@
         self._list = FakeInstanceList(self._state)
         self._cloud = FakeCloud(self._state)
         self._traces = FakeTraces()
+        self._signatures = SignatureCheck()
 
     def __call__(self, environ: dict, start_response) -> list[bytes]:
         """Answer one request."""
         try:
-            reply = self.handle(read_call(environ))
+            reply = self.handle(read_call(environ), environ["fake.target"])
         except AnswerLost:
             environ["fake.drop"]()
             reply = Reply(500)
@@ -91,7 +103,7 @@
         start_response(f"{reply.status} {reason}", headers)
         return [reply.body]
 
-    def handle(self, call: Call) -> Reply:
+    def handle(self, call: Call, raw_target: str) -> Reply:
         """Return the answer to a request."""
         target = call.headers.get("x-amz-target", "")
         if call.path.startswith("/_fake/"):
@@ -100,8 +112,8 @@
             return self._traces.handle(call)
         if call.path.startswith("/metadata/"):
             return self._cloud.handle_metadata(call)
-        if not call.headers.get("authorization", "").startswith("AWS4-HMAC-SHA256 "):
-            return json_reply({"__type": "MissingAuthenticationToken"}, 403)
+        if not self._signatures.accepts(call, raw_target):
+            return json_reply({"__type": "InvalidSignatureException"}, 403)
         if target.startswith("DynamoDB_20120810."):
             return self._table.handle(call)
         if target.startswith("Route53AutoNaming_v20170314."):
@@ -121,6 +133,8 @@
     def _run_admin(self, name: str, value, query: dict[str, str]) -> Reply:
         if name == "PUT faults":
             self._state.faults.update(value)
+        elif name == "PUT credentials":
+            self._signatures.secrets = dict(value)
         elif name == "PUT instances":
             self._list.set([dict(item) for item in value])
         elif name == "POST notices":
@@ -152,6 +166,7 @@
         for name, value in environ.items()
         if name.startswith("HTTP_")
     }
+    headers["content-type"] = environ.get("CONTENT_TYPE", "")
     query = dict(parse_qsl(environ["QUERY_STRING"], keep_blank_values=True))
     path = environ["PATH_INFO"].encode("latin-1").decode()
     body = environ["wsgi.input"].read()
--- a/src/rattanwick/internal/platform/http.py
+++ b/src/rattanwick/internal/platform/http.py
@@ -1,6 +1,7 @@
 """HTTP connections to a platform service that tell whether a request was sent."""
 
 import select
+import socket
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
@@ -24,7 +25,11 @@
     body: bytes
 
 
-class _PollMixin:
+class _PoolMixin:
+    def after_connect(self, sock) -> None:
+        # The last segment of a large body must not wait for an acknowledgement.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
     # select() of the library fails for descriptors from 1024 on, so that a
     # busy node would open a new connection for each call.
     def _is_socket_alive(self, sock) -> bool:
@@ -35,11 +40,11 @@
         return not poller.poll(0)
 
 
-class _PlainPool(_PollMixin, ConnectionPool):
+class _PlainPool(_PoolMixin, ConnectionPool):
     pass
 
 
-class _TlsPool(_PollMixin, SSLConnectionPool):
+class _TlsPool(_PoolMixin, SSLConnectionPool):
     pass
 
 
--- a/tests/failure/test_table_failures.py
+++ b/tests/failure/test_table_failures.py
@@ -5,32 +5,15 @@
 """
 
 import socket
-import threading
 
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
 from rattanwick.internal.platform.interfaces import Expectation, Write
 from rattanwick.internal.platform.table import DynamoTable
-from tests.fake_platform import PlatformTestCase
+from tests.fake_platform import PlatformTestCase, serve
 
 ABSENT = Expectation.absent()
 
 
-def serve(*answers: bytes) -> str:
-    """Answer connections with these bytes, the last ones with the last of them."""
-    server = socket.create_server(("127.0.0.1", 0))
-
-    def answer_all():
-        left = list(answers)
-        while True:
-            conn, _ = server.accept()
-            with conn:
-                conn.recv(65536)
-                conn.sendall(left.pop(0) if len(left) > 1 else left[0])
-
-    threading.Thread(target=answer_all, daemon=True).start()
-    return f"http://127.0.0.1:{server.getsockname()[1]}"
-
-
 class TableFailureTests(PlatformTestCase):
     def setUp(self):
         super().setUp()
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -2,9 +2,11 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 from http.client import HTTPConnection
 from pathlib import Path
@@ -17,6 +19,22 @@
 STOP_SECONDS = 5
 
 
+def serve(*answers: bytes) -> str:
+    """Answer connections with these bytes, the last ones with the last of them."""
+    server = socket.create_server(("127.0.0.1", 0))
+
+    def answer_all():
+        left = list(answers)
+        while True:
+            conn, _ = server.accept()
+            with conn:
+                conn.recv(65536)
+                conn.sendall(left.pop(0) if len(left) > 1 else left[0])
+
+    threading.Thread(target=answer_all, daemon=True).start()
+    return f"http://127.0.0.1:{server.getsockname()[1]}"
+
+
 class FakePlatform:
     """Hold one fake process; ``admin`` sets its faults."""
 
@@ -34,6 +52,7 @@
         self._directory = tempfile.TemporaryDirectory()
         self.credentials = Path(self._directory.name) / "credentials.ini"
         self.credentials.write_text("[credentials]\naccess_key = a\nsecret_key = s\n")
+        self.admin("PUT", "credentials", {"a": "s"})
 
     def admin(self, method: str, name: str, value: object = None) -> object:
         """Call the interface for tests and return its JSON answer."""
--- a/tests/unit/test_platform_clients.py
+++ b/tests/unit/test_platform_clients.py
@@ -24,7 +24,7 @@
 from rattanwick.internal.platform.objects import S3Objects
 from rattanwick.internal.platform.signing import CredentialsFile, load_credentials
 from rattanwick.internal.platform.table import DynamoTable
-from tests.fake_platform import PlatformTestCase
+from tests.fake_platform import PlatformTestCase, serve
 
 ENDPOINT = Endpoint(
     id="e1",
@@ -111,6 +111,11 @@
         self.objects.put("lost", b"data")
         self.assertEqual(self.objects.get("lost"), b"data")
 
+    def test_a_truncated_object_is_not_returned(self):
+        url = serve(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf")
+        objects = S3Objects(self.platform.settings(object_url=url), self.timers, "n1")
+        self.assertRaises(Unavailable, objects.get, "x")
+
     def test_an_outage_is_unavailable(self):
         self.platform.faults(object_down=True)
         for call in (
@@ -216,6 +221,22 @@
 
 
 class CredentialTests(PlatformTestCase):
+    def test_a_wrong_secret_is_rejected_by_each_service(self):
+        # Shows that the fake checks signatures, so that the other tests do too.
+        wrong = self.platform.credentials.with_name("wrong.ini")
+        wrong.write_text("[credentials]\naccess_key = a\nsecret_key = wrong\n")
+        cfg = self.platform.settings(credentials_file=str(wrong))
+        table = DynamoTable(cfg, self.timers, "n1")
+        objects = S3Objects(cfg, self.timers, "n1")
+        cloud = Ec2CloudApi(cfg, self.timers, "n1")
+        for call in (
+            lambda: table.get("a#b"),
+            lambda: objects.get("x"),
+            lambda: objects.put("x", b"data"),
+            cloud.notices,
+        ):
+            self.assertRaises(Unavailable, call)
+
     def test_changed_credentials_are_read_and_bad_ones_are_ignored(self):
         path = self.platform.credentials
         original = path.read_text()
