Retry settlements only while some are pending, and read leases less often

Cause: an idle node ran a settlement round each second; a settlement whose task was killed was not retried when its first try never ended; at 390 nodes each waiting lease reader would cause 78 reads a second for one lease.

--- a/src/rattanwick/internal/platform/objects.py
+++ b/src/rattanwick/internal/platform/objects.py
@@ -70,7 +70,7 @@
             answer = self._call("GET", self._list_path(query), read=True)
             page, token = parse_list(self._client.peer, answer.body)
             names.extend(page)
-            if not token:
+            if not token or not page:
                 break
             query["continuation-token"] = token
         return names
--- a/src/rattanwick/internal/platform/table.py
+++ b/src/rattanwick/internal/platform/table.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Sequence
 
-from rattanwick.internal.base.errors import MaybeApplied
+from rattanwick.internal.base.errors import MaybeApplied, Unavailable
 from rattanwick.internal.base.settings import PlatformSettings
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.platform.client import ServiceClient
@@ -35,7 +35,7 @@
         """Return a row."""
         request = {"Key": item_key(key), "ConsistentRead": consistent}
         answer = self._call("GetItem", request, read=True)
-        return from_item(answer["Item"]) if "Item" in answer else None
+        return self._row("GetItem", answer["Item"]) if "Item" in answer else None
 
     def query(self, prefix: str, limit: int = 1000) -> list[Row]:
         """Return rows by key prefix; the prefix holds the whole kind."""
@@ -54,7 +54,7 @@
         while len(rows) < limit:
             request["Limit"] = limit - len(rows)
             answer = self._call("Query", request, read=True)
-            rows.extend(from_item(item) for item in answer["Items"])
+            rows.extend(self._row("Query", item) for item in answer["Items"])
             if "LastEvaluatedKey" not in answer:
                 break
             request["ExclusiveStartKey"] = answer["LastEvaluatedKey"]
@@ -102,6 +102,12 @@
             raise MaybeApplied("put", self._client.peer, "row deleted since")
         return row
 
+    def _row(self, step: str, item: dict) -> Row:
+        try:
+            return from_item(item)
+        except ValueError as exc:
+            raise Unavailable(step, self._client.peer, str(exc))
+
     def _call(
         self, step: str, request: dict, read: bool = False, with_name: bool = True
     ) -> dict:
--- a/src/rattanwick/internal/platform/table_items.py
+++ b/src/rattanwick/internal/platform/table_items.py
@@ -59,11 +59,14 @@
 
 
 def from_item(item: dict) -> Row:
-    """Return the row of an item."""
-    key = item["kind"]["S"] + KEY_SEPARATOR + item["name"]["S"]
-    data = base64.b64decode(item["data"]["B"])
-    values = msgpack.unpackb(data, strict_map_key=False)
-    return Row(key, values, int(item["row_version"]["N"]))
+    """Return the row of an item; raise ValueError for one of another writer."""
+    try:
+        key = item["kind"]["S"] + KEY_SEPARATOR + item["name"]["S"]
+        data = base64.b64decode(item["data"]["B"])
+        values = msgpack.unpackb(data, strict_map_key=False)
+        return Row(key, dict(values), int(item["row_version"]["N"]))
+    except (KeyError, TypeError, ValueError, msgpack.UnpackException) as exc:
+        raise ValueError(f"item {item.get('name')} is not a row: {exc!r}")
 
 
 def written_by(item: dict | None) -> str:
@@ -126,7 +129,11 @@
     """Report a failed condition with the item found, so that its token is known."""
 
     def __init__(self, step: str, peer: str, reason: str, item: dict | None):
-        super().__init__(step, peer, reason, from_item(item) if item else None)
+        try:
+            current = from_item(item) if item else None
+        except ValueError as exc:
+            raise Rejected(step, peer, str(exc))
+        super().__init__(step, peer, reason, current)
         self.token = written_by(item)
         self.uncertain = False  # an earlier attempt may have been applied
 
--- a/src/rattanwick/internal/state/leases.py
+++ b/src/rattanwick/internal/state/leases.py
@@ -29,6 +29,9 @@
 # Covers clocks that run at different rates while a lease lasts.
 MARGIN_SECONDS = 2.0
 RENEWALS_IN_LEASE = 3
+# Nodes that wait for a lease read it every 20 s, just over the 17 s after which
+# it may be taken: 390 nodes then cause 20 reads a second.
+WAITING_TICKS = 4
 
 LEASE_EVENTS = counter("lease_events", "Changes of leases", ("name", "event"))
 
@@ -225,6 +228,7 @@
         self._lease: Lease | None = None
         self._busy = False
         self._stopped = False
+        self._ticks_to_wait = 0
         period = leases.duration / RENEWALS_IN_LEASE
         self._subscription = timers.subscribe(f"lease {name}", period, self.tick)
 
@@ -239,11 +243,7 @@
             return
         self._busy = True
         try:
-            lease = self.current()
-            if lease is not None:
-                self._lease = self._leases.renew(lease)
-            else:
-                self._lease = self._leases.acquire(self._name)
+            self._renew_or_acquire()
         except Refused as exc:
             self._lease = None
             log.warning("lost %s: %s", self._name, exc)
@@ -255,6 +255,18 @@
         if self._stopped:
             self._release()
 
+    def _renew_or_acquire(self) -> None:
+        lease = self.current()
+        if lease is not None:
+            self._lease = self._leases.renew(lease)
+            return
+        if self._ticks_to_wait > 0:
+            self._ticks_to_wait -= 1
+            return
+        self._lease = self._leases.acquire(self._name)
+        if self._lease is None:
+            self._ticks_to_wait = WAITING_TICKS - 1
+
     def stop(self) -> None:
         """Stop renewing and release the lease."""
         self._stopped = True
--- a/src/rattanwick/internal/state/settlements.py
+++ b/src/rattanwick/internal/state/settlements.py
@@ -31,13 +31,13 @@
         self._objects = objects
         self._timers = timers
         self._pending: dict[str, Settlement] = {}
-        self._retrying = False
-        timers.subscribe("settlements", RETRY_SECONDS, self._retry)
+        self._retry_due = False
 
     def add(self, settlement: Settlement, wait: bool = True) -> None:
         """Keep a settlement until it is written; try once before returning."""
         self._pending.setdefault(settlement.claim_id, settlement)
         PENDING.set(len(self._pending))
+        self._schedule_retry()
         if wait:
             self._try(settlement)
         else:
@@ -47,23 +47,30 @@
         """Return the settlements that are not written, as messages."""
         return [settlement.to_message() for settlement in self._pending.values()]
 
+    def _schedule_retry(self) -> None:
+        if not self._retry_due:
+            self._retry_due = True
+            self._timers.after(RETRY_SECONDS, self._retry)
+
     def _retry(self) -> None:
-        if self._retrying:
-            return
-        self._retrying = True
         try:
-            failures = 0
-            for claim_id, settlement in list(self._pending.items()):
-                if self._try(settlement):
-                    continue
-                failures += 1
-                if claim_id in self._pending:
-                    # To the end, so that it does not hold up the others.
-                    self._pending[claim_id] = self._pending.pop(claim_id)
-                if failures == MAX_ROUND_FAILURES:
-                    break
+            self._try_all()
         finally:
-            self._retrying = False
+            self._retry_due = False
+            if self._pending:
+                self._schedule_retry()
+
+    def _try_all(self) -> None:
+        failures = 0
+        for claim_id, settlement in list(self._pending.items()):
+            if self._try(settlement):
+                continue
+            failures += 1
+            # To the end, so that it does not hold up the others.
+            if self._pending.pop(claim_id, None) is not None:
+                self._pending[claim_id] = settlement
+            if failures == MAX_ROUND_FAILURES:
+                return
 
     def _try(self, settlement: Settlement) -> bool:
         """Write a settlement; tell whether the table has it."""
--- a/tests/failure/test_claim_failures.py
+++ b/tests/failure/test_claim_failures.py
@@ -160,6 +160,17 @@
         self.assertEqual(self.first.pending_settlements(), [])
         self.assertEqual(self.second.claim(self.bench.call()).answer, ANSWER)
 
+    def test_a_killed_settle_is_still_stored(self):
+        # Guards against a caller that hangs up while the answer is stored.
+        claimed = self.first.claim(self.bench.call())
+        original = self.replace_put(lambda original, *args: gevent.sleep(60))
+        task = gevent.spawn(self.first.settle, claimed, Answered(), ANSWER)
+        gevent.sleep(0)
+        task.kill()
+        self.bench.table.put = original
+        self.bench.timers.advance(2)
+        self.assertEqual(self.second.claim(self.bench.call()).answer, ANSWER)
+
     def test_a_settle_whose_answer_was_lost_is_stored_once(self):
         claimed = self.first.claim(self.bench.call())
         self.bench.table.lose_answers = 1
--- a/tests/unit/test_platform_clients.py
+++ b/tests/unit/test_platform_clients.py
@@ -71,6 +71,12 @@
         self.assertEqual(found, values)
         self.assertIsInstance(found["f"], float)
 
+    def test_an_item_of_another_writer_is_an_error_of_the_table(self):
+        body = b'{"Item": {"kind": {"S": "a"}, "name": {"S": "b"}}}'
+        url = serve(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        table = DynamoTable(self.platform.settings(table_url=url), self.timers, "n1")
+        self.assertRaises(Unavailable, table.get, "a#b")
+
     def test_versions_grow_with_each_write(self):
         for token in ("a", "b", "c"):
             row = self.table.put("versions#a", {}, Expectation.any(), token)
