Keep bad items and unsendable replies from doing harm

Cause: a reply that msgpack cannot encode left the caller waiting, one bad news item dropped the rest of its batch, a member item with a version far in the future could never be refuted, and calls to a node that counts as dead waited for their whole timeout. Change: each of these is reported or refused; 2 tests. Conclusion: found by reading the code; no test had shown them.

--- a/src/rattanwick/internal/peers/connection.py
+++ b/src/rattanwick/internal/peers/connection.py
@@ -129,7 +129,8 @@
         finally:
             self._pending.pop(sequence, None)
         if reply is None:
-            raise ConnectionLost(kind, self.node.id, self.closed, sent=True)
+            reason = self.closed or "the node counts as dead"
+            raise ConnectionLost(kind, self.node.id, reason, sent=True)
         if reply.kind == ERROR:
             raise Refused(kind, self.node.id, str(reply.body.get("reason", "")))
         return reply.body
@@ -169,6 +170,10 @@
         self.closed = reason
         self._queue.clear()
         self._sock.close()
+        self.fail_calls()
+
+    def fail_calls(self) -> None:
+        """Fail the calls that wait for a reply."""
         for result in list(self._pending.values()):
             result.set(None)
 
--- a/src/rattanwick/internal/peers/frames.py
+++ b/src/rattanwick/internal/peers/frames.py
@@ -28,10 +28,12 @@
 
 
 def encode_frame(frame: Frame, version: int = PROTOCOL_VERSION) -> bytes:
-    """Return the bytes of a frame; raise ProtocolError when it is too large."""
-    payload = msgpack.packb(
-        [version, frame.kind, frame.sequence, frame.reply_to, frame.body]
-    )
+    """Return the bytes of a frame; raise ProtocolError when it cannot be sent."""
+    parts = [version, frame.kind, frame.sequence, frame.reply_to, frame.body]
+    try:
+        payload = msgpack.packb(parts)
+    except (TypeError, ValueError, OverflowError) as exc:
+        raise ProtocolError("write frame", frame.kind, f"body: {exc}")
     if len(payload) > MAX_FRAME_BYTES:
         reason = f"{len(payload)} bytes are more than {MAX_FRAME_BYTES}"
         raise ProtocolError("write frame", frame.kind, reason)
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -5,7 +5,7 @@
 import gevent
 from gevent.pool import Pool
 
-from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.errors import ProtocolError, StepError
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import PeerSettings
 from rattanwick.internal.base.timers import TimerService
@@ -14,7 +14,7 @@
 from rattanwick.internal.peers.heartbeats import HeartbeatLinks
 from rattanwick.internal.peers.interfaces import Members
 from rattanwick.internal.peers.network import StreamPeerNetwork
-from rattanwick.internal.peers.news import FloodNews
+from rattanwick.internal.peers.news import MAX_KEPT_SECONDS, FloodNews
 from rattanwick.internal.peers.probes import Probes
 from rattanwick.internal.peers.records import (
     STATES,
@@ -92,7 +92,7 @@
         """Announce this node and begin to watch others."""
         cfg = self._settings
         self._news.set_links(self.links.ids)
-        self._news.watch(TOPIC, self._on_news)
+        self._news.watch(TOPIC, self._on_news, self._check_item)
         self._network.subscribe_connections(self._on_connection)
         self._network.handle("heartbeat", self._on_heartbeat, inline=True)
         self._network.handle("member.ping", self._on_ping)
@@ -217,6 +217,14 @@
         version = news_version(incarnation, state)
         self._news.publish(TOPIC, node.id, version, node_to_body(node), kept)
 
+    def _check_item(self, node_id: str, version: int, body: dict) -> None:
+        """Raise ProtocolError for an item that no node can have published."""
+        node_from_body(node_id, body)
+        latest = 1000 * (self._timers.wall() + MAX_KEPT_SECONDS)
+        if version // STATES > latest:
+            # It could never be refuted.
+            raise ProtocolError("read member", node_id, "version is too high")
+
     def _on_news(self, node_id: str, version: int, body: dict) -> None:
         incarnation, state = version // STATES, MemberState(version % STATES)
         if node_id == self._self_node.id:
@@ -236,6 +244,7 @@
         if state is MemberState.DEAD:
             self.links.drop(node_id)
             self._versions.pop(node_id, None)
+            self._network.fail_calls(node_id)
             if self._network.is_connected(node_id):
                 # Tells a node that was cut off or paused that it must refute.
                 self._tell_item(node_id)
--- a/src/rattanwick/internal/peers/network.py
+++ b/src/rattanwick/internal/peers/network.py
@@ -9,7 +9,12 @@
 from gevent.server import StreamServer
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY, create_connection
 
-from rattanwick.internal.base.errors import StepError, TimedOut, Unavailable
+from rattanwick.internal.base.errors import (
+    ProtocolError,
+    StepError,
+    TimedOut,
+    Unavailable,
+)
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import PeerSettings
 from rattanwick.internal.base.timers import TimerService
@@ -156,6 +161,12 @@
             conn.close(reason)
             self._forget(conn)
 
+    def fail_calls(self, node_id: str) -> None:
+        """Fail the calls that wait for a node, which counts as dead."""
+        for conn in self._table:
+            if conn.node.id == node_id:
+                conn.fail_calls()
+
     def _connect(self, node_id: str, step: str, timeout: float) -> Connection:
         conn = self._table.get(node_id)
         if conn is not None:
@@ -322,7 +333,13 @@
             reply = Frame(ERROR, 0, frame.sequence, {"reason": exc.reason})
         finally:
             conn.serving -= 1
-        self._send_or_drop(conn, reply)
+        try:
+            conn.send(reply)
+        except ProtocolError as exc:
+            error = Frame(ERROR, 0, frame.sequence, {"reason": exc.reason})
+            self._send_or_drop(conn, error)
+        except StepError:
+            DROPPED.labels("not_sent").inc()
 
     def _serve(self, kind: str, node_id: str, body: dict) -> dict:
         handler = self._handlers.get(kind)
--- a/src/rattanwick/internal/peers/news.py
+++ b/src/rattanwick/internal/peers/news.py
@@ -39,6 +39,7 @@
         self._links: Callable[[], Iterable[str]] = tuple
         self._callbacks: dict[str, list[NewsCallback]] = {}
         self._watchers: dict[str, list[NewsCallback]] = {}
+        self._checks: dict[str, list[NewsCallback]] = {}
         self._pending: dict[tuple[str, str], set[str]] = {}  # nodes that have it
         self._mismatches: dict[str, int] = {}
         self._syncing = False
@@ -77,9 +78,13 @@
             callback(item.key, item.version, item.body)
         self._callbacks.setdefault(topic, []).append(callback)
 
-    def watch(self, topic: str, callback: NewsCallback) -> None:
-        """Call back inside the reader; the callback must not block."""
+    def watch(self, topic: str, callback: NewsCallback, check: NewsCallback) -> None:
+        """Call back inside the reader; neither callback may block.
+
+        Items for which ``check`` raises ProtocolError are not kept.
+        """
         self._watchers.setdefault(topic, []).append(callback)
+        self._checks.setdefault(topic, []).append(check)
 
     def get(self, topic: str, key: str) -> NewsItem | None:
         """Return the item of a key."""
@@ -125,6 +130,8 @@
         limit = int(self._timers.wall()) + MAX_KEPT_SECONDS
         if item.expires > limit:
             raise ProtocolError("read news", source, "field expires is too far away")
+        for check in self._checks.get(item.topic, ()):
+            check(item.key, item.version, item.body)
         name = (item.topic, item.key)
         held = self._store.get(*name)
         if not self._store.merge(item, self._timers.wall()):
@@ -136,22 +143,22 @@
             self._timers.after(FLUSH_SECONDS, self.flush)
         self._pending[name] = {source}
         for callback in self._watchers.get(item.topic, ()):
-            self._call_watcher(callback, item)
+            callback(item.key, item.version, item.body)
         for callback in self._callbacks.get(item.topic, ()):
             gevent.spawn(callback, item.key, item.version, item.body)
 
-    def _call_watcher(self, callback: NewsCallback, item: NewsItem) -> None:
-        try:
-            callback(item.key, item.version, item.body)
-        except StepError as exc:
-            log.warning("item %s of %s ignored: %s", item.key, item.topic, exc.reason)
-
     def _merge_messages(self, messages: object, source: str) -> list[NewsItem]:
         if type(messages) is not list:
             raise ProtocolError("read news", source, "field items is not a list")
-        items = [NewsItem.from_message(message) for message in messages]
-        for item in items:
-            self._merge(item, source)
+        items = []
+        for message in messages:
+            try:
+                item = NewsItem.from_message(message)
+                self._merge(item, source)
+                items.append(item)
+            except ProtocolError as exc:
+                # A node of a later release may send what this one cannot read.
+                log.warning("item from %s ignored: %s", source, exc)
         return items
 
     def _on_news(self, node_id: str, body: dict) -> None:
--- a/tests/property/test_peer_frames.py
+++ b/tests/property/test_peer_frames.py
@@ -104,6 +104,17 @@
         self.assertTrue(wait_until(lambda: cluster.agree(["n0", "n1"])))
         self.assertLess(len(second.news), 10)
 
+    def test_an_item_with_an_absurd_version_is_not_kept(self):
+        cluster = Cluster()
+        self.addCleanup(cluster.stop)
+        first, second = cluster.add_many(2)
+        item = second.news.get("member", "n1").to_message()
+        item[2] = 2**61 + 3
+        first.network.notify("n1", "news", {"items": [item]})
+        gevent.sleep(0.1)
+        self.assertTrue(cluster.agree(["n0", "n1"]))
+        self.assertLess(second.news.get("member", "n1").version, 2**61)
+
     @settings(max_examples=40, deadline=None, derandomize=True)
     @given(st.data())
     def _send_hostile_frames(self, peer, kinds, data):
--- a/tests/unit/test_peer_network.py
+++ b/tests/unit/test_peer_network.py
@@ -35,6 +35,12 @@
         self.assertEqual((caught.exception.step, caught.exception.peer), ("bad", "n2"))
         self.assertEqual(self.first.call("n2", "echo", {}, 1.0)["peer"], "n1")
 
+    def test_a_reply_that_cannot_be_sent_is_reported(self):
+        for reply in ({"x": b"0" * (1 << 20)}, {"x": object()}, {"x": 1 << 70}):
+            self.second.handle("bad", lambda peer, body, reply=reply: reply)
+            with self.assertRaises(Refused):
+                self.first.call("n2", "bad", {}, 1.0)
+
     def test_an_unreachable_node_did_not_run_the_call(self):
         self.networks.nodes["gone"] = make_node("gone")
         with self.assertRaises(Unavailable):
