Limit the links that other nodes add to a node; prefer keepers in the region

Cause: links chosen by others are not bounded; with 390 nodes some nodes carry far more than the mean of 16, and the nodes of a small data centre would carry links of all others. Keepers in another region cost more and run requests again after every partition of regions. Change: a node refuses links above max_links + 2 chosen by others, and the refused node chooses another peer; keepers of the own region come first.

--- a/bench/peer_cost.py
+++ b/bench/peer_cost.py
@@ -10,13 +10,16 @@
 
 from bench.peer_process import HEADER_BYTES
 from bench.peer_processes import ROOT, PeerProcesses
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.peers.heartbeats import MORE_FOLLOWERS
+from rattanwick.internal.peers.ownership import choose_links, rank_nodes
 
 RESULTS = ROOT / "bench" / "results"
 SETTLE_SECONDS = 12.0
 NEWS_PER_SECOND = 5
 PROPAGATED_ITEMS = 20
 TARGET_NODES = 390
-TARGET_LINKS = 16  # chosen by the node or by the peer, at 390 nodes
+TARGET_LINKS = 18  # the most that a node keeps with max_links of 8
 
 
 def measure_usage(peers: PeerProcesses, seconds: float, work=None) -> dict:
@@ -116,6 +119,33 @@
     return result
 
 
+def model_target(count: int, data_centres: int, max_links: int) -> dict:
+    """Return link counts and times of the functions that grow with the nodes."""
+    nodes = [
+        Node(f"node-{i:03d}", f"dc-{i % data_centres}", "region", "ip", 1, 2, 3)
+        for i in range(count)
+    ]
+    pairs = set()
+    began = time.process_time()
+    for node in nodes:
+        candidates = [item for item in nodes if item is not node]
+        for peer in choose_links(node, candidates, max_links):
+            pairs.add(frozenset((node.id, peer.id)))
+    choosing = time.process_time() - began
+    degrees = [sum(node.id in pair for pair in pairs) for node in nodes]
+    began = time.process_time()
+    for index in range(count):
+        rank_nodes(f"key-{index}", nodes)
+    ranking = time.process_time() - began
+    return {
+        "nodes": count,
+        "links_without_refusals": spread(degrees),
+        "links_limit": 2 * max_links + MORE_FOLLOWERS,
+        "choose_links_ms": round(1000 * choosing / count, 3),
+        "rank_key_ms": round(1000 * ranking / count, 3),
+    }
+
+
 def fit_slopes(runs: list[dict]) -> dict:
     """Return slopes per link and per item, and what they give at 390 nodes."""
     links = [run["idle"]["links"]["mean"] for run in runs]
@@ -151,8 +181,9 @@
     for max_links in (2, 4):
         runs.append(run_size(24, max_links, args.seconds, news=False))
         print(json.dumps(runs[-1]), flush=True)
-    result = {"runs": runs, "slopes": fit_slopes(runs)}
-    print(json.dumps(result["slopes"], indent=1))
+    model = model_target(TARGET_NODES, 6, 8)
+    result = {"runs": runs, "slopes": fit_slopes(runs), "model": model}
+    print(json.dumps({"slopes": result["slopes"], "model": model}, indent=1))
     RESULTS.mkdir(exist_ok=True)
     path = Path(RESULTS / f"{args.name}.json")
     path.write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
--- a/src/rattanwick/internal/peers/fetch.py
+++ b/src/rattanwick/internal/peers/fetch.py
@@ -20,8 +20,8 @@
 
 MAX_WAIT_SECONDS = 30.0
 MAX_TEXT_CHARACTERS = 128 << 10
-HINTS = 4
-MAX_ASKED = 8
+HINTS = 6  # one for each data centre
+MAX_ASKED = 10
 PENDING_SECONDS = 0.25  # between questions while a request is taken over
 MARGIN_SECONDS = 2.0  # for the reply beyond the wait of a long poll
 
--- a/src/rattanwick/internal/peers/heartbeats.py
+++ b/src/rattanwick/internal/peers/heartbeats.py
@@ -15,6 +15,10 @@
 
 FIRST_REDIAL_HEARTBEATS = 1.0
 LAST_REDIAL_HEARTBEATS = 8.0
+REFUSED_HEARTBEATS = 60.0
+# Above max_links. Without a limit the nodes of a small data centre would be chosen
+# by all nodes of a large one.
+MORE_FOLLOWERS = 2
 
 
 @dataclass(slots=True)
@@ -70,7 +74,9 @@
 
     def has_unconnected(self) -> bool:
         """Tell whether a chosen peer is not connected or waits to be dialled."""
-        return bool(self._redials) or any(
+        now = self._now()
+        due = any(redial.due <= now for redial in self._redials.values())
+        return due or any(
             link.chosen and not self._network.is_connected(link.node_id)
             for link in self._links.values()
         )
@@ -112,6 +118,21 @@
         if not (link.wanted or link.chosen):
             del self._links[node_id]
 
+    def accepts(self, node_id: str) -> bool:
+        """Tell whether a peer may add a link to this node."""
+        if node_id in self._links:
+            return True
+        followers = sum(
+            link.wanted and not link.chosen for link in self._links.values()
+        )
+        return followers < self._max_links + MORE_FOLLOWERS
+
+    def refuse(self, node_id: str) -> None:
+        """Choose another peer in place of one that has too many links."""
+        self._links.pop(node_id, None)
+        delay = REFUSED_HEARTBEATS * self._heartbeat
+        self._redials[node_id] = Redial(delay, self._now() + delay)
+
     def unwatch(self, node_id: str) -> None:
         """Stop watching a peer until it is heard again."""
         link = self._links.get(node_id)
--- a/src/rattanwick/internal/peers/keepers.py
+++ b/src/rattanwick/internal/peers/keepers.py
@@ -59,9 +59,19 @@
 
 
 def choose_keepers(request_id: str, own: Node, nodes: tuple[Node, ...]) -> list[Node]:
-    """Return keepers for a request of this node, other data centres first."""
+    """Return keepers for a request of this node, other data centres first.
+
+    Those of the same region come first: links between regions cost more, and a
+    keeper that a partition cuts off from the serving node runs the request again.
+    """
     order = [node for node in keeper_order(request_id, nodes) if node.id != own.id]
-    return sorted(order, key=lambda node: node.data_centre == own.data_centre)
+    return sorted(
+        order,
+        key=lambda node: (
+            node.data_centre == own.data_centre,
+            node.region != own.region,
+        ),
+    )
 
 
 class PeerKeepers(Keepers):
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -286,11 +286,16 @@
     def _on_heartbeat(self, node_id: str, body: dict) -> None:
         heartbeat = Heartbeat.from_body(body, node_id)
         known = self.links.get(node_id)
-        self.links.hear(node_id, heartbeat.wanted)
+        accepted = self.links.accepts(node_id)
+        if heartbeat.full:
+            self.links.refuse(node_id)
+            self._links_changed = True
+        elif accepted:
+            self.links.hear(node_id, heartbeat.wanted)
         self._hear(node_id, heartbeat)
         self._news.compare(node_id, heartbeat.news_count, heartbeat.news_digest)
         if known is None and heartbeat.wanted:
-            self._send_heartbeat(node_id, wanted=False)
+            self._send_heartbeat(node_id, wanted=False, full=not accepted)
 
     def _on_ping(self, node_id: str, body: dict) -> dict:
         self._hear(node_id, Heartbeat.from_body(body, node_id))
@@ -314,7 +319,7 @@
         if item is not None:
             self._news.send(node_id, [item])
 
-    def _heartbeat(self, wanted: bool) -> Heartbeat:
+    def _heartbeat(self, wanted: bool, full: bool = False) -> Heartbeat:
         return Heartbeat(
             self._incarnation,
             self._state,
@@ -322,10 +327,11 @@
             len(self._news),
             self._news.digest,
             wanted,
+            full,
         )
 
-    def _send_heartbeat(self, node_id: str, wanted: bool) -> None:
-        body = self._heartbeat(wanted).to_body()
+    def _send_heartbeat(self, node_id: str, wanted: bool, full: bool = False) -> None:
+        body = self._heartbeat(wanted, full).to_body()
         self._network.notify(node_id, "heartbeat", body)
 
     def _beat(self) -> None:
--- a/src/rattanwick/internal/peers/records.py
+++ b/src/rattanwick/internal/peers/records.py
@@ -80,10 +80,11 @@
     news_count: int
     news_digest: int
     wanted: bool  # the sender chose this link and keeps it
+    full: bool = False  # the sender has too many links to take this one
 
     def to_body(self) -> dict:
         """Return a map for msgpack; keys are short because it is sent often."""
-        return {
+        body = {
             "i": self.incarnation,
             "s": int(self.state),
             "v": self.list_version,
@@ -91,6 +92,9 @@
             "d": self.news_digest,
             "w": self.wanted,
         }
+        if self.full:
+            body["f"] = True
+        return body
 
     @classmethod
     def from_body(cls, body: dict, peer: str) -> "Heartbeat":
@@ -107,4 +111,5 @@
             body["n"],
             body["d"],
             body.get("w") is True,
+            body.get("f") is True,
         )
--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -37,7 +37,7 @@
 
 CLAIM_SECONDS = 1.0
 RETRY_SECONDS = 1.0
-ASKED_CANDIDATES = 4
+ASKED_CANDIDATES = 6  # one for each data centre
 RestartCallback = Callable[[ServingRequest], None]
 ResumeCallback = Callable[[ServingRequest, Transcript], None]
 
--- a/tests/failure/test_members.py
+++ b/tests/failure/test_members.py
@@ -107,6 +107,16 @@
         rest = ["n0", "n1", "n2"]
         self.assertTrue(wait_until(lambda: self.cluster.agree(rest), 0.3))
 
+    def test_a_small_data_centre_is_not_flooded_with_links(self):
+        cluster = Cluster(max_links=4)
+        self.addCleanup(cluster.stop)
+        peers = [cluster.add(f"n{i}", "dc-a" if i else "dc-b") for i in range(16)]
+        self.assertTrue(wait_until(lambda: cluster.agree(cluster.peers)))
+        gevent.sleep(0.5)
+        self.assertTrue(cluster.agree(cluster.peers))
+        most = max(len(peer.members.links.all()) for peer in peers)
+        self.assertLessEqual(most, 4 + 4 + 2)
+
     def _versions(self, peers, keys) -> list[dict]:
         """Return the distinct views of some keys of the topic."""
         views = []
