--- a/src/rattanwick/internal/peers/drain.py
+++ b/src/rattanwick/internal/peers/drain.py
@@ -90,9 +90,8 @@
         giving_back = gevent.spawn(self._give_back)
         if self._end is None:
             self._wait_for_requests()
-        left = self._table.in_flight()
-        if left:
-            self._move(left)
+        if self._table.in_flight():
+            self._move()
         giving_back.join(timeout=2 * STEP_SECONDS)
         self._keepers.flush()
         log.info("drained, %d requests left", len(self._table.in_flight()))
@@ -136,22 +135,29 @@
                 return
             self._timers.sleep(POLL_SECONDS)
 
-    def _move(self, records: list[RequestRecord]) -> None:
+    def _move(self) -> None:
         """Hand requests over, relay while time remains, then move callers."""
         notice = max(self._end - self._timers.wall(), 0.0)
         kept_back = min(HAND_OFF_SECONDS, HAND_OFF_SHARE * notice)
-        pool = Pool(PARALLEL_HANDOVERS)
-        gevent.spawn(self._hand_over_all, pool, records)
+        moving = gevent.spawn(self._hand_over_all)
         self._wait_until_end(kept_back)
         self._time_up = True
         for record in self._table.in_flight():
             self._hand_off(record)
         # What could not be moved may still finish here.
         self._wait_until_end(0.0)
+        moving.kill()
 
-    def _hand_over_all(self, pool: Pool, records: list[RequestRecord]) -> None:
-        for record in records:
-            pool.spawn(self._hand_over, record)
+    def _hand_over_all(self) -> None:
+        pool = Pool(PARALLEL_HANDOVERS)
+        seen: set[str] = set()
+        while True:
+            # A request that was admitted just before the drain appears late.
+            for record in self._table.in_flight():
+                if record.req.id not in seen:
+                    seen.add(record.req.id)
+                    pool.spawn(self._hand_over, record)
+            self._timers.sleep(POLL_SECONDS)
 
     def _wait_until_end(self, kept_back: float) -> None:
         """Wait for requests until ``kept_back`` seconds before the end."""
@@ -171,10 +177,12 @@
         gevent.spawn(self._handover.relay, record, lambda: self._time_up)
 
     def _hand_off(self, record: RequestRecord) -> None:
-        node = self._members.get(record.moved_to) if record.moved_to else None
-        if node is None:
+        live = {node.id: node for node in self._members.live()}
+        if not record.moved_to or not live:
             log.error("%s is left unfinished", record.req.id)
             return
+        # Any node finds the request, should its holder be gone by now.
+        node = live.get(record.moved_to) or next(iter(live.values()))
         address = f"{node.host}:{node.caller_port}"
         callers = self._steps.hand_off_callers
         self._attempt("hand off callers", lambda: callers(record.req.id, address))
--- a/tests/failure/test_drain.py
+++ b/tests/failure/test_drain.py
@@ -126,6 +126,15 @@
         settled = [body for peer in self.peers.values() for body in peer.settled]
         self.assertEqual(settled, [{"claim": "c1"}])
 
+    def test_a_request_that_appears_during_the_drain_is_moved_too(self):
+        first = self.server.serve("req-1")
+        task = gevent.spawn(self._reclaim, self.server, 2.0)
+        self.assertTrue(wait_until(lambda: first.moved_to))
+        late = self.server.serve("req-2")
+        task.join()
+        self.assertEqual(late.transcript.text(), WHOLE)
+        self.assertNotEqual(late.moved_to, "")
+
     def test_without_another_node_the_request_goes_on_here(self):
         for peer in list(self.peers.values())[1:]:
             peer.parts.members.stop()
