Wait for holders that give no answer before a request is run again

Cause: a keeper took a live node that did not answer for one that holds nothing, so that two keepers could run one request. Change: it asks again, up to 6 times, and asks all nodes at once. Conclusion: found by reading; a test guards it now.

--- a/src/rattanwick/internal/peers/kept.py
+++ b/src/rattanwick/internal/peers/kept.py
@@ -73,6 +73,7 @@
     final: bytes = b""  # packed final answer
     lost: bool = False  # the serving node was lost and the call must not run again
     claiming: bool = False
+    unanswered: int = 0  # claims to which a live node gave no answer
     retry_at: float = 0.0  # monotonic seconds
 
     def size(self) -> int:
--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -5,7 +5,9 @@
 serving process is dead (or was replaced by a newer process of the same node) and
 after every other live node that may hold a copy has said that it neither runs nor
 finished it, and has no copy of a higher rank (higher epoch, then earlier in the
-list of holders). A holder that hears of a higher rank waits and asks again. Of two
+list of holders). A holder that hears of a higher rank waits and asks again, and so
+does one that gets no answer from a node that counts as live, up to
+UNANSWERED_CLAIMS times; then a second run is better than a lost request. Of two
 holders that hear each other only one runs the request. Holders that cannot hear
 each other (a partition) may both run it, which is why only idempotent requests
 are run again.
@@ -37,6 +39,7 @@
 
 CLAIM_SECONDS = 1.0
 RETRY_SECONDS = 1.0
+UNANSWERED_CLAIMS = 6
 ASKED_CANDIDATES = 6  # one for each data centre
 RestartCallback = Callable[[ServingRequest], None]
 ResumeCallback = Callable[[ServingRequest, Transcript], None]
@@ -144,9 +147,12 @@
 
     def _claim(self, kept: KeptRequest) -> None:
         try:
-            answers = [self._ask(kept, node_id) for node_id in self._others(kept)]
+            asking = [
+                gevent.spawn(self._ask, kept, node_id) for node_id in self._others(kept)
+            ]
+            gevent.joinall(asking)
             if self._kept.get(kept.header.request_id) is kept:
-                self._decide(kept, [item for item in answers if item is not None])
+                self._decide(kept, [task.value for task in asking])
         finally:
             kept.claiming = False
             kept.retry_at = self._timers.now() + RETRY_SECONDS
@@ -169,16 +175,18 @@
             log.info("claim of %s: %s", kept.header.request_id, exc)
             return None
 
-    def _decide(self, kept: KeptRequest, answers: list[HolderAnswer]) -> None:
+    def _decide(self, kept: KeptRequest, answers: list[HolderAnswer | None]) -> None:
         """Run the request, wait, or follow the node that runs it."""
         own = kept.header.rank(self._members.self_node.id)
-        for answer in answers:
+        heard = [item for item in answers if item is not None]
+        for answer in heard:
             if answer.state in (HolderState.RUNNING, HolderState.FINISHED):
                 self._follow(kept, answer.node_id)
                 return
-        if any(
-            answer.state is HolderState.KEPT and answer.rank > own for answer in answers
-        ):
+        if any(item.state is HolderState.KEPT and item.rank > own for item in heard):
+            return
+        if len(heard) < len(answers) and kept.unanswered < UNANSWERED_CLAIMS:
+            kept.unanswered += 1
             return
         if not self._is_server_gone(kept):
             return
--- a/tests/failure/test_keepers.py
+++ b/tests/failure/test_keepers.py
@@ -86,3 +86,22 @@
         self.peers["n1"].fetch_all("req-1")
         gevent.sleep(0.7)
         self.assertEqual(self.cluster.runs("req-1"), [(other.node.id, 0)])
+
+    def test_a_keeper_that_gets_no_answer_waits_before_it_runs_a_request(self):
+        self.server.generate = lambda req, transcript: None
+        self.server.serve("req-1")
+        (keeper,) = self.cluster.holding("req-1")
+        order = keeper.parts.takeover._others(keeper.parts.kept.get("req-1"))
+        silent = self.peers[next(item for item in order if item != "n0")]
+        asked = []
+
+        def hang(node_id, body):
+            asked.append(node_id)
+            gevent.sleep(30)
+
+        self.enterContext(mock.patch.object(takeover, "CLAIM_SECONDS", 0.1))
+        self.enterContext(mock.patch.object(takeover, "UNANSWERED_CLAIMS", 2))
+        silent.parts.network.handle("keeper.claim", hang)
+        self.server.crash()
+        self.assertTrue(wait_until(lambda: len(self.cluster.runs("req-1")) == 1))
+        self.assertEqual(len(asked), 3)
