--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -5,7 +5,7 @@
 import gevent
 from gevent.pool import Pool
 
-from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.errors import ProtocolError, StepError
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import PeerSettings
 from rattanwick.internal.base.timers import TimerService
@@ -14,7 +14,7 @@
 from rattanwick.internal.peers.heartbeats import HeartbeatLinks
 from rattanwick.internal.peers.interfaces import Members
 from rattanwick.internal.peers.network import StreamPeerNetwork
-from rattanwick.internal.peers.news import FloodNews
+from rattanwick.internal.peers.news import MAX_KEPT_SECONDS, FloodNews
 from rattanwick.internal.peers.probes import Probes
 from rattanwick.internal.peers.records import (
     STATES,
@@ -92,7 +92,7 @@
         """Announce this node and begin to watch others."""
         cfg = self._settings
         self._news.set_links(self.links.ids)
-        self._news.watch(TOPIC, self._on_news)
+        self._news.watch(TOPIC, self._on_news, self._check_item)
         self._network.subscribe_connections(self._on_connection)
         self._network.handle("heartbeat", self._on_heartbeat, inline=True)
         self._network.handle("member.ping", self._on_ping)
@@ -217,6 +217,14 @@
         version = news_version(incarnation, state)
         self._news.publish(TOPIC, node.id, version, node_to_body(node), kept)
 
+    def _check_item(self, node_id: str, version: int, body: dict) -> None:
+        """Raise ProtocolError for an item that no node can have published."""
+        node_from_body(node_id, body)
+        latest = 1000 * (self._timers.wall() + MAX_KEPT_SECONDS)
+        if version // STATES > latest:
+            # It could never be refuted.
+            raise ProtocolError("read member", node_id, "version is too high")
+
     def _on_news(self, node_id: str, version: int, body: dict) -> None:
         incarnation, state = version // STATES, MemberState(version % STATES)
         if node_id == self._self_node.id:
@@ -236,6 +244,7 @@
         if state is MemberState.DEAD:
             self.links.drop(node_id)
             self._versions.pop(node_id, None)
+            self._network.fail_calls(node_id)
             if self._network.is_connected(node_id):
                 # Tells a node that was cut off or paused that it must refute.
                 self._tell_item(node_id)
@@ -277,11 +286,16 @@
     def _on_heartbeat(self, node_id: str, body: dict) -> None:
         heartbeat = Heartbeat.from_body(body, node_id)
         known = self.links.get(node_id)
-        self.links.hear(node_id, heartbeat.wanted)
+        accepted = self.links.accepts(node_id)
+        if heartbeat.full:
+            self.links.refuse(node_id)
+            self._links_changed = True
+        elif accepted:
+            self.links.hear(node_id, heartbeat.wanted)
         self._hear(node_id, heartbeat)
         self._news.compare(node_id, heartbeat.news_count, heartbeat.news_digest)
         if known is None and heartbeat.wanted:
-            self._send_heartbeat(node_id, wanted=False)
+            self._send_heartbeat(node_id, wanted=False, full=not accepted)
 
     def _on_ping(self, node_id: str, body: dict) -> dict:
         self._hear(node_id, Heartbeat.from_body(body, node_id))
@@ -305,7 +319,7 @@
         if item is not None:
             self._news.send(node_id, [item])
 
-    def _heartbeat(self, wanted: bool) -> Heartbeat:
+    def _heartbeat(self, wanted: bool, full: bool = False) -> Heartbeat:
         return Heartbeat(
             self._incarnation,
             self._state,
@@ -313,10 +327,11 @@
             len(self._news),
             self._news.digest,
             wanted,
+            full,
         )
 
-    def _send_heartbeat(self, node_id: str, wanted: bool) -> None:
-        body = self._heartbeat(wanted).to_body()
+    def _send_heartbeat(self, node_id: str, wanted: bool, full: bool = False) -> None:
+        body = self._heartbeat(wanted, full).to_body()
         self._network.notify(node_id, "heartbeat", body)
 
     def _beat(self) -> None:
