--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,6 +1,7 @@
 """Run a trace through real routers against in-process endpoints, in real time."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
@@ -78,6 +79,28 @@
         return (self.total or 0.0) / nominal_seconds(self.arrival)
 
 
+class Race:
+    """Let the attempt with the first token win and cancel the other one."""
+
+    def __init__(self, outcome: Outcome):
+        self.outcome = outcome
+        self.decided = Event()
+        self.tasks: list[gevent.Greenlet] = []
+
+    def start(self, run: Callable[..., None], *arguments: object) -> None:
+        """Start an attempt."""
+        self.tasks.append(gevent.spawn(run, *arguments))
+
+    def win(self, task: gevent.Greenlet) -> bool:
+        """Tell whether an attempt came first; cancel the others."""
+        if self.decided.is_set():
+            return False
+        self.decided.set()
+        others = [item for item in self.tasks if item is not task]
+        gevent.killall(others, block=False)
+        return True
+
+
 class BenchCluster:
     """Hold routers and endpoints of one run."""
 
@@ -141,34 +164,36 @@
             return outcome
         delay = router.hedge_delay(req)
         if delay is None:
-            self._attempt(router, placement, outcome)
+            self._attempt(router, placement, Race(outcome))
         else:
-            self._attempt_hedged(router, req, placement, outcome, delay)
+            self._attempt_hedged(router, req, placement, Race(outcome), delay)
         return outcome
 
-    def _attempt(
-        self, router: CellRouter, placement: Placement, outcome: Outcome
-    ) -> None:
+    def _attempt(self, router: CellRouter, placement: Placement, race: "Race") -> None:
         """Run one attempt; an attempt that is killed releases its placement."""
+        outcome = race.outcome
         engine = self.engines[placement.endpoint_id]
         outcome.endpoints.append(placement.endpoint_id)
         link = self._endpoint_link(outcome.arrival.node, placement.endpoint_id)
         usage = Usage(reason="cancelled")
         started = time.monotonic()
+        first_token: list[float] = []
 
         def note_first_token():
-            if outcome.first_token is None:
+            first_token.append(time.monotonic() - started + link)
+            router.report_progress(placement, first_token[0], None)
+            if race.win(gevent.getcurrent()):
                 outcome.first_token = self._since(outcome.arrival) + link
-            observe = getattr(router, "observe_first_token", None)
-            if observe is not None:
-                observe(placement, time.monotonic() - started + link)
+
+        def note_progress(seconds_between_tokens: float):
+            router.report_progress(placement, None, seconds_between_tokens)
 
         try:
             gevent.sleep(link)
-            usage = engine.run(outcome.arrival, note_first_token)
+            usage = engine.run(outcome.arrival, note_first_token, note_progress)
+            usage.first_token_seconds = first_token[0]
             gevent.sleep(link)
-            if outcome.total is None:
-                outcome.total = self._since(outcome.arrival)
+            outcome.total = self._since(outcome.arrival)
         finally:
             router.release(placement, usage)
 
@@ -177,27 +202,23 @@
         router: CellRouter,
         req: ServingRequest,
         placement: Placement,
-        outcome: Outcome,
+        race: "Race",
         delay: float,
     ) -> None:
-        """Start a second attempt after a delay; the first to finish cancels it."""
-        done = Event()
-        tasks = [gevent.spawn(self._attempt, router, placement, outcome)]
-        tasks[0].link(lambda _: done.set())
-        if not done.wait(delay):
+        """Start a second attempt when no first token came; the first one wins."""
+        race.start(self._attempt, router, placement, race)
+        if not race.decided.wait(delay):
             try:
-                excluded = frozenset([placement.endpoint_id])
-                second = router.place(req, excluded)
+                second = router.place(req, frozenset([placement.endpoint_id]))
             except Refused:
                 second = None
-            if second is not None and done.is_set():
+            if second is not None and race.decided.is_set():
                 router.release(second, Usage(reason="cancelled"))
             elif second is not None:
-                outcome.hedged = True
-                tasks.append(gevent.spawn(self._attempt, router, second, outcome))
-                tasks[1].link(lambda _: done.set())
-            done.wait()
-        gevent.killall(tasks)
+                race.outcome.hedged = True
+                race.start(self._attempt, router, second, race)
+        race.decided.wait()
+        gevent.joinall(race.tasks)
 
     def _make_request(self, arrival: Arrival) -> ServingRequest:
         now = time.time()
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -1,5 +1,6 @@
 """In-process engines that batch with slots, slow down and report load late."""
 
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -66,8 +67,13 @@
         self.waiting = 0
         self.busy_seconds = 0.0
 
-    def run(self, arrival: Arrival, first_token: Callable[[], None]) -> Usage:
-        """Run a request to its end."""
+    def run(
+        self,
+        arrival: Arrival,
+        first_token: Callable[[], None],
+        progress: Callable[[float], None],
+    ) -> Usage:
+        """Run a request to its end; report progress as seconds between tokens."""
         usage = Usage(prompt_tokens=arrival.prompt_tokens)
         self.waiting += 1
         try:
@@ -76,20 +82,27 @@
             self.waiting -= 1
         self.running += 1
         try:
-            self._generate(arrival, usage, first_token)
+            self._generate(arrival, usage, first_token, progress)
         finally:
             self.running -= 1
             self._slots.release()
         return usage
 
     def _generate(
-        self, arrival: Arrival, usage: Usage, first_token: Callable[[], None]
+        self,
+        arrival: Arrival,
+        usage: Usage,
+        first_token: Callable[[], None],
+        progress: Callable[[float], None],
     ) -> None:
         usage.cached_tokens = self._use_prefix(arrival)
         computed = arrival.prompt_tokens - usage.cached_tokens
         usage.first_token_seconds = self._work(computed * PREFILL_SECONDS)
         first_token()
-        spent = self._work(arrival.output_tokens * STEP_SECONDS)
+        spent = self._work(
+            arrival.output_tokens * STEP_SECONDS,
+            lambda slowness: progress(STEP_SECONDS * slowness),
+        )
         usage.output_tokens = arrival.output_tokens
         usage.seconds_between_tokens = spent / arrival.output_tokens
         usage.total_seconds = usage.first_token_seconds + spent
@@ -99,13 +112,18 @@
         """Return the cached tokens, and keep the prefix for later requests."""
         return arrival.prefix_tokens if self._prefixes.use(arrival.prefix) else 0
 
-    def _work(self, seconds: float) -> float:
+    def _work(
+        self, seconds: float, report: Callable[[float], None] | None = None
+    ) -> float:
         """Spend nominal seconds and return the real ones."""
         spent = 0.0
         while seconds > 0:
             part = min(seconds, CHUNK_SECONDS)
-            real = part * self._slowness()
-            gevent.sleep(real)
+            started = time.monotonic()
+            gevent.sleep(part * self._slowness())
+            real = time.monotonic() - started
+            if report is not None:
+                report(real / part)
             seconds -= part
             spent += real
             self.busy_seconds += part
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -18,7 +18,7 @@
 from rattanwick.internal.base.settings import RoutingSettings
 
 RESULTS = Path(__file__).parent / "results"
-WARM_UP_SECONDS = 6.0
+WARM_UP_SECONDS = 10.0
 LINK_SECONDS = {"guayas": 0.003, "bortolini": 0.007}
 SHORT_SECONDS = 0.35
 LONG_WAIT_SECONDS = 15.0
@@ -111,6 +111,8 @@
 ) -> dict:
     """Run one arm on a trace."""
     gc.collect()
+    if arm.policy != "owner":
+        settings = replace(settings, hedge_share=0.0)
     cluster = BenchCluster(replace(settings, policy=arm.policy), link, arm.slowings)
     cpu = time.process_time()
     started = time.monotonic()
@@ -223,7 +225,7 @@
     parser = argparse.ArgumentParser(prog="python -m bench.policies")
     parser.add_argument("bench", choices=sorted(BENCHES))
     parser.add_argument("--pairs", type=int, default=5)
-    parser.add_argument("--seconds", type=float, default=26.0)
+    parser.add_argument("--seconds", type=float, default=32.0)
     parser.add_argument("--load", type=float, default=0.75)
     parser.add_argument("--seed", type=int, default=100)
     parser.add_argument("--deployment", choices=sorted(LINK_SECONDS), default="guayas")
--- a/src/rattanwick/internal/routing/alone.py
+++ b/src/rattanwick/internal/routing/alone.py
@@ -2,33 +2,23 @@
 
 from dataclasses import dataclass, field
 
+from rattanwick.internal.model.requests import Usage
 from rattanwick.internal.recording.decisions import Decision, DecisionKind
+from rattanwick.internal.routing import metrics
 from rattanwick.internal.routing.cells import Cell
-from rattanwick.internal.routing.choice import EMERGENCY_SLOTS, choose_alone
+from rattanwick.internal.routing.cellstate import CellState, Running
+from rattanwick.internal.routing.choice import UNLIMITED_SLOTS, choose_alone
 from rattanwick.internal.routing.messages import (
     PlaceAsk,
     PlaceReply,
     PlaceState,
+    ProgressNote,
     RefuseReason,
     ReleaseNote,
 )
 from rattanwick.internal.routing.owner import OwnerParts
-from rattanwick.internal.routing.snapshots import (
-    CellSnapshot,
-    EndpointState,
-    WaitingRequest,
-    Weights,
-)
-from rattanwick.internal.routing.work import features_of
-
-
-@dataclass(slots=True)
-class Counted:
-    """Hold a request of this node that is in flight at an endpoint."""
-
-    endpoint_id: str
-    work: float  # seconds
-    placed: float  # monotonic seconds
+from rattanwick.internal.routing.snapshots import CellSnapshot, WaitingRequest
+from rattanwick.internal.routing.work import Features, WorkEstimate, features_of
 
 
 @dataclass(slots=True)
@@ -36,24 +26,37 @@
     """Place requests by the policy of the settings on this node's own counts."""
 
     parts: OwnerParts
-    counted: dict[str, Counted] = field(default_factory=dict)
+    states: dict[str, CellState] = field(default_factory=dict)
     seed: int = 0
 
+    def state(self, cell: Cell) -> CellState:
+        """Return what this node knows of a cell."""
+        known = self.states.get(cell.key)
+        if known is None:
+            known = self.states[cell.key] = self.parts.new_state(cell)
+        known.cell = cell
+        return known
+
+    def estimate(self, cell: Cell, ask: PlaceAsk) -> WorkEstimate:
+        """Return the expected work by this node's own history."""
+        features = features_of(ask, cell.pool)
+        return self.state(cell).history.estimate(features, ask.prompt_tokens)
+
+    def is_short(self, estimate: WorkEstimate) -> bool:
+        """Tell whether work counts as short."""
+        return estimate.high_seconds <= self.parts.settings.short_seconds
+
     def place(self, cell: Cell, ask: PlaceAsk) -> PlaceReply:
         """Place an ask at once."""
-        estimate = self.parts.history.estimate(
-            features_of(ask, cell.pool), ask.prompt_tokens
-        )
-        snapshot = self._snapshot(cell, ask, estimate)
         policy = self.parts.settings.policy
+        policy = "alone" if policy == "owner" else policy
+        snapshot = self._snapshot(cell, ask)
         choice, reason = choose_alone(policy, snapshot)
+        metrics.PLACED.labels("node", reason).inc()
         self.parts.recorder.record(
             Decision(
                 DecisionKind.ROUTE,
-                {
-                    "policy": "alone" if policy == "owner" else policy,
-                    "snapshot": snapshot.to_message(),
-                },
+                {"policy": policy, "snapshot": snapshot.to_message()},
                 choice,
                 reason,
                 ask.request_id,
@@ -62,27 +65,66 @@
         if choice is None:
             state, refused = PlaceState.REFUSED, RefuseReason.NO_ENDPOINT
             return PlaceReply(cell.key, ask.ticket, state, reason=refused)
-        self.count(cell, ask, choice[1])
         return PlaceReply(cell.key, ask.ticket, PlaceState.PLACED, choice[1])
 
-    def count(self, cell: Cell, ask: PlaceAsk, endpoint_id: str) -> None:
+    def count(self, cell: Cell, ask: PlaceAsk, endpoint_id: str) -> Running:
         """Count a request of this node, however it was placed."""
-        estimate = self.parts.history.estimate(
-            features_of(ask, cell.pool), ask.prompt_tokens
+        state = self.state(cell)
+        now = self.parts.timers.now()
+        estimate = self.estimate(cell, ask)
+        item = Running(
+            ask.ticket,
+            "",
+            ask.request_id,
+            endpoint_id,
+            self.is_short(estimate),
+            estimate.seconds,
+            now,
+            ask,
+            cached=state.prefixes.cached_share(endpoint_id, ask.prefix),
         )
+        state.add(item, now)
+        return item
+
+    def release(self, note: ReleaseNote, features: Features, usage: Usage) -> None:
+        """Stop counting a request and learn from it."""
+        state = self.states.get(note.cell)
+        if state is not None:
+            state.finish(note.ticket, features, usage, self.parts.timers.now())
+
+    def report_load(self, endpoint_id: str, requests: int, age: float) -> None:
+        """Take in an endpoint's own load report."""
         now = self.parts.timers.now()
-        self.counted[ask.ticket] = Counted(endpoint_id, estimate.seconds, now)
+        for state in self.states.values():
+            if any(item.id == endpoint_id for item in state.cell.endpoints):
+                state.reports.add(endpoint_id, requests, age, now)
 
-    def release(self, note: ReleaseNote) -> None:
-        """Stop counting a request."""
-        self.counted.pop(note.ticket, None)
+    def observe(self, note: ProgressNote) -> None:
+        """Take in how a stream of this node goes."""
+        state = self.states.get(note.cell)
+        if state is not None:
+            state.observe(note, self.parts.timers.now())
+
+    def sweep(self) -> None:
+        """Update the health of endpoints."""
+        now = self.parts.timers.now()
+        for state in self.states.values():
+            state.reclassify(self.parts.settings.short_seconds, now)
+            state.health.update(state.cell.endpoints, now)
 
-    def _snapshot(self, cell: Cell, ask: PlaceAsk, estimate) -> CellSnapshot:
+    def _snapshot(self, cell: Cell, ask: PlaceAsk) -> CellSnapshot:
         self.seed += 1
         settings = self.parts.settings
+        state = self.state(cell)
+        estimate = self.estimate(cell, ask)
+        now = self.parts.timers.now()
+        endpoints = state.endpoint_states(self.parts.usable(), now)
+        for item in endpoints:
+            if not item.aside:
+                item.open_slots = UNLIMITED_SLOTS
         waiting = WaitingRequest(
             ticket=ask.ticket,
-            short=estimate.high_seconds <= settings.short_seconds,
+            short=self.is_short(estimate),
             plan=ask.plan,
             plan_time=0.0,
             work=estimate.seconds,
@@ -92,41 +134,15 @@
             seconds_left=ask.seconds_left,
             data_centre=ask.data_centre,
             excluded=ask.excluded,
-            cached=[],
+            cached=state.cached_shares(endpoints, ask.prefix),
+            idempotent=ask.idempotent,
         )
         return CellSnapshot(
             cell=cell.key,
-            endpoints=self._endpoint_states(cell),
+            endpoints=endpoints,
             waiting=[waiting],
             long_limit=0,
             long_wait_seconds=settings.long_wait_seconds,
-            weights=Weights(
-                settings.weight_cost, settings.weight_short, settings.weight_tail
-            ),
+            weights=self.parts.weights(),
             seed=self.seed,
         )
-
-    def _endpoint_states(self, cell: Cell) -> list[EndpointState]:
-        now = self.parts.timers.now()
-        counts: dict[str, int] = {}
-        remaining: dict[str, float] = {}
-        for item in self.counted.values():
-            counts[item.endpoint_id] = counts.get(item.endpoint_id, 0) + 1
-            left = max(item.work - (now - item.placed), 0.0)
-            remaining[item.endpoint_id] = remaining.get(item.endpoint_id, 0.0) + left
-        return [
-            EndpointState(
-                id=item.id,
-                data_centre=item.data_centre,
-                slots=item.slots,
-                short_running=counts.get(item.id, 0),
-                long_running=0,
-                remaining_seconds=remaining.get(item.id, 0.0),
-                foreign=0.0,
-                slowness=1.0,
-                open_slots=EMERGENCY_SLOTS,
-                price=item.price,
-            )
-            for item in cell.endpoints
-            if self.parts.is_usable(item.id)
-        ]
--- /dev/null
+++ b/src/rattanwick/internal/routing/attempts.py
@@ -0,0 +1,70 @@
+"""Extra attempts of a node: retries and hedges within their budgets."""
+
+from rattanwick.internal.base.settings import RoutingSettings
+from rattanwick.internal.model.requests import ServingRequest
+from rattanwick.internal.recording.decisions import Decision, DecisionKind, Recorder
+from rattanwick.internal.routing import metrics
+from rattanwick.internal.routing.budgets import (
+    ShareBudget,
+    decide_hedge,
+    decide_retry,
+)
+
+
+class ExtraAttempts:
+    """Decide on retries and hedges and keep their budgets."""
+
+    def __init__(self, settings: RoutingSettings, recorder: Recorder):
+        self._recorder = recorder
+        self._retries = ShareBudget(settings.retry_share)
+        self._hedges = ShareBudget(settings.hedge_share)
+
+    def note_request(self, req: ServingRequest) -> None:
+        """Add the shares of a request to the budgets."""
+        self._retries.deposit(req.organisation, req.pool)
+        self._hedges.deposit(req.organisation, req.pool)
+
+    def may_retry(self, req: ServingRequest) -> bool:
+        """Spend one retry; tell whether there was one."""
+        available = self._retries.available(req.organisation, req.pool)
+        inputs = {"available": available}
+        allowed, reason = decide_retry(inputs)
+        self._record(DecisionKind.RETRY, inputs, allowed, reason, req.id)
+        metrics.RETRIES.labels(reason).inc()
+        if allowed:
+            self._retries.spend(req.organisation, req.pool)
+        return bool(allowed)
+
+    def hedge_delay(
+        self, req: ServingRequest, short: bool, p95: float | None
+    ) -> float | None:
+        """Return seconds to wait before a hedge, or None for no hedge."""
+        inputs = {
+            "allowed": req.hedge,
+            "idempotent": req.idempotent,
+            "short": short,
+            "p95": p95,
+            "available": self._hedges.available(req.organisation, req.pool),
+        }
+        delay, reason = decide_hedge(inputs)
+        self._record(DecisionKind.HEDGE, inputs, delay, reason, req.id)
+        return delay
+
+    def spend_hedge(self, req: ServingRequest) -> bool:
+        """Spend one hedge; tell whether there was one."""
+        if self._hedges.available(req.organisation, req.pool) < 1:
+            metrics.HEDGES.labels("refused").inc()
+            return False
+        self._hedges.spend(req.organisation, req.pool)
+        metrics.HEDGES.labels("placed").inc()
+        return True
+
+    def _record(
+        self,
+        kind: DecisionKind,
+        inputs: dict,
+        choice: object,
+        reason: str,
+        request_id: str,
+    ) -> None:
+        self._recorder.record(Decision(kind, inputs, choice, reason, request_id))
--- /dev/null
+++ b/src/rattanwick/internal/routing/budgets.py
@@ -0,0 +1,80 @@
+"""Budgets of retries and hedges, and the decisions that spend them."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rattanwick.internal.recording.decisions import DecisionKind, decides
+
+MAX_SAVED = 10.0  # attempts that a quiet time saves up
+FIRST_SAVED = 3.0  # attempts that a new organisation may spend
+MAX_BUDGETS = 4096
+LEAST_HEDGE_SECONDS = 0.02
+
+
+class RetryReason(StrEnum):
+    """Tell why a retry was allowed or not."""
+
+    BUDGET = "budget"
+    BUDGET_SPENT = "budget_spent"
+
+
+class HedgeReason(StrEnum):
+    """Tell why a request is hedged or not."""
+
+    AFTER_P95 = "after_p95"
+    NOT_ALLOWED = "not_allowed"
+    NOT_IDEMPOTENT = "not_idempotent"
+    LONG = "long"
+    NO_HISTORY = "no_history"
+    BUDGET_SPENT = "budget_spent"
+
+
+@dataclass(slots=True)
+class ShareBudget:
+    """Let extra attempts be a share of requests, per organisation and pool."""
+
+    share: float
+    saved: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def deposit(self, organisation: str, pool: str) -> None:
+        """Add the share of one request."""
+        key = (organisation, pool)
+        if key not in self.saved and len(self.saved) >= MAX_BUDGETS:
+            self.saved.pop(next(iter(self.saved)))
+        self.saved[key] = min(
+            self.available(organisation, pool) + self.share, MAX_SAVED
+        )
+
+    def available(self, organisation: str, pool: str) -> float:
+        """Return the attempts that may be spent."""
+        first = FIRST_SAVED if self.share > 0 else 0.0
+        return self.saved.get((organisation, pool), first)
+
+    def spend(self, organisation: str, pool: str) -> None:
+        """Take one attempt."""
+        left = self.available(organisation, pool) - 1
+        self.saved[organisation, pool] = left
+
+
+@decides(DecisionKind.RETRY)
+def decide_retry(inputs: dict) -> tuple[object, str]:
+    """Return (whether to retry, reason)."""
+    if inputs["available"] >= 1:
+        return True, RetryReason.BUDGET
+    return False, RetryReason.BUDGET_SPENT
+
+
+@decides(DecisionKind.HEDGE)
+def decide_hedge(inputs: dict) -> tuple[object, str]:
+    """Return (delay in seconds or None, reason)."""
+    if not inputs["allowed"]:
+        return None, HedgeReason.NOT_ALLOWED
+    if not inputs["idempotent"]:
+        return None, HedgeReason.NOT_IDEMPOTENT
+    if not inputs["short"]:
+        return None, HedgeReason.LONG
+    if inputs["p95"] is None:
+        return None, HedgeReason.NO_HISTORY
+    if inputs["available"] < 1:
+        return None, HedgeReason.BUDGET_SPENT
+    return max(inputs["p95"], LEAST_HEDGE_SECONDS), HedgeReason.AFTER_P95
--- /dev/null
+++ b/src/rattanwick/internal/routing/cellstate.py
@@ -0,0 +1,158 @@
+"""What runs on the endpoints of a cell, as its owner or one node knows it."""
+
+from dataclasses import dataclass, field
+
+from rattanwick.internal.model.requests import Usage
+from rattanwick.internal.routing.cells import Cell
+from rattanwick.internal.routing.health import (
+    FAILURE_RATIO,
+    Evidence,
+    HealthView,
+)
+from rattanwick.internal.routing.messages import PlaceAsk, ProgressNote
+from rattanwick.internal.routing.prefixes import PrefixView
+from rattanwick.internal.routing.reports import LoadReports
+from rattanwick.internal.routing.snapshots import EndpointState
+from rattanwick.internal.routing.work import Features, WorkHistory
+
+OVERDUE_RATIO = 2.0  # over the longest short work, at which a request is long
+LATEST_MEAN_SECONDS = 2.0  # longest stream whose mean still tells of the present
+NEUTRAL_REASONS = frozenset(("", "cancelled"))  # reasons that say nothing of health
+
+
+@dataclass(slots=True)
+class Running:
+    """Hold a placement that is in flight."""
+
+    ticket: str
+    node: str
+    request_id: str
+    endpoint_id: str
+    short: bool
+    work: float  # seconds
+    placed: float  # monotonic seconds
+    ask: PlaceAsk | None = None
+    queued_seconds: float = 0.0
+    cached: float = 0.0  # share of the prompt believed to be cached
+
+
+@dataclass(slots=True)
+class Counts:
+    """Count what runs on one endpoint."""
+
+    short: int = 0
+    long: int = 0
+    finish: float = 0.0  # sum of expected finish times, monotonic seconds
+
+
+@dataclass(slots=True)
+class CellState:
+    """Hold placements in flight, health, reports and prefixes of a cell."""
+
+    cell: Cell
+    history: WorkHistory
+    health: HealthView
+    running: dict[str, Running] = field(default_factory=dict)
+    prefixes: PrefixView = field(default_factory=PrefixView)
+    reports: LoadReports = field(default_factory=LoadReports)
+    _counts: dict[str, Counts] = field(default_factory=dict)
+
+    def add(self, item: Running, now: float) -> None:
+        """Count a placement."""
+        self.running[item.ticket] = item
+        counts = self._counts.setdefault(item.endpoint_id, Counts())
+        if item.short:
+            counts.short += 1
+        else:
+            counts.long += 1
+        counts.finish += item.placed + item.work
+        self.reports.note_count(item.endpoint_id, counts.short + counts.long, now)
+        self.health.note_placed(item.endpoint_id, item.ticket)
+        if item.ask is not None:
+            self.prefixes.add(item.endpoint_id, item.ask.prefix)
+
+    def remove(self, ticket: str, now: float) -> Running | None:
+        """Stop counting a placement."""
+        item = self.running.pop(ticket, None)
+        if item is None:
+            return None
+        counts = self._counts[item.endpoint_id]
+        if item.short:
+            counts.short -= 1
+        else:
+            counts.long -= 1
+        counts.finish -= item.placed + item.work
+        self.reports.note_count(item.endpoint_id, counts.short + counts.long, now)
+        return item
+
+    def finish(
+        self, ticket: str, features: Features, usage: Usage, now: float
+    ) -> Running | None:
+        """Stop counting a placement and learn from what was observed."""
+        item = self.remove(ticket, now)
+        ratio = self._ratio(features, usage, now - item.placed if item else 0.0)
+        self.history.observe(features, usage)
+        if item is None:
+            return None
+        if ratio is not None:
+            evidence = Evidence(ticket, now, ratio)
+            self.health.observe(item.endpoint_id, evidence, now)
+        self.health.note_dropped(item.endpoint_id, ticket, now)
+        if usage.ok and item.ask is not None:
+            cached = usage.cached_tokens
+            self.prefixes.learn(item.endpoint_id, item.cached, cached)
+        return item
+
+    def reclassify(self, short_seconds: float, now: float) -> None:
+        """Count requests that ran longer than short work may as long."""
+        limit = short_seconds * OVERDUE_RATIO
+        for item in self.running.values():
+            if item.short and now - item.placed > limit:
+                item.short = False
+                self._counts[item.endpoint_id].short -= 1
+                self._counts[item.endpoint_id].long += 1
+
+    def observe(self, note: ProgressNote, now: float) -> None:
+        """Take in how a stream goes."""
+        evidence = Evidence(note.ticket, now, note.ratio)
+        self.health.observe(note.endpoint_id, evidence, now)
+
+    def endpoint_states(self, usable: set[str], now: float) -> list[EndpointState]:
+        """Return the usable endpoints as a decision reads them."""
+        states = []
+        for item in self.cell.endpoints:
+            if item.id not in usable:
+                continue
+            counts = self._counts.get(item.id) or Counts()
+            own = counts.short + counts.long
+            foreign = self.reports.foreign(item.id, now)
+            running = own + round(foreign)
+            states.append(
+                EndpointState(
+                    id=item.id,
+                    data_centre=item.data_centre,
+                    slots=item.slots,
+                    short_running=counts.short,
+                    long_running=counts.long,
+                    remaining_seconds=max(counts.finish - own * now, 0.0),
+                    foreign=foreign,
+                    slowness=self.health.slowness(item.id, now),
+                    open_slots=self.health.open_slots(item, running, now),
+                    price=item.price,
+                    aside=self.health.is_aside(item.id),
+                )
+            )
+        return states
+
+    def cached_shares(
+        self, states: list[EndpointState], prefix: list[int]
+    ) -> list[float]:
+        """Return the share of a prompt that each endpoint probably has cached."""
+        return [self.prefixes.cached_share(item.id, prefix) for item in states]
+
+    def _ratio(self, features: Features, usage: Usage, age: float) -> float | None:
+        """Return observed over expected time; the mean of a long stream is old."""
+        if usage.ok:
+            slowness = self.history.slowness(features, usage)
+            return slowness if age <= LATEST_MEAN_SECONDS else None
+        return None if usage.reason in NEUTRAL_REASONS else FAILURE_RATIO
--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -15,7 +15,8 @@
 OTHER_DATA_CENTRE_SECONDS = 0.005  # one round trip between data centres
 LOAD_PENALTY = 0.25  # slowing of a stream in a full batch, as a part of its work
 PRICE_SECONDS = 0.002  # seconds of delay that one currency unit an hour is worth
-EMERGENCY_SLOTS = 1 << 30
+UNLIMITED_SLOTS = 1 << 30
+TRIAL_RANK = -1.0  # a trial that is due comes first
 
 
 class RouteReason(StrEnum):
@@ -50,10 +51,12 @@
         best = None
         best_rank = None
         for index, endpoint in enumerate(snapshot.endpoints):
-            if endpoint.id in req.excluded or endpoint.open_slots <= 0:
+            if not may_run(endpoint, req):
                 continue
             cached = req.cached[index] if index < len(req.cached) else 0.0
             finish = expected_finish(snapshot, endpoint, req, cached)
+            if endpoint.aside:
+                finish = TRIAL_RANK
             rank = (finish, hash_rank(str(snapshot.seed), endpoint.id))
             if best_rank is None or rank < best_rank:
                 best, best_rank = endpoint.id, rank
@@ -99,6 +102,17 @@
     return running, hash_rank(str(snapshot.seed), item.id)
 
 
+def may_run(endpoint: EndpointState, req: WaitingRequest) -> bool:
+    """Tell whether a request may be placed on an endpoint now.
+
+    Only short idempotent requests try an endpoint that is set aside, since a
+    hedge can make up for a trial that fails.
+    """
+    if endpoint.id in req.excluded or endpoint.open_slots <= 0:
+        return False
+    return not endpoint.aside or (req.short and req.idempotent)
+
+
 def expected_finish(
     snapshot: CellSnapshot,
     endpoint: EndpointState,
@@ -131,6 +145,8 @@
         aged = is_aged(snapshot, req)
         if not req.short and not aged and long_running >= snapshot.long_limit:
             continue
+        if req.seconds_left < req.work:
+            continue
         endpoint_id = policy.choose(snapshot, req)
         if endpoint_id is not None:
             return Choice(req.ticket, endpoint_id, _reason(req, aged))
--- /dev/null
+++ b/src/rattanwick/internal/routing/costplan.py
@@ -0,0 +1,153 @@
+"""Cheapest instances that hold the latency target through a lost data centre."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rattanwick.internal.recording.decisions import (
+    Decision,
+    DecisionKind,
+    Recorder,
+    decides,
+)
+from rattanwick.internal.routing.messages import Message
+
+REFUSAL_SECONDS = 300.0  # a refused start is not tried again for this long
+
+
+class PlanReason(StrEnum):
+    """Tell whether the plan holds the target."""
+
+    HOLDS = "holds"
+    SHORT_OF_CAPACITY = "short_of_capacity"
+
+
+@dataclass(slots=True)
+class Offer(Message):
+    """Describe one class of instances in a data centre."""
+
+    data_centre: str
+    instance_class: str
+    reclaimable: bool
+    price: float  # currency units an hour
+    slots: int
+    running: int = 0
+    most: int = 1_000  # instances that the cloud is believed to give
+    refused_seconds_ago: float | None = None
+
+    @property
+    def slot_price(self) -> float:
+        """Return the price of a slot an hour."""
+        return self.price / self.slots
+
+    @property
+    def limit(self) -> int:
+        """Return the instances that may be planned."""
+        refused = self.refused_seconds_ago
+        if refused is not None and refused < REFUSAL_SECONDS:
+            return min(self.running, self.most)
+        return self.most
+
+
+@dataclass(slots=True)
+class PlanInputs:
+    """Hold all that a plan is made from."""
+
+    needed_slots: int  # that hold the latency target at the expected load
+    offers: list[Offer]
+
+    def to_message(self) -> dict:
+        """Return a map for msgpack."""
+        offers = [item.to_message() for item in self.offers]
+        return {"needed_slots": self.needed_slots, "offers": offers}
+
+    @classmethod
+    def from_message(cls, message: dict) -> "PlanInputs":
+        """Return the inputs of a map."""
+        offers = [Offer.from_message(item) for item in message["offers"]]
+        return cls(message["needed_slots"], offers)
+
+
+@dataclass(slots=True)
+class Plan:
+    """Hold the instances to run of each offer, in the order of the offers."""
+
+    counts: list[int]
+    price: float  # currency units an hour
+    holds: bool
+
+    @property
+    def reason(self) -> PlanReason:
+        """Tell whether the plan holds the target."""
+        return PlanReason.HOLDS if self.holds else PlanReason.SHORT_OF_CAPACITY
+
+
+def slots_after_loss(inputs: PlanInputs, counts: list[int]) -> int:
+    """Return the slots left after the loss of the largest data centre."""
+    by_centre: dict[str, int] = {}
+    for offer, count in zip(inputs.offers, counts, strict=True):
+        slots = by_centre.get(offer.data_centre, 0) + count * offer.slots
+        by_centre[offer.data_centre] = slots
+    return sum(by_centre.values()) - max(by_centre.values(), default=0)
+
+
+def make_plan(inputs: PlanInputs) -> Plan:
+    """Return the cheapest plan that keeps the slots through a lost data centre.
+
+    With at most ``cap`` slots in each data centre, ``needed + cap`` slots in
+    all suffice, so the cheapest instances under the cap are taken; the best cap
+    wins. Where no cap holds, the plan with the most slots after a loss wins.
+    """
+    step = max(min((item.slots for item in inputs.offers), default=1), 1)
+    best: Plan | None = None
+    best_rank: tuple | None = None
+    for cap in range(step, inputs.needed_slots + 2 * step, step):
+        counts = _fill(inputs, cap)
+        kept = slots_after_loss(inputs, counts)
+        price = sum(
+            offer.price * count
+            for offer, count in zip(inputs.offers, counts, strict=True)
+        )
+        rank = (-min(kept, inputs.needed_slots), price)
+        if best_rank is None or rank < best_rank:
+            best, best_rank = Plan(counts, price, kept >= inputs.needed_slots), rank
+    return best or Plan([0] * len(inputs.offers), 0.0, inputs.needed_slots <= 0)
+
+
+def _fill(inputs: PlanInputs, cap: int) -> list[int]:
+    """Take the cheapest instances until enough are left after a loss."""
+    counts = [0] * len(inputs.offers)
+    used: dict[str, int] = {}
+    order = sorted(
+        range(len(counts)),
+        key=lambda index: (
+            inputs.offers[index].slot_price,
+            -inputs.offers[index].running,
+            index,
+        ),
+    )
+    for index in order:
+        offer = inputs.offers[index]
+        while (
+            slots_after_loss(inputs, counts) < inputs.needed_slots
+            and counts[index] < offer.limit
+            and used.get(offer.data_centre, 0) + offer.slots <= cap
+        ):
+            counts[index] += 1
+            used[offer.data_centre] = used.get(offer.data_centre, 0) + offer.slots
+    return counts
+
+
+@decides(DecisionKind.ORDER)
+def replay_plan(inputs: dict) -> tuple[object, str]:
+    """Run a recorded plan again."""
+    plan = make_plan(PlanInputs.from_message(inputs))
+    return plan.counts, str(plan.reason)
+
+
+def decide_plan(inputs: PlanInputs, recorder: Recorder) -> Plan:
+    """Make a plan and record it."""
+    plan = make_plan(inputs)
+    reason = str(plan.reason)
+    kind = DecisionKind.ORDER
+    recorder.record(Decision(kind, inputs.to_message(), plan.counts, reason))
+    return plan
--- a/src/rattanwick/internal/routing/endpoints.py
+++ b/src/rattanwick/internal/routing/endpoints.py
@@ -31,6 +31,10 @@
         """Tell whether an endpoint may receive work."""
         return endpoint_id in self._usable
 
+    def usable(self) -> set[str]:
+        """Return the endpoints that may receive work."""
+        return self._usable
+
     def cell(self, key: str) -> Cell | None:
         """Return a cell by key."""
         return self._cells.get(key)
--- a/src/rattanwick/internal/routing/hosting.py
+++ b/src/rattanwick/internal/routing/hosting.py
@@ -12,11 +12,13 @@
     CANCEL,
     HOLDINGS,
     PLACE,
+    PROGRESS,
     RELEASE,
     Holding,
     PlaceAsk,
     PlaceReply,
     PlaceState,
+    ProgressNote,
     RefuseReason,
     ReleaseNote,
 )
@@ -40,6 +42,7 @@
         network: PeerNetwork,
         directory: EndpointDirectory,
         list_held: Callable[[str], list[Holding]],
+        is_held: Callable[[str], bool],
     ):
         self._parts = parts
         self._members = members
@@ -47,11 +50,13 @@
         self._network = network
         self._directory = directory
         self._list_held = list_held  # placements of this node in a cell
+        self._is_held = is_held  # by ticket
         self._self_id = members.self_node.id
         self._owners: dict[str, CellOwner] = {}
         network.handle(PLACE, self._handle_place)
         network.handle(RELEASE, self._handle_release)
         network.handle(CANCEL, self._handle_cancel)
+        network.handle(PROGRESS, self._handle_progress)
         network.handle(HOLDINGS, self._handle_holdings)
         members.subscribe(self._free_dead_nodes)
         timers = parts.timers
@@ -62,6 +67,10 @@
         """Tell whether the queue of a cell is here."""
         return cell in self._owners
 
+    def holds(self, ticket: str) -> bool:
+        """Tell whether this node holds a placement."""
+        return self._is_held(ticket)
+
     def place(self, ask: PlaceAsk, node_id: str) -> PlaceReply:
         """Place or queue an ask; make the queue on first use."""
         owner = self._owner_of(ask.cell)
@@ -76,12 +85,25 @@
         if owner is not None:
             owner.release(note)
 
+    def observe(self, note: ProgressNote) -> None:
+        """Take in how a stream goes."""
+        owner = self._owners.get(note.cell)
+        if owner is not None:
+            owner.observe(note)
+
     def cancel(self, cell: str, ticket: str) -> None:
         """Drop an ask or a placement that nobody waits for."""
         owner = self._owners.get(cell)
         if owner is not None:
             owner.cancel(ticket)
 
+    def report_load(self, endpoint_id: str, requests: int, age: float) -> None:
+        """Take in an endpoint's own load report."""
+        now = self._parts.timers.now()
+        for owner in self._owners.values():
+            if any(item.id == endpoint_id for item in owner.state.cell.endpoints):
+                owner.state.reports.add(endpoint_id, requests, age, now)
+
     def update_cells(self) -> None:
         """Adopt changed cells; drop those that are gone."""
         for key, owner in list(self._owners.items()):
@@ -90,7 +112,7 @@
                 owner.refuse_all(RefuseReason.NO_ENDPOINT)
                 del self._owners[key]
             else:
-                owner.cell = cell
+                owner.state.cell = cell
                 owner.sweep()
 
     def _owner_of(self, key: str) -> CellOwner | None:
@@ -100,7 +122,7 @@
         cell = self._directory.cell(key)
         if cell is None:
             return None
-        found = CellOwner(self._parts, cell)
+        found = CellOwner(self._parts, self._parts.new_state(cell))
         self._owners[key] = found
         others = [item.id for item in self._members.live() if item.id != self._self_id]
         if others:
@@ -114,14 +136,14 @@
         tasks = [spawn(self._fetch_holdings, owner, node_id) for node_id in others]
         for task in tasks:
             task.join()
-        owner.adopt(self._self_id, self._list_held(owner.cell.key))
+        owner.adopt(self._self_id, self._list_held(owner.key))
         owner.ready = True
-        log.info("this node owns cell %s", owner.cell.key)
+        log.info("this node owns cell %s", owner.key)
         owner.pump()
 
     def _fetch_holdings(self, owner: CellOwner, node_id: str) -> None:
         asked = self._parts.timers.now()
-        body = {"cell": owner.cell.key}
+        body = {"cell": owner.key}
         try:
             timeout = HOLDINGS_TIMEOUT_SECONDS
             answer = self._network.call(node_id, HOLDINGS, body, timeout)
@@ -137,6 +159,9 @@
     def _handle_release(self, peer: str, body: dict) -> None:
         self.release(ReleaseNote.from_message(body))
 
+    def _handle_progress(self, peer: str, body: dict) -> None:
+        self.observe(ProgressNote.from_message(body))
+
     def _handle_cancel(self, peer: str, body: dict) -> None:
         self.cancel(body["cell"], body["ticket"])
 
@@ -165,5 +190,5 @@
         for owner in list(self._owners.values()):
             for node_id in owner.nodes() - {self._self_id}:
                 self._fetch_holdings(owner, node_id)
-            held = self._list_held(owner.cell.key)
+            held = self._list_held(owner.key)
             owner.reconcile(self._self_id, held, self._parts.timers.now())
--- a/src/rattanwick/internal/routing/interfaces.py
+++ b/src/rattanwick/internal/routing/interfaces.py
@@ -25,3 +25,16 @@
     @abstractmethod
     def hedge_delay(self, req: ServingRequest) -> float | None:
         """Return seconds to wait before a hedge, or None for no hedge."""
+
+    @abstractmethod
+    def report_progress(
+        self,
+        placement: Placement,
+        first_token_seconds: float | None,
+        seconds_between_tokens: float | None,
+    ) -> None:
+        """Tell how a stream goes: at its first token, then a few times a second.
+
+        ``seconds_between_tokens`` is the mean since the last report. Slow
+        endpoints are found early only where this is called.
+        """
--- a/src/rattanwick/internal/routing/messages.py
+++ b/src/rattanwick/internal/routing/messages.py
@@ -10,6 +10,7 @@
 RELEASE = "cell.release"
 CANCEL = "cell.cancel"
 HOLDINGS = "cell.holdings"
+PROGRESS = "cell.progress"
 
 
 class PlaceState(StrEnum):
@@ -63,6 +64,7 @@
     excluded: list[str] = field(default_factory=list)
     prefix: list[int] = field(default_factory=list)  # hashes of leading blocks
     hedged: bool = False
+    idempotent: bool = True
     waited: float = 0.0  # seconds spent before this ask
 
 
@@ -91,6 +93,16 @@
     age: float = 0.0  # seconds since it was placed
 
 
+@dataclass(slots=True)
+class ProgressNote(Message):
+    """Tell an owner that a stream is slow, or no longer slow."""
+
+    cell: str
+    ticket: str
+    endpoint_id: str
+    ratio: float  # observed over expected time
+
+
 @dataclass(slots=True)
 class ReleaseNote(Message):
     """Give a placement back with what was observed."""
--- a/src/rattanwick/internal/routing/owner.py
+++ b/src/rattanwick/internal/routing/owner.py
@@ -1,4 +1,4 @@
-"""Soft owner of a cell: queue, count in flight and placements."""
+"""Soft owner of a cell: queue and placements."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -7,17 +7,22 @@
 from rattanwick.internal.base.settings import RoutingSettings
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.recording.decisions import Decision, DecisionKind, Recorder
+from rattanwick.internal.routing import metrics
 from rattanwick.internal.routing.cells import Cell
+from rattanwick.internal.routing.cellstate import CellState, Running
 from rattanwick.internal.routing.choice import choose_next
+from rattanwick.internal.routing.deadlines import AdmissionInputs, decide_admission
+from rattanwick.internal.routing.health import HealthView
 from rattanwick.internal.routing.messages import (
     Holding,
     PlaceAsk,
     PlaceReply,
     PlaceState,
+    ProgressNote,
     RefuseReason,
     ReleaseNote,
 )
-from rattanwick.internal.routing.prefixes import PrefixView
+from rattanwick.internal.routing.mix import MixMeter, long_limit
 from rattanwick.internal.routing.queues import FairQueue, QueuedAsk
 from rattanwick.internal.routing.snapshots import (
     CellSnapshot,
@@ -28,6 +33,7 @@
 )
 from rattanwick.internal.routing.work import (
     Features,
+    WorkEstimate,
     WorkHistory,
     features_of,
 )
@@ -37,22 +43,6 @@
 Deliver = Callable[[str, PlaceReply], None]  # (node id, reply)
 
 
-@dataclass(slots=True)
-class Running:
-    """Hold a placement that is in flight."""
-
-    ticket: str
-    node: str
-    request_id: str
-    endpoint_id: str
-    short: bool
-    work: float  # seconds
-    placed: float  # monotonic seconds
-    ask: PlaceAsk | None = None
-    queued_seconds: float = 0.0
-    cached: float = 0.0  # share of the prompt believed to be cached
-
-
 @dataclass(slots=True)
 class OwnerParts:
     """Hold what the owners of all cells of a node share."""
@@ -60,9 +50,20 @@
     settings: RoutingSettings
     timers: TimerService
     recorder: Recorder
-    history: WorkHistory
     deliver: Deliver
-    is_usable: Callable[[str], bool]  # endpoint id -> not leaving, as last heard
+    usable: Callable[[], set[str]]  # endpoints that are listed and not leaving
+
+    def weights(self) -> Weights:
+        """Return the weights of the deployment."""
+        settings = self.settings
+        return Weights(
+            settings.weight_cost, settings.weight_short, settings.weight_tail
+        )
+
+    def new_state(self, cell: Cell) -> CellState:
+        """Return the state of a cell of which nothing is known."""
+        health = HealthView(cell.key, self.settings.probation_share)
+        return CellState(cell, WorkHistory(), health)
 
 
 @dataclass(slots=True)
@@ -70,50 +71,54 @@
     """Place the requests of all nodes on the endpoints of one cell."""
 
     parts: OwnerParts
-    cell: Cell
+    state: CellState
     ready: bool = False  # the placements of other nodes are known
-    running: dict[str, Running] = field(default_factory=dict)
     queue: FairQueue = field(default_factory=FairQueue)
-    prefixes: PrefixView = field(default_factory=PrefixView)
-    reports_cache: set[str] = field(default_factory=set)  # endpoints
+    mix: MixMeter = field(default_factory=MixMeter)
     seed: int = 0
 
+    @property
+    def key(self) -> str:
+        """Return the key of the cell."""
+        return self.state.cell.key
+
     def place(self, ask: PlaceAsk, node: str) -> PlaceReply:
         """Place or queue an ask; the same ticket again returns its present state."""
-        placed = self.running.get(ask.ticket)
-        if placed is not None:
-            return self._placed_reply(placed)
-        if self.queue.get(ask.ticket) is None:
-            if not self._candidates(ask):
-                return self._refusal(ask.ticket, RefuseReason.NO_ENDPOINT)
-            self._enqueue(ask, node)
+        if ask.ticket not in self.state.running and not self.queue.get(ask.ticket):
+            reason = self._admit(ask, node)
+            if reason is not None:
+                return self._refusal(ask.ticket, reason)
             self.pump()
-        placed = self.running.get(ask.ticket)
+        placed = self.state.running.get(ask.ticket)
         if placed is not None:
             return self._placed_reply(placed)
-        return PlaceReply(self.cell.key, ask.ticket, PlaceState.QUEUED)
+        return PlaceReply(self.key, ask.ticket, PlaceState.QUEUED)
 
     def cancel(self, ticket: str) -> None:
         """Drop an ask or a placement that nobody waits for."""
         self.queue.remove(ticket)
-        self.running.pop(ticket, None)
+        self._drop(ticket)
         self.pump()
 
     def release(self, note: ReleaseNote) -> None:
         """Free the slot of a placement and learn from it."""
-        placed = self.running.pop(note.ticket, None)
-        usage = note.read_usage()
-        self.parts.history.observe(Features.from_message(note.features), usage)
-        if placed is not None and placed.ask is not None and usage.ok:
-            self._learn_prefix(placed, usage.cached_tokens)
+        features = Features.from_message(note.features)
+        now = self.parts.timers.now()
+        self.state.finish(note.ticket, features, note.read_usage(), now)
         self.pump()
 
+    def observe(self, note: ProgressNote) -> None:
+        """Take in how a stream goes."""
+        now = self.parts.timers.now()
+        self.state.observe(note, now)
+        self.state.health.update(self.state.cell.endpoints, now)
+
     def adopt(self, node: str, holdings: list[Holding]) -> None:
         """Take over the placements that a node says it holds."""
         now = self.parts.timers.now()
         for item in holdings:
-            if item.ticket not in self.running:
-                self.running[item.ticket] = Running(
+            if item.ticket not in self.state.running:
+                placed = Running(
                     item.ticket,
                     node,
                     item.request_id,
@@ -122,25 +127,26 @@
                     item.work,
                     now - item.age,
                 )
+                self.state.add(placed, now)
 
     def reconcile(self, node: str, holdings: list[Holding], asked_at: float) -> None:
         """Free placements that a node no longer holds."""
         held = {item.ticket for item in holdings}
         stale = [
             item.ticket
-            for item in self.running.values()
+            for item in self.state.running.values()
             if item.node == node and item.ticket not in held and item.placed < asked_at
         ]
         for ticket in stale:
-            del self.running[ticket]
+            self._drop(ticket)
         self.adopt(node, holdings)
         self.pump()
 
     def free_node(self, node: str) -> None:
         """Free what belongs to a node that died."""
-        for item in list(self.running.values()):
+        for item in list(self.state.running.values()):
             if item.node == node:
-                del self.running[item.ticket]
+                self._drop(item.ticket)
         for waiting in self.queue.items():
             if waiting.node == node:
                 self.queue.remove(waiting.ask.ticket)
@@ -151,7 +157,7 @@
 
     def nodes(self) -> set[str]:
         """Return the nodes that hold placements or wait here."""
-        holders = {item.node for item in self.running.values()}
+        holders = {item.node for item in self.state.running.values()}
         return holders | {item.node for item in self.queue.items()}
 
     def refuse_all(self, reason: RefuseReason) -> None:
@@ -160,34 +166,70 @@
             self._refuse_queued(item, reason)
 
     def sweep(self) -> None:
-        """Refuse asks whose deadline cannot be met any more, then place."""
+        """Update health and refuse asks whose deadline cannot be met any more."""
         now = self.parts.timers.now()
+        self.state.reclassify(self.parts.settings.short_seconds, now)
+        self.state.health.update(self.state.cell.endpoints, now)
+        usable = self.parts.usable()
         for item in self.queue.items():
-            if not self._candidates(item.ask):
+            if not self._candidates(item.ask, usable):
                 self._refuse_queued(item, RefuseReason.NO_ENDPOINT)
-            elif now + item.estimate.low_seconds >= item.deadline:
+            elif now + item.estimate.seconds > item.deadline:
                 self._refuse_queued(item, RefuseReason.DEADLINE)
         self.pump()
+        metrics.QUEUED.labels(self.key).set(len(self.queue))
+        metrics.RUNNING.labels(self.key).set(len(self.state.running))
 
     def pump(self) -> None:
         """Place as many waiting asks as there are slots."""
         while self.ready and len(self.queue):
-            snapshot = self._snapshot()
-            if not any(item.open_slots > 0 for item in snapshot.endpoints):
+            endpoints = self.state.endpoint_states(
+                self.parts.usable(), self.parts.timers.now()
+            )
+            if not any(item.open_slots > 0 for item in endpoints):
                 return
+            snapshot = self._snapshot(endpoints)
             choice = choose_next(snapshot)
             if choice is None:
                 return
             self._start(snapshot, choice)
 
-    def _enqueue(self, ask: PlaceAsk, node: str) -> None:
+    def _admit(self, ask: PlaceAsk, node: str) -> RefuseReason | None:
+        """Queue an ask, or return why it is refused."""
         now = self.parts.timers.now()
-        features = features_of(ask, self.cell.pool)
-        estimate = self.parts.history.estimate(features, ask.prompt_tokens)
+        features = features_of(ask, self.state.cell.pool)
+        estimate = self.state.history.estimate(features, ask.prompt_tokens)
         short = estimate.high_seconds <= self.parts.settings.short_seconds
+        self.mix.add(short, estimate.seconds, now)
+        inputs = self._admission_inputs(ask, estimate, short)
+        admitted, reason = decide_admission(inputs)
+        if not admitted:
+            self._record_refusal(ask, inputs, reason)
+            return RefuseReason(reason)
         deadline = now + ask.seconds_left
         arrived = now - ask.waited
         self.queue.add(QueuedAsk(ask, node, estimate, short, arrived, deadline))
+        return None
+
+    def _admission_inputs(
+        self, ask: PlaceAsk, estimate: WorkEstimate, short: bool
+    ) -> AdmissionInputs:
+        slots = self.state.cell.slots
+        return AdmissionInputs(
+            endpoints=len(self._candidates(ask, self.parts.usable())),
+            slots=slots if short else self._long_limit(),
+            work_ahead=self.queue.work_ahead(short, ask.plan),
+            work=estimate.seconds,
+            seconds_left=ask.seconds_left,
+        )
+
+    def _record_refusal(
+        self, ask: PlaceAsk, inputs: AdmissionInputs, reason: str
+    ) -> None:
+        metrics.REFUSED.labels(reason).inc()
+        kind = DecisionKind.REFUSE
+        decision = Decision(kind, inputs.to_message(), False, reason, ask.request_id)
+        self.parts.recorder.record(decision)
 
     def _start(self, snapshot: CellSnapshot, choice: Choice) -> None:
         now = self.parts.timers.now()
@@ -203,14 +245,14 @@
             now,
             item.ask,
             now - item.arrived,
-            self.prefixes.cached_share(choice.endpoint_id, item.ask.prefix),
+            self.state.prefixes.cached_share(choice.endpoint_id, item.ask.prefix),
         )
-        self.running[choice.ticket] = placed
-        self.prefixes.add(choice.endpoint_id, item.ask.prefix)
+        self.state.add(placed, now)
         self._record(snapshot, choice, item.ask.request_id)
         self.parts.deliver(item.node, self._placed_reply(placed))
 
     def _record(self, snapshot: CellSnapshot, choice: Choice, request_id: str) -> None:
+        metrics.PLACED.labels("owner", choice.reason).inc()
         self.parts.recorder.record(
             Decision(
                 DecisionKind.ROUTE,
@@ -221,56 +263,28 @@
             )
         )
 
-    def _snapshot(self) -> CellSnapshot:
+    def _long_limit(self) -> int:
+        short_load, long_load = self.mix.loads(self.parts.timers.now())
+        return long_limit(self.state.cell.slots, short_load, long_load)
+
+    def _snapshot(self, endpoints: list[EndpointState]) -> CellSnapshot:
         self.seed += 1
-        settings = self.parts.settings
-        endpoints = self._endpoint_states()
-        ids = [item.id for item in endpoints]
+        waiting = [
+            self._waiting(item, plan_time, endpoints)
+            for item, plan_time in self.queue.heads()
+        ]
         return CellSnapshot(
-            cell=self.cell.key,
+            cell=self.key,
             endpoints=endpoints,
-            waiting=[self._waiting(*head, ids) for head in self.queue.heads()],
-            long_limit=max(self.cell.slots * 3 // 4, 1),
-            long_wait_seconds=settings.long_wait_seconds,
-            weights=Weights(
-                settings.weight_cost, settings.weight_short, settings.weight_tail
-            ),
+            waiting=waiting,
+            long_limit=self._long_limit(),
+            long_wait_seconds=self.parts.settings.long_wait_seconds,
+            weights=self.parts.weights(),
             seed=self.seed,
         )
 
-    def _endpoint_states(self) -> list[EndpointState]:
-        now = self.parts.timers.now()
-        short: dict[str, int] = {}
-        long: dict[str, int] = {}
-        remaining: dict[str, float] = {}
-        for item in self.running.values():
-            counts = short if item.short else long
-            counts[item.endpoint_id] = counts.get(item.endpoint_id, 0) + 1
-            left = max(item.work - (now - item.placed), 0.0)
-            remaining[item.endpoint_id] = remaining.get(item.endpoint_id, 0.0) + left
-        states = []
-        for item in self.cell.endpoints:
-            if not self.parts.is_usable(item.id):
-                continue
-            own = short.get(item.id, 0) + long.get(item.id, 0)
-            states.append(
-                EndpointState(
-                    id=item.id,
-                    data_centre=item.data_centre,
-                    slots=item.slots,
-                    short_running=short.get(item.id, 0),
-                    long_running=long.get(item.id, 0),
-                    remaining_seconds=remaining.get(item.id, 0.0),
-                    foreign=0.0,
-                    slowness=1.0,
-                    open_slots=max(item.slots - own, 0),
-                    price=item.price,
-                )
-            )
-        return states
-
     def _waiting(
-        self, item: QueuedAsk, plan_time: float, ids: list[str]
+        self, item: QueuedAsk, plan_time: float, endpoints: list[EndpointState]
     ) -> WaitingRequest:
         now = self.parts.timers.now()
         ask = item.ask
@@ -286,36 +300,37 @@
             seconds_left=item.deadline - now,
             data_centre=ask.data_centre,
             excluded=ask.excluded,
-            cached=[self.prefixes.cached_share(name, ask.prefix) for name in ids],
+            cached=self.state.cached_shares(endpoints, ask.prefix),
+            idempotent=ask.idempotent,
         )
 
-    def _candidates(self, ask: PlaceAsk) -> list[str]:
+    def _candidates(self, ask: PlaceAsk, usable: set[str]) -> list[str]:
         return [
             item.id
-            for item in self.cell.endpoints
-            if item.id not in ask.excluded and self.parts.is_usable(item.id)
+            for item in self.state.cell.endpoints
+            if item.id in usable and item.id not in ask.excluded
         ]
 
+    def _drop(self, ticket: str) -> None:
+        """Free a placement of which nothing was observed."""
+        now = self.parts.timers.now()
+        item = self.state.remove(ticket, now)
+        if item is not None:
+            self.state.health.note_dropped(item.endpoint_id, ticket, now)
+
     def _refuse_queued(self, item: QueuedAsk, reason: RefuseReason) -> None:
+        metrics.REFUSED.labels(str(reason)).inc()
         self.queue.remove(item.ask.ticket)
         self.parts.deliver(item.node, self._refusal(item.ask.ticket, reason))
 
     def _refusal(self, ticket: str, reason: RefuseReason) -> PlaceReply:
-        state = PlaceState.REFUSED
-        return PlaceReply(self.cell.key, ticket, state, reason=reason)
+        return PlaceReply(self.key, ticket, PlaceState.REFUSED, reason=reason)
 
     def _placed_reply(self, placed: Running) -> PlaceReply:
         return PlaceReply(
-            self.cell.key,
+            self.key,
             placed.ticket,
             PlaceState.PLACED,
             placed.endpoint_id,
             placed.queued_seconds,
         )
-
-    def _learn_prefix(self, placed: Running, cached_tokens: int) -> None:
-        if cached_tokens > 0:
-            self.reports_cache.add(placed.endpoint_id)
-        elif placed.cached > 0 and placed.endpoint_id in self.reports_cache:
-            self.prefixes.clear(placed.endpoint_id)
-        self.prefixes.add(placed.endpoint_id, placed.ask.prefix)
--- a/src/rattanwick/internal/routing/prefixes.py
+++ b/src/rattanwick/internal/routing/prefixes.py
@@ -1,43 +1,80 @@
 """View of the prompt prefixes that endpoints probably have in their cache."""
 
 from collections import OrderedDict
+from dataclasses import dataclass, field
 
 MAX_BLOCKS_PER_ENDPOINT = 4096
+MIN_BLOCKS_PER_ENDPOINT = 4
+# A miss shrinks the believed size and a hit grows it, so that it settles where
+# about 3 in 100 expected hits are misses.
+GROWTH_ON_HIT = 1.01
+GROWTH_ON_SURPRISE = 1.05
+SHRINK_ON_MISS = 0.7
+
+
+@dataclass(slots=True)
+class CacheView:
+    """Hold the blocks believed to be cached at one endpoint, the latest last."""
+
+    size: float = MAX_BLOCKS_PER_ENDPOINT
+    blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    reports: bool = False  # the endpoint tells how many tokens were cached
+
+    def resize(self, factor: float) -> None:
+        """Change the believed size and drop what does not fit."""
+        size = self.size * factor
+        if factor < 1:
+            size = min(size, len(self.blocks) * factor)
+        self.size = min(max(size, MIN_BLOCKS_PER_ENDPOINT), MAX_BLOCKS_PER_ENDPOINT)
+        self.trim()
+
+    def trim(self) -> None:
+        """Drop the blocks used longest ago."""
+        while len(self.blocks) > self.size:
+            self.blocks.popitem(last=False)
 
 
 class PrefixView:
-    """Remember the leading blocks sent to each endpoint, the latest ones."""
+    """Remember the leading blocks sent to each endpoint, the latest ones.
+
+    Cache events come late and with gaps, so the size of a cache is learned from
+    the cached tokens that answers report.
+    """
 
     def __init__(self):
-        self._blocks: dict[str, OrderedDict[int, None]] = {}
+        self._views: dict[str, CacheView] = {}
 
     def add(self, endpoint_id: str, prefix: list[int]) -> None:
         """Note that a prompt was sent to an endpoint."""
-        blocks = self._blocks.setdefault(endpoint_id, OrderedDict())
+        view = self._views.setdefault(endpoint_id, CacheView())
         for block in prefix:
-            blocks[block] = None
-            blocks.move_to_end(block)
-        while len(blocks) > MAX_BLOCKS_PER_ENDPOINT:
-            blocks.popitem(last=False)
+            view.blocks[block] = None
+            view.blocks.move_to_end(block)
+        view.trim()
 
     def cached_share(self, endpoint_id: str, prefix: list[int]) -> float:
         """Return the part of a prompt's leading blocks that is probably cached."""
-        blocks = self._blocks.get(endpoint_id)
-        if not blocks or not prefix:
+        view = self._views.get(endpoint_id)
+        if view is None or not prefix:
             return 0.0
         known = 0
         for block in prefix:
-            if block not in blocks:
+            if block not in view.blocks:
                 break
             known += 1
         return known / len(prefix)
 
-    def forget(self, endpoint_id: str, prefix: list[int]) -> None:
-        """Drop blocks that the endpoint turned out not to have."""
-        blocks = self._blocks.get(endpoint_id, {})
-        for block in prefix:
-            blocks.pop(block, None)
+    def learn(self, endpoint_id: str, expected: float, cached_tokens: int) -> None:
+        """Adjust the believed size by what an answer reports."""
+        view = self._views.setdefault(endpoint_id, CacheView())
+        view.reports = view.reports or cached_tokens > 0
+        if not view.reports:
+            return
+        if cached_tokens > 0:
+            view.resize(GROWTH_ON_HIT if expected > 0 else GROWTH_ON_SURPRISE)
+        elif expected > 0:
+            view.resize(SHRINK_ON_MISS)
 
     def clear(self, endpoint_id: str) -> None:
-        """Drop all blocks of an endpoint, after a restart or a lost cache event."""
-        self._blocks.pop(endpoint_id, None)
+        """Drop all blocks of an endpoint, after a restart or a cleared cache."""
+        self._views.pop(endpoint_id, None)
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -1,12 +1,10 @@
 """Placement of requests by asking the soft owner of a cell."""
 
 import itertools
+from collections import Counter
 from dataclasses import asdict, dataclass
 
-from gevent import spawn
-from gevent.event import Event
-
-from rattanwick.internal.base.errors import Refused, StepError
+from rattanwick.internal.base.errors import Refused
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import RoutingSettings
 from rattanwick.internal.base.timers import TimerService
@@ -15,35 +13,36 @@
 from rattanwick.internal.platform.interfaces import InstanceList
 from rattanwick.internal.recording.decisions import Recorder
 from rattanwick.internal.routing.alone import AlonePlacer
+from rattanwick.internal.routing.asking import OwnerClient
+from rattanwick.internal.routing.attempts import ExtraAttempts
 from rattanwick.internal.routing.cells import Cell
+from rattanwick.internal.routing.cellstate import Running
 from rattanwick.internal.routing.endpoints import EndpointDirectory
 from rattanwick.internal.routing.hosting import OwnedCells
 from rattanwick.internal.routing.interfaces import Router
 from rattanwick.internal.routing.messages import (
-    CANCEL,
-    PLACE,
-    PLACED,
+    PROGRESS,
     RELEASE,
     Holding,
     PlaceAsk,
     PlaceReply,
     PlaceState,
+    ProgressNote,
     RefuseReason,
     ReleaseNote,
 )
 from rattanwick.internal.routing.owner import OwnerParts
+from rattanwick.internal.routing.progress import ProgressWatch, StreamProgress
 from rattanwick.internal.routing.work import (
-    WorkHistory,
     features_of,
+    features_of_request,
     hash_prefix,
 )
 
 log = get_logger("routing")
 
-ASK_TIMEOUT_SECONDS = 0.5
 WAITER_SECONDS = 0.1
-REPEAT_SECONDS = 1.0  # a queued ask is repeated, in case its answer was lost
-UNREACHABLE_SECONDS = 1.0  # an owner that did not answer is not asked again
+HEDGE_QUANTILE = 0.95
 
 
 @dataclass(slots=True)
@@ -53,23 +52,7 @@
     placement: Placement
     ask: PlaceAsk
     cell: Cell
-    placed: float  # monotonic seconds
-    short: bool = True
-    work: float = 0.0  # seconds
-
-
-class Waiter:
-    """Wait for the answer to a queued ask."""
-
-    __slots__ = ("ask", "asked", "deadline", "event", "owner", "reply")
-
-    def __init__(self, ask: PlaceAsk, owner: str, asked: float, deadline: float):
-        self.ask = ask
-        self.owner = owner
-        self.asked = asked  # monotonic seconds
-        self.deadline = deadline  # monotonic seconds
-        self.event = Event()
-        self.reply: PlaceReply | None = None
+    counted: Running
 
 
 class CellRouter(Router):
@@ -95,26 +78,28 @@
         self._self_id = members.self_node.id
         self._tickets = itertools.count()
         self._ticket_prefix = f"{self._self_id}.{members.self_node.incarnation}"
-        self._history = WorkHistory()
-        self._waiters: dict[str, Waiter] = {}
         self._held: dict[str, Held] = {}
-        self._unreachable: dict[str, float] = {}  # node -> monotonic seconds
+        self._held_requests: Counter[str] = Counter()  # placements by request
+        self._client = OwnerClient(self._self_id, ownership, network, timers)
         self._directory = EndpointDirectory(instances, news, settings.cell_endpoints)
         self._parts = OwnerParts(
-            settings,
-            timers,
-            recorder,
-            self._history,
-            self._deliver,
-            self._directory.is_usable,
+            settings, timers, recorder, self._client.deliver, self._directory.usable
         )
         self._alone = AlonePlacer(self._parts)
+        self._attempts = ExtraAttempts(settings, recorder)
+        self._progress = ProgressWatch()
         self._owned = OwnedCells(
-            self._parts, members, ownership, network, self._directory, self._holdings
+            self._parts,
+            members,
+            ownership,
+            network,
+            self._directory,
+            self._holdings,
+            self._held.__contains__,
         )
         self._directory.subscribe(self._owned.update_cells)
-        network.handle(PLACED, self._handle_placed)
-        timers.subscribe("routing waiters", WAITER_SECONDS, self._check_waiters)
+        self._client.attach(self._owned)
+        timers.subscribe("routing waiters", WAITER_SECONDS, self._sweep)
 
     def place(
         self, req: ServingRequest, excluded: frozenset[str] = frozenset()
@@ -122,16 +107,18 @@
         """Wait for a placement; raise Refused when the deadline cannot be met."""
         started = self._timers.now()
         deadline = started + req.deadline - self._timers.wall()
+        hedged = self._begin_attempt(req)
         prefix = hash_prefix(req)
         while True:
             cell = self._select_cell(req, excluded)
             ask = self._make_ask(req, cell, excluded, prefix, started, deadline)
+            ask.hedged = hedged
             if ask.seconds_left <= 0:
                 raise Refused("place", req.pool, RefuseReason.DEADLINE_PASSED)
-            owner = self._owner_to_ask(cell)
+            owner = self._find_owner(cell)
             if owner is None:
                 return self._place_alone(cell, ask)
-            reply = self._ask(owner, ask, deadline)
+            reply = self._client.ask(owner, ask, deadline)
             if reply is None:
                 continue
             if reply.state == PlaceState.REFUSED:
@@ -143,6 +130,8 @@
         held = self._held.pop(placement.id, None)
         if held is None:
             return
+        self._forget_request(placement.request_id)
+        self._progress.streams.pop(placement.id, None)
         features = features_of(held.ask, held.cell.pool)
         note = ReleaseNote(
             held.cell.key,
@@ -151,11 +140,8 @@
             asdict(usage),
             features.to_message(),
         )
-        self._alone.release(note)
-        targets = self._release_targets(held)
-        if self._self_id not in targets or not self._owned.hosts(held.cell.key):
-            self._history.observe(features, usage)
-        for node_id in targets:
+        self._alone.release(note, features, usage)
+        for node_id in self._release_targets(held):
             if node_id == self._self_id:
                 self._owned.release(note)
             else:
@@ -163,16 +149,75 @@
 
     def may_retry(self, req: ServingRequest) -> bool:
         """Spend one retry of the budget; tell whether there was one."""
-        return True
+        return self._attempts.may_retry(req)
 
     def hedge_delay(self, req: ServingRequest) -> float | None:
-        """Return seconds to wait before a hedge, or None for no hedge."""
-        return None
+        """Return seconds without a first token after which to hedge, or None.
+
+        For services it is seconds without an answer. The hedge itself is a second
+        ``place`` for the request while the first placement is held; that call
+        spends the budget.
+        """
+        cells = self._directory.cells(req.pool, self._members.self_node.region)
+        if not cells:
+            return None
+        state = self._alone.state(cells[0])
+        features = features_of_request(req)
+        estimate = state.history.estimate(features, req.prompt_tokens)
+        p95 = state.history.latency_quantile(
+            features, req.prompt_tokens, HEDGE_QUANTILE
+        )
+        return self._attempts.hedge_delay(req, self._alone.is_short(estimate), p95)
+
+    def report_progress(
+        self,
+        placement: Placement,
+        first_token_seconds: float | None,
+        seconds_between_tokens: float | None,
+    ) -> None:
+        """Tell how a stream goes: at its first token, then a few times a second."""
+        held = self._held.get(placement.id)
+        if held is None:
+            return
+        note = self._progress.report(
+            placement.id,
+            self._alone.state(held.cell).history,
+            first_token_seconds,
+            seconds_between_tokens,
+        )
+        if note is not None:
+            self._send_progress(note)
 
     def report_load(
         self, endpoint_id: str, running: int, waiting: int, age: float
     ) -> None:
         """Take in an endpoint's own load report, ``age`` seconds old."""
+        self._owned.report_load(endpoint_id, running + waiting, age)
+        self._alone.report_load(endpoint_id, running + waiting, age)
+
+    def _send_progress(self, note: ProgressNote) -> None:
+        self._alone.observe(note)
+        owner = self._ownership.owner(note.cell)
+        if owner is None or self._settings.policy != "owner":
+            return
+        if owner.id == self._self_id:
+            self._owned.observe(note)
+        else:
+            self._network.notify(owner.id, PROGRESS, note.to_message())
+
+    def _forget_request(self, request_id: str) -> None:
+        self._held_requests[request_id] -= 1
+        if self._held_requests[request_id] <= 0:
+            del self._held_requests[request_id]
+
+    def _begin_attempt(self, req: ServingRequest) -> bool:
+        """Count the request, or spend the budget of a hedge; tell which it is."""
+        hedged = self._held_requests[req.id] > 0
+        if not hedged:
+            self._attempts.note_request(req)
+        elif not self._attempts.spend_hedge(req):
+            raise Refused("place", req.pool, RefuseReason.HEDGE_BUDGET)
+        return hedged
 
     def _select_cell(self, req: ServingRequest, excluded: frozenset[str]) -> Cell:
         region = self._members.self_node.region
@@ -206,50 +251,15 @@
             data_centre=self._members.self_node.data_centre,
             excluded=sorted(excluded),
             prefix=prefix,
+            idempotent=req.idempotent,
             waited=now - started,
         )
 
-    def _owner_to_ask(self, cell: Cell) -> str | None:
+    def _find_owner(self, cell: Cell) -> str | None:
         """Return the soft owner, or None where the request is placed alone."""
         if self._settings.policy != "owner":
             return None
-        owner = self._ownership.owner(cell.key)
-        if owner is None:
-            return None
-        until = self._unreachable.get(owner.id, 0.0)
-        return owner.id if until <= self._timers.now() else None
-
-    def _ask(self, owner: str, ask: PlaceAsk, deadline: float) -> PlaceReply | None:
-        """Return the final reply, or None to look for an owner again."""
-        now = self._timers.now()
-        waiter = Waiter(ask, owner, now, deadline)
-        self._waiters[ask.ticket] = waiter
-        finished = False
-        try:
-            reply = self._send_ask(owner, ask)
-            if reply is not None and reply.state == PlaceState.QUEUED:
-                waiter.event.wait()
-                reply = waiter.reply
-            elif reply is None:
-                reply = waiter.reply
-            finished = reply is not None
-            return reply
-        finally:
-            self._waiters.pop(ask.ticket, None)
-            if not finished:
-                self._cancel(owner, ask.cell, ask.ticket)
-
-    def _send_ask(self, owner: str, ask: PlaceAsk) -> PlaceReply | None:
-        if owner == self._self_id:
-            return self._owned.place(ask, owner)
-        try:
-            body = ask.to_message()
-            answer = self._network.call(owner, PLACE, body, ASK_TIMEOUT_SECONDS)
-        except StepError as exc:
-            log.info("owner %s of %s did not answer: %s", owner, ask.cell, exc)
-            self._unreachable[owner] = self._timers.now() + UNREACHABLE_SECONDS
-            return None
-        return PlaceReply.from_message(answer)
+        return self._client.find_owner(cell.key)
 
     def _place_alone(self, cell: Cell, ask: PlaceAsk) -> Placement:
         reply = self._alone.place(cell, ask)
@@ -278,21 +288,18 @@
             queued_seconds=reply.queued_seconds,
             hedged=ask.hedged,
         )
-        features = features_of(ask, cell.pool)
-        work = self._history.estimate(features, ask.prompt_tokens)
-        short = work.high_seconds <= self._settings.short_seconds
-        now = self._timers.now()
-        self._held[ask.ticket] = Held(placement, ask, cell, now, short, work.seconds)
-        if owner:
-            self._alone.count(cell, ask, reply.endpoint_id)
+        counted = self._alone.count(cell, ask, reply.endpoint_id)
+        self._held[ask.ticket] = Held(placement, ask, cell, counted)
+        self._held_requests[ask.request_id] += 1
+        self._progress.streams[ask.ticket] = StreamProgress(
+            cell.key,
+            reply.endpoint_id,
+            features_of(ask, cell.pool),
+            ask.prompt_tokens,
+            self._timers.now(),
+        )
         return placement
 
-    def _cancel(self, owner: str, cell: str, ticket: str) -> None:
-        if owner == self._self_id:
-            self._owned.cancel(cell, ticket)
-            return
-        self._network.notify(owner, CANCEL, {"cell": cell, "ticket": ticket})
-
     def _holdings(self, cell: str) -> list[Holding]:
         now = self._timers.now()
         return [
@@ -301,61 +308,18 @@
                 ticket,
                 held.ask.request_id,
                 held.placement.endpoint_id,
-                held.short,
-                held.work,
-                now - held.placed,
+                held.counted.short,
+                held.counted.work,
+                now - held.counted.placed,
             )
             for ticket, held in self._held.items()
             if held.cell.key == cell
         ]
 
-    def _deliver(self, node_id: str, reply: PlaceReply) -> None:
-        """Send the later answer to a queued ask."""
-        if node_id == self._self_id:
-            self._receive(reply)
-        else:
-            self._network.notify(node_id, PLACED, reply.to_message())
-
-    def _receive(self, reply: PlaceReply) -> bool:
-        """Hand an answer to its waiter; tell whether anybody wanted it."""
-        waiter = self._waiters.get(reply.ticket)
-        if waiter is None:
-            return reply.ticket in self._held
-        waiter.reply = reply
-        waiter.event.set()
-        return True
-
-    def _handle_placed(self, peer: str, body: dict) -> None:
-        self._accept_late(peer, PlaceReply.from_message(body))
-
-    def _check_waiters(self) -> None:
-        for waiter in list(self._waiters.values()):
-            self._check_waiter(waiter)
-
-    def _check_waiter(self, waiter: Waiter) -> None:
-        """Wake a waiter whose deadline passed or whose owner changed."""
+    def _sweep(self) -> None:
+        self._client.check_waiters()
+        self._alone.sweep()
         now = self._timers.now()
-        ask = waiter.ask
-        owner = self._ownership.owner(ask.cell)
-        if now >= waiter.deadline:
-            reason = RefuseReason.DEADLINE_PASSED
-            state = PlaceState.REFUSED
-            self._cancel(waiter.owner, ask.cell, ask.ticket)
-            self._receive(PlaceReply(ask.cell, ask.ticket, state, reason=reason))
-        elif owner is None or owner.id != waiter.owner:
-            waiter.event.set()
-        elif now - waiter.asked >= REPEAT_SECONDS and waiter.owner != self._self_id:
-            waiter.asked = now
-            spawn(self._repeat, waiter)
-
-    def _repeat(self, waiter: Waiter) -> None:
-        """Ask again, in case the later answer was lost."""
-        reply = self._send_ask(waiter.owner, waiter.ask)
-        if reply is None:
-            waiter.event.set()
-        elif reply.state != PlaceState.QUEUED:
-            self._accept_late(waiter.owner, reply)
-
-    def _accept_late(self, owner: str, reply: PlaceReply) -> None:
-        if not self._receive(reply) and reply.state == PlaceState.PLACED:
-            self._cancel(owner, reply.cell, reply.ticket)
+        for key, state in self._alone.states.items():
+            for note in self._progress.late(state.history, key, now):
+                self._send_progress(note)
--- a/src/rattanwick/internal/routing/snapshots.py
+++ b/src/rattanwick/internal/routing/snapshots.py
@@ -19,6 +19,7 @@
     slowness: float  # observed time per token over the pool's median
     open_slots: int  # slots that may be filled now
     price: float
+    aside: bool = False  # set aside as slow; open slots are for trials
 
     @property
     def running(self) -> float:
@@ -42,6 +43,7 @@
     data_centre: str
     excluded: list[str]
     cached: list[float]  # share of the prompt cached, in order of endpoints
+    idempotent: bool = True
 
 
 @dataclass(slots=True)
--- a/src/rattanwick/internal/routing/work.py
+++ b/src/rattanwick/internal/routing/work.py
@@ -12,11 +12,14 @@
 MAX_BLOCKS = 16
 CHARACTERS_PER_TOKEN = 4
 BUCKETS_PER_OCTAVE = 4
-MAX_BUCKETS = 96
+MAX_BUCKETS = 160
 HALF_LIFE_SAMPLES = 500
 MIN_SAMPLES = 8
+MIN_SAMPLES_OF_APPLICATION = 2  # requests with the same leading text are alike
 MAX_KEYS = 4096
-RATE_SMOOTHING = 0.05
+LATENCY_UNIT = 1e-6  # seconds per prompt token
+LEAST_EXPECTED_SECONDS = 0.01
+RATE_STEP = 0.02  # a rate moves by this part towards the median of what is seen
 DEFAULT_PREFILL_SECONDS = 0.0002  # per prompt token
 DEFAULT_STEP_SECONDS = 0.02  # per output token
 DEFAULT_SERVICE_SECONDS = 0.2
@@ -46,7 +49,7 @@
             self._rescale()
 
     def quantile(self, share: float) -> float:
-        """Return the upper bound of the bucket that holds a quantile."""
+        """Return the middle of the bucket that holds a quantile."""
         wanted = share * sum(self._counts.values())
         seen = 0.0
         last = 0
@@ -54,7 +57,7 @@
             seen += self._counts[last]
             if seen >= wanted:
                 break
-        return self.unit * 2 ** (last / BUCKETS_PER_OCTAVE)
+        return self.unit * 2 ** (max(last - 0.5, 0) / BUCKETS_PER_OCTAVE)
 
     def _bucket(self, value: float) -> int:
         if value <= self.unit:
@@ -109,6 +112,18 @@
     return Features(pool, ask.kind, ask.organisation, ask.max_output_tokens, first)
 
 
+def features_of_request(req: ServingRequest) -> Features:
+    """Return the features of a request."""
+    first = hash_prefix(req)[:1]
+    return Features(
+        req.pool,
+        str(req.kind),
+        req.organisation,
+        req.max_output_tokens,
+        first[0] if first else 0,
+    )
+
+
 def hash_prefix(req: ServingRequest) -> list[int]:
     """Return hashes of the leading blocks of a prompt, each over all text before."""
     if req.kind == RequestKind.SERVICE:
@@ -132,18 +147,23 @@
     return "".join(parts)
 
 
+def _step_towards(rate: float, seen: float) -> float:
+    """Track the median; a mean would follow the slow endpoints."""
+    return rate * (1 + RATE_STEP) if seen > rate else rate / (1 + RATE_STEP)
+
+
 @dataclass(slots=True)
 class WorkHistory:
     """Estimate work from the requests that were released here."""
 
     _output: dict[tuple, QuantileHistogram] = field(default_factory=dict)
-    _seconds: dict[tuple, QuantileHistogram] = field(default_factory=dict)
+    _latency: dict[tuple, QuantileHistogram] = field(default_factory=dict)
     _rates: dict[str, PoolRates] = field(default_factory=dict)
 
     def estimate(self, features: Features, prompt_tokens: int) -> WorkEstimate:
         """Return the expected work of a request."""
         if features.kind == RequestKind.SERVICE:
-            return self._estimate_service(features)
+            return self._estimate_service(features, 0)
         rates = self._rates.get(features.pool) or PoolRates()
         prefill = prompt_tokens * rates.prefill
         low, median, high = self._output_quantiles(features)
@@ -158,23 +178,56 @@
         """Add a finished attempt."""
         if not usage.ok:
             return
+        self._add(self._latency, features, self._relative_latency(usage), LATENCY_UNIT)
         if features.kind == RequestKind.SERVICE:
-            self._add(self._seconds, features, usage.total_seconds, 0.001)
             return
         self._add(self._output, features, usage.output_tokens, 1.0)
         rates = self._rates.setdefault(features.pool, PoolRates())
         computed = usage.prompt_tokens - usage.cached_tokens
         if usage.first_token_seconds is not None and computed > 0:
             seen = usage.first_token_seconds / computed
-            rates.prefill += RATE_SMOOTHING * (seen - rates.prefill)
+            rates.prefill = _step_towards(rates.prefill, seen)
         if usage.seconds_between_tokens is not None:
             seen = usage.seconds_between_tokens
-            rates.step += RATE_SMOOTHING * (seen - rates.step)
+            rates.step = _step_towards(rates.step, seen)
+
+    def latency_quantile(
+        self, features: Features, prompt_tokens: int, share: float
+    ) -> float | None:
+        """Return a quantile of seconds to the first token, or to an answer."""
+        known = self._find(self._latency, features)
+        if known is None:
+            return None
+        return known.quantile(share) * max(prompt_tokens, 1)
+
+    def _relative_latency(self, usage: Usage) -> float:
+        """Return seconds to the first token, or to an answer, per prompt token."""
+        first = usage.first_token_seconds
+        latency = usage.total_seconds if first is None else first
+        return latency / max(usage.prompt_tokens, 1)
 
     def rates(self, pool: str) -> PoolRates:
-        """Return the smoothed rates of a pool."""
+        """Return the tracked rates of a pool."""
         return self._rates.get(pool) or PoolRates()
 
+    def slowness(self, features: Features, usage: Usage) -> float | None:
+        """Return the observed over the expected time of an attempt's own tokens."""
+        if features.kind == RequestKind.SERVICE:
+            expected = self.latency_quantile(
+                features, usage.prompt_tokens, CLASS_QUANTILE
+            )
+            return usage.total_seconds / expected if expected else None
+        if usage.first_token_seconds is None or usage.seconds_between_tokens is None:
+            return None
+        rates = self._rates.get(features.pool)
+        if rates is None:
+            return None
+        computed = usage.prompt_tokens - usage.cached_tokens
+        expected = computed * rates.prefill + usage.output_tokens * rates.step
+        spent = usage.seconds_between_tokens * usage.output_tokens
+        seen = usage.first_token_seconds + spent
+        return seen / max(expected, LEAST_EXPECTED_SECONDS)
+
     def _output_quantiles(self, features: Features) -> tuple[float, float, float]:
         most = max(features.max_output_tokens, 1)
         known = self._find(self._output, features)
@@ -185,24 +238,24 @@
         low, median, high = (min(known.quantile(share), most) for share in shares)
         return low, median, high
 
-    def _estimate_service(self, features: Features) -> WorkEstimate:
-        known = self._find(self._seconds, features)
-        if known is None:
+    def _estimate_service(self, features: Features, size: int) -> WorkEstimate:
+        if self._find(self._latency, features) is None:
             guess = DEFAULT_SERVICE_SECONDS
             return WorkEstimate(guess, 0.0, guess, 0.0)
-        return WorkEstimate(
-            seconds=known.quantile(0.5),
-            low_seconds=known.quantile(LOW_QUANTILE),
-            high_seconds=known.quantile(CLASS_QUANTILE),
-            prefill_seconds=0.0,
+        shares = (LOW_QUANTILE, 0.5, CLASS_QUANTILE)
+        low, median, high = (
+            self.latency_quantile(features, size, share) for share in shares
         )
+        return WorkEstimate(median, low, high, 0.0)
 
     @staticmethod
     def _find(table: dict, features: Features) -> QuantileHistogram | None:
+        needed = MIN_SAMPLES_OF_APPLICATION if features.first_block else MIN_SAMPLES
         for key in features.history_keys():
             known = table.get(key)
-            if known is not None and known.total >= MIN_SAMPLES:
+            if known is not None and known.total >= needed:
                 return known
+            needed = MIN_SAMPLES
         return None
 
     @staticmethod
