Spread requests over cells and test placement in failures

Cause: with several cells in a region, all requests went to the first; rates of a pool took 70 requests to become known.

Change: a request takes the less used of the two cells that its leading text hashes to. Rates start from the first sample and settle as a median. Tests cover lost messages, dead nodes, a new owner, deadlines, budgets, slow streams, fair sharing, cost plans and reclaim choices.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -67,6 +67,7 @@
     refused: str = ""
     endpoints: list[str] = field(default_factory=list)
     hedged: bool = False
+    busy: float = 0.0  # seconds that the answer held a slot
 
     @property
     def in_time(self) -> bool:
@@ -194,6 +195,7 @@
             usage.first_token_seconds = first_token[0]
             gevent.sleep(link)
             outcome.total = self._since(outcome.arrival)
+            outcome.busy = usage.total_seconds
         finally:
             router.release(placement, usage)
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,13 +6,22 @@
 import statistics
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from pathlib import Path
 
 from bench.bound import bound_short_waits, reference_short_waits
 from bench.cluster import ENDPOINTS, SLOTS, BenchCluster, Outcome
 from bench.endpoint import Slowing, nominal_seconds
+from bench.overload import (
+    NODES,
+    OVERLOAD_DEADLINE_SECONDS,
+    make_flood,
+    make_overload_trace,
+    measure_others,
+    measure_overload,
+    summarize_overload,
+)
 from bench.stats import make_histogram, summarize, summarize_ratios
 from bench.workload import Arrival, Profile, Work, make_trace
 from rattanwick.internal.base.settings import RoutingSettings
@@ -32,16 +41,7 @@
     name: str
     policy: str
     slowings: tuple[Slowing, ...] = ()
-    load: float | None = None
-
-
-@dataclass(slots=True)
-class Measured:
-    """Hold the figures of one run."""
-
-    arm: str
-    seed: int
-    figures: dict
+    flood: bool = False
 
 
 def slow_episodes(seconds: float) -> tuple[Slowing, ...]:
@@ -56,7 +56,7 @@
     return tuple(slowings)
 
 
-def measure(outcomes: list[Outcome], link: float) -> dict:
+def measure(outcomes: list[Outcome]) -> dict:
     """Return the figures of a run after the warm-up."""
     kept = [item for item in outcomes if item.arrival.at >= WARM_UP_SECONDS]
     short = [item for item in kept if item.arrival.work == Work.SHORT]
@@ -117,7 +117,9 @@
     cpu = time.process_time()
     started = time.monotonic()
     outcomes = cluster.run(trace)
-    figures = measure(outcomes, link)
+    figures = measure(outcomes)
+    figures["overload"] = measure_overload(outcomes)
+    figures["others"] = measure_others(outcomes, WARM_UP_SECONDS)
     busy = (time.process_time() - cpu) / (time.monotonic() - started)
     figures["process_cpu"] = round(busy, 3)
     figures["messages_per_request"] = round(cluster.hub.messages / len(trace), 2)
@@ -127,7 +129,9 @@
 
 
 def run_pairs(
-    arms: list[Arm], options: argparse.Namespace, **profile_fields
+    arms: list[Arm],
+    options: argparse.Namespace,
+    trace_of: Callable[[Arm, int], list[Arrival]] | None = None,
 ) -> list[dict]:
     """Run all arms on each seed, in alternated order."""
     link = LINK_SECONDS[options.deployment]
@@ -137,12 +141,13 @@
     pairs = []
     for number in range(options.pairs):
         seed = options.seed + number
-        profile = make_profile(options.load, options.seconds, **profile_fields)
-        trace = make_trace(profile, seed, 6)
+        profile = make_profile(options.load, options.seconds)
+        trace = make_trace(profile, seed, NODES)
         order = arms if number % 2 == 0 else list(reversed(arms))
         pair: dict = {"seed": seed, "arms": {}}
         for arm in order:
-            pair["arms"][arm.name] = run_arm(arm, trace, link, settings)
+            own_trace = trace_of(arm, seed) if trace_of else trace
+            pair["arms"][arm.name] = run_arm(arm, own_trace, link, settings)
             _print_arm(seed, arm.name, pair["arms"][arm.name])
         waits = reference_short_waits(trace, link, WARM_UP_SECONDS)
         pair["reference_short_wait"] = summarize(make_histogram(waits))
@@ -217,7 +222,51 @@
     return pairs, ratios
 
 
-BENCHES = {"wait": bench_wait, "slow": bench_slow}
+def bench_overload(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Measure goodput at twice the capacity and the recovery from it."""
+    arms = [Arm(name, name) for name in ("owner", *options.baselines)]
+    profile = make_profile(1.0, 0.0, deadline_seconds=OVERLOAD_DEADLINE_SECONDS)
+    pairs = run_pairs(
+        arms, options, lambda arm, seed: make_overload_trace(profile, seed)
+    )
+    return pairs, summarize_overload(pairs, options)
+
+
+def bench_flood(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Compare the waits of other plans while one floods and without."""
+    arms = []
+    for policy in ("owner", *options.baselines):
+        arms.append(Arm(policy, policy))
+        arms.append(Arm(f"{policy} flooded", policy, flood=True))
+    calm = make_profile(options.load, options.seconds, deadline_seconds=20.0)
+    flooded = make_flood(calm)
+
+    def trace_of(arm: Arm, seed: int) -> list[Arrival]:
+        return make_trace(flooded if arm.flood else calm, seed, NODES)
+
+    pairs = run_pairs(arms, options, trace_of)
+    ratios = {
+        f"p99 wait of other plans, {policy} flooded over not": summarize_ratios(
+            [
+                _others_p99(pair, f"{policy} flooded") / _others_p99(pair, policy)
+                for pair in pairs
+            ]
+        )
+        for policy in ("owner", *options.baselines)
+    }
+    return pairs, ratios
+
+
+def _others_p99(pair: dict, arm: str) -> float:
+    return pair["arms"][arm]["others"]["short_wait"]["p99"]
+
+
+BENCHES = {
+    "wait": bench_wait,
+    "slow": bench_slow,
+    "overload": bench_overload,
+    "flood": bench_flood,
+}
 
 
 def main() -> int:
--- a/src/rattanwick/internal/routing/endpoints.py
+++ b/src/rattanwick/internal/routing/endpoints.py
@@ -39,10 +39,14 @@
         """Return a cell by key."""
         return self._cells.get(key)
 
-    def cells(self, pool: str, region: str) -> list[Cell]:
-        """Return the cells of a pool, those of the region before others."""
-        found = [item for item in self._cells.values() if item.pool == pool]
-        return sorted(found, key=lambda item: (item.region != region, item.key))
+    def open_cells(self, pool: str, excluded: frozenset[str]) -> list[Cell]:
+        """Return the cells of a pool with an endpoint that may receive work."""
+        allowed = self._usable - excluded
+        return [
+            cell
+            for cell in self._cells.values()
+            if cell.pool == pool and any(item.id in allowed for item in cell.endpoints)
+        ]
 
     def _refresh(self) -> None:
         self._read()
--- a/src/rattanwick/internal/routing/progress.py
+++ b/src/rattanwick/internal/routing/progress.py
@@ -44,7 +44,8 @@
         self.in_use = True
         ratio = None
         if seconds_between_tokens is not None:
-            ratio = seconds_between_tokens / history.rates(stream.features.pool).step
+            usual = history.rates(stream.features.pool).step.value
+            ratio = seconds_between_tokens / usual
         elif first_token_seconds is not None and not stream.first_token:
             usual = self._usual_seconds(stream, history)
             ratio = first_token_seconds / usual if usual else None
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -33,6 +33,7 @@
 )
 from rattanwick.internal.routing.owner import OwnerParts
 from rattanwick.internal.routing.progress import ProgressWatch, StreamProgress
+from rattanwick.internal.routing.ranks import hash_rank
 from rattanwick.internal.routing.work import (
     features_of,
     features_of_request,
@@ -42,6 +43,7 @@
 log = get_logger("routing")
 
 WAITER_SECONDS = 0.1
+CELL_CANDIDATES = 2
 HEDGE_QUANTILE = 0.95
 
 
@@ -76,6 +78,7 @@
         self._timers = timers
         self._recorder = recorder
         self._self_id = members.self_node.id
+        self._region = members.self_node.region
         self._tickets = itertools.count()
         self._ticket_prefix = f"{self._self_id}.{members.self_node.incarnation}"
         self._held: dict[str, Held] = {}
@@ -110,7 +113,7 @@
         hedged = self._begin_attempt(req)
         prefix = hash_prefix(req)
         while True:
-            cell = self._select_cell(req, excluded)
+            cell = self._select_cell(req, excluded, prefix)
             ask = self._make_ask(req, cell, excluded, prefix, started, deadline)
             ask.hedged = hedged
             if ask.seconds_left <= 0:
@@ -158,11 +161,13 @@
         ``place`` for the request while the first placement is held; that call
         spends the budget.
         """
-        cells = self._directory.cells(req.pool, self._members.self_node.region)
-        if not cells:
+        prefix = hash_prefix(req)
+        try:
+            cell = self._select_cell(req, frozenset(), prefix)
+        except Refused:
             return None
-        state = self._alone.state(cells[0])
-        features = features_of_request(req)
+        state = self._alone.state(cell)
+        features = features_of_request(req, prefix)
         estimate = state.history.estimate(features, req.prompt_tokens)
         p95 = state.history.latency_quantile(
             features, req.prompt_tokens, HEDGE_QUANTILE
@@ -219,13 +224,24 @@
             raise Refused("place", req.pool, RefuseReason.HEDGE_BUDGET)
         return hedged
 
-    def _select_cell(self, req: ServingRequest, excluded: frozenset[str]) -> Cell:
-        region = self._members.self_node.region
-        for cell in self._directory.cells(req.pool, region):
-            for item in cell.endpoints:
-                if item.id not in excluded and self._directory.is_usable(item.id):
-                    return cell
-        raise Refused("place", req.pool, RefuseReason.NO_ENDPOINT)
+    def _select_cell(
+        self, req: ServingRequest, excluded: frozenset[str], prefix: list[int]
+    ) -> Cell:
+        """Return a cell of the nearest region that can run the request.
+
+        Of two cells that the leading text hashes to, the one with fewer requests
+        of this node is taken, so that prefixes stay together and load spreads.
+        """
+        cells = self._directory.open_cells(req.pool, excluded)
+        if not cells:
+            raise Refused("place", req.pool, RefuseReason.NO_ENDPOINT)
+        near = [item for item in cells if item.region == self._region] or cells
+        text = str(prefix[0]) if prefix else req.id
+        ranked = sorted(near, key=lambda item: -hash_rank(text, item.key))
+        return min(ranked[:CELL_CANDIDATES], key=self._own_load)
+
+    def _own_load(self, cell: Cell) -> float:
+        return len(self._alone.state(cell).running) / max(cell.slots, 1)
 
     def _make_ask(
         self,
--- a/src/rattanwick/internal/routing/work.py
+++ b/src/rattanwick/internal/routing/work.py
@@ -98,12 +98,33 @@
     prefill_seconds: float  # part that a cached prefix saves
 
 
+@dataclass(slots=True)
+class MedianTracker:
+    """Track a median; a mean would follow the slow endpoints."""
+
+    value: float
+    samples: int = 0
+
+    def add(self, seen: float) -> None:
+        """Move towards a value, by less the more were seen."""
+        self.samples += 1
+        if self.samples == 1:
+            self.value = seen
+            return
+        factor = 1 + max(RATE_STEP, 1 / self.samples)
+        self.value = self.value * factor if seen > self.value else self.value / factor
+
+
 @dataclass(slots=True)
 class PoolRates:
-    """Hold smoothed seconds per token of a pool."""
+    """Hold seconds per token of a pool."""
 
-    prefill: float = DEFAULT_PREFILL_SECONDS
-    step: float = DEFAULT_STEP_SECONDS
+    prefill: MedianTracker = field(
+        default_factory=lambda: MedianTracker(DEFAULT_PREFILL_SECONDS)
+    )
+    step: MedianTracker = field(
+        default_factory=lambda: MedianTracker(DEFAULT_STEP_SECONDS)
+    )
 
 
 def features_of(ask: PlaceAsk, pool: str) -> Features:
@@ -112,9 +133,9 @@
     return Features(pool, ask.kind, ask.organisation, ask.max_output_tokens, first)
 
 
-def features_of_request(req: ServingRequest) -> Features:
+def features_of_request(req: ServingRequest, prefix: list[int]) -> Features:
     """Return the features of a request."""
-    first = hash_prefix(req)[:1]
+    first = prefix[:1]
     return Features(
         req.pool,
         str(req.kind),
@@ -147,11 +168,6 @@
     return "".join(parts)
 
 
-def _step_towards(rate: float, seen: float) -> float:
-    """Track the median; a mean would follow the slow endpoints."""
-    return rate * (1 + RATE_STEP) if seen > rate else rate / (1 + RATE_STEP)
-
-
 @dataclass(slots=True)
 class WorkHistory:
     """Estimate work from the requests that were released here."""
@@ -165,12 +181,12 @@
         if features.kind == RequestKind.SERVICE:
             return self._estimate_service(features, 0)
         rates = self._rates.get(features.pool) or PoolRates()
-        prefill = prompt_tokens * rates.prefill
+        prefill = prompt_tokens * rates.prefill.value
         low, median, high = self._output_quantiles(features)
         return WorkEstimate(
-            seconds=prefill + median * rates.step,
-            low_seconds=low * rates.step,
-            high_seconds=prefill + high * rates.step,
+            seconds=prefill + median * rates.step.value,
+            low_seconds=low * rates.step.value,
+            high_seconds=prefill + high * rates.step.value,
             prefill_seconds=prefill,
         )
 
@@ -185,11 +201,9 @@
         rates = self._rates.setdefault(features.pool, PoolRates())
         computed = usage.prompt_tokens - usage.cached_tokens
         if usage.first_token_seconds is not None and computed > 0:
-            seen = usage.first_token_seconds / computed
-            rates.prefill = _step_towards(rates.prefill, seen)
+            rates.prefill.add(usage.first_token_seconds / computed)
         if usage.seconds_between_tokens is not None:
-            seen = usage.seconds_between_tokens
-            rates.step = _step_towards(rates.step, seen)
+            rates.step.add(usage.seconds_between_tokens)
 
     def latency_quantile(
         self, features: Features, prompt_tokens: int, share: float
@@ -223,7 +237,7 @@
         if rates is None:
             return None
         computed = usage.prompt_tokens - usage.cached_tokens
-        expected = computed * rates.prefill + usage.output_tokens * rates.step
+        expected = self._expected(rates, computed, usage.output_tokens)
         spent = usage.seconds_between_tokens * usage.output_tokens
         seen = usage.first_token_seconds + spent
         return seen / max(expected, LEAST_EXPECTED_SECONDS)
@@ -248,6 +262,10 @@
         )
         return WorkEstimate(median, low, high, 0.0)
 
+    @staticmethod
+    def _expected(rates: PoolRates, computed: int, output: int) -> float:
+        return computed * rates.prefill.value + output * rates.step.value
+
     @staticmethod
     def _find(table: dict, features: Features) -> QuantileHistogram | None:
         needed = MIN_SAMPLES_OF_APPLICATION if features.first_block else MIN_SAMPLES
--- /dev/null
+++ b/tests/failure/test_routing_failures.py
@@ -0,0 +1,124 @@
+"""Placement survives lost messages, dead nodes and a change of owner."""
+
+import unittest
+
+from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.model.requests import Usage
+from tests.unit.routing_support import RoutingCluster
+
+
+class RoutingFailureTests(unittest.TestCase):
+    def test_a_lost_later_answer_is_asked_for_again(self):
+        # Guards against a request that waits for a placement it already has.
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        first = cluster.place(owner)
+        waiting = cluster.start(other)
+        cluster.hub.lose.append("cell.placed")
+        cluster.release(owner, first)
+        self.assertFalse(waiting.ready())
+        cluster.advance(1.5)
+        self.assertEqual(waiting.get(timeout=1).owner, owner)
+
+    def test_a_lost_release_frees_the_slot_by_comparison(self):
+        # Guards against slots that leak with each lost release.
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        other = cluster.other_id()
+        placement = cluster.place(other)
+        cluster.hub.lose.append("cell.release")
+        cluster.release(other, placement)
+        waiting = cluster.start(other)
+        self.assertFalse(waiting.ready())
+        cluster.advance(5.5)
+        self.assertTrue(waiting.ready())
+
+    def test_placements_of_a_dead_node_are_freed(self):
+        cluster = RoutingCluster(nodes=3, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        cluster.place(other)
+        waiting = cluster.start(owner)
+        self.assertFalse(waiting.ready())
+        cluster.hub.set_down(other)
+        cluster.advance(0.2)
+        self.assertEqual(waiting.get(timeout=1).owner, owner)
+
+    def test_a_new_owner_learns_placements_and_serves_those_who_wait(self):
+        # Guards against a new owner that fills slots which are in use.
+        cluster = RoutingCluster(nodes=3, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        held = cluster.place(other)
+        waiting = cluster.start(other)
+        cluster.hub.set_down(owner)
+        cluster.advance(0.5)
+        self.assertFalse(waiting.ready())
+        cluster.release(other, held)
+        cluster.advance(0.2)
+        self.assertEqual(waiting.get(timeout=1).owner, cluster.owner_id())
+
+    def test_a_cancelled_wait_leaves_no_placement_behind(self):
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        first = cluster.place(owner)
+        cluster.start(other).kill()
+        cluster.release(owner, first)
+        self.assertTrue(cluster.start(owner).ready())
+
+    def test_an_endpoint_that_leaves_gets_no_queued_work(self):
+        cluster = RoutingCluster(nodes=1, endpoints=1, slots=1)
+        placement = cluster.place("node-0")
+        waiting = cluster.start("node-0")
+        cluster.news.publish("endpoint.leaving", placement.endpoint_id, 1, {})
+        cluster.release("node-0", placement)
+        with self.assertRaises(Refused):
+            waiting.get(timeout=1)
+
+    def test_a_deadline_that_cannot_be_met_is_refused_at_once(self):
+        cluster = RoutingCluster(nodes=1, endpoints=1, slots=1)
+        for _ in range(8):
+            placement = cluster.place("node-0")
+            cluster.release("node-0", placement, output_tokens=40, **cluster.rates(0.1))
+        cluster.place("node-0")
+        with self.assertRaises(Refused) as caught:
+            cluster.place("node-0", deadline=cluster.timers.wall() + 1.0)
+        self.assertEqual(caught.exception.reason, "deadline")
+
+    def test_retries_and_hedges_stay_within_their_shares(self):
+        # Guards against retries that keep an overload going.
+        cluster = RoutingCluster(nodes=1, endpoints=3, slots=100)
+        router = cluster.routers["node-0"]
+        retried = hedged = 0
+        for _ in range(200):
+            req = cluster.request(hedge=True)
+            first = router.place(req)
+            try:
+                router.release(router.place(req), Usage(reason="cancelled"))
+                hedged += 1
+            except Refused as exc:
+                self.assertEqual(exc.reason, "hedge_budget")
+            router.release(first, Usage(ok=True, output_tokens=5))
+            retried += router.may_retry(req)
+        first_saved = 3
+        self.assertLessEqual(retried, 200 * 0.1 + first_saved)
+        self.assertLessEqual(hedged, 200 * 0.05 + first_saved)
+        self.assertGreater(hedged, 0)
+
+    def test_a_slow_stream_is_told_to_the_owner(self):
+        # Guards against an owner that keeps feeding an endpoint others find slow.
+        cluster = RoutingCluster(nodes=2, endpoints=3, slots=4)
+        other = cluster.other_id()
+        router = cluster.routers[other]
+        for _ in range(12):
+            placement = cluster.place(other)
+            cluster.release(other, placement, **cluster.rates(0.01))
+        held = [cluster.place(other) for _ in range(9)]
+        slow = held[0].endpoint_id
+        for placement in held:
+            between = 0.05 if placement.endpoint_id == slow else 0.01
+            router.report_progress(placement, None, between)
+        cluster.advance(0.2)
+        chosen = {cluster.place(cluster.owner_id()).endpoint_id for _ in range(2)}
+        self.assertNotIn(slow, chosen)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/property/test_fair_queue.py
@@ -0,0 +1,176 @@
+"""Properties of the queue, the cost plan and the reclaim choice."""
+
+import unittest
+
+import msgpack
+from hypothesis import given, settings, strategies as st
+
+from rattanwick.internal.recording.decisions import NullRecorder
+from rattanwick.internal.routing.cells import group_cells
+from rattanwick.internal.routing.costplan import (
+    Offer,
+    PlanInputs,
+    decide_plan,
+    make_plan,
+    replay_plan,
+    slots_after_loss,
+)
+from rattanwick.internal.routing.messages import PlaceAsk
+from rattanwick.internal.routing.queues import FairQueue, QueuedAsk
+from rattanwick.internal.routing.reclaim import (
+    LeavingEndpoint,
+    ReclaimAction,
+    StreamState,
+    choose_for_streams,
+)
+from rattanwick.internal.routing.work import QuantileHistogram, WorkEstimate
+from tests.unit.routing_support import make_endpoints
+
+FLOOD_WAIT_FACTOR = 2.0  # stated bound on another plan's wait while one floods
+DATA_CENTRES = ("gye-norte", "gye-sur", "duran")
+
+
+def make_queued(ticket, plan, work=0.1, short=True):
+    """Return an ask that waits."""
+    ask = PlaceAsk("c", ticket, ticket, "org", plan, "chat", 1, 1, 5, 60.0, "gye")
+    estimate = WorkEstimate(work, work, work, 0.0)
+    return QueuedAsk(ask, "node", estimate, short, 0.0, 60.0)
+
+
+def drain(queue):
+    """Take all asks out in the order of the first head; return tickets."""
+    order = []
+    while len(queue):
+        item, _ = min(queue.heads(), key=lambda head: (head[1], head[0].order))
+        queue.remove(item.ask.ticket)
+        queue.charge(item)
+        order.append(item.ask.ticket)
+    return order
+
+
+class FairQueueTests(unittest.TestCase):
+    @given(st.integers(1, 20), st.integers(0, 200))
+    @settings(max_examples=50, deadline=None, derandomize=True)
+    def test_a_flood_at_most_doubles_the_wait_of_another_plan(self, quiet, flood):
+        # Guards against a plan that takes turns by the number of its requests.
+        queue = FairQueue()
+        for number in range(flood):
+            queue.add(make_queued(f"flood-{number}", "flood"))
+        for number in range(quiet):
+            queue.add(make_queued(f"quiet-{number}", "quiet"))
+        order = drain(queue)
+        for number in range(quiet):
+            alone = number + 1
+            position = order.index(f"quiet-{number}") + 1
+            self.assertLessEqual(position, FLOOD_WAIT_FACTOR * alone + 1)
+
+    @given(st.lists(st.tuples(st.booleans(), st.integers(0, 3), st.floats(0.01, 9))))
+    @settings(max_examples=50, deadline=None, derandomize=True)
+    def test_every_ask_leaves_once_and_no_work_is_left(self, asks):
+        queue = FairQueue()
+        for number, (short, plan, work) in enumerate(asks):
+            queue.add(make_queued(str(number), f"plan-{plan}", work, short))
+        order = drain(queue)
+        self.assertEqual(sorted(order, key=int), [str(n) for n in range(len(asks))])
+        self.assertEqual(queue.work_ahead(False, "plan-0"), 0.0)
+
+
+class PlanTests(unittest.TestCase):
+    offers = st.builds(
+        Offer,
+        st.sampled_from(DATA_CENTRES),
+        st.sampled_from(["small", "large"]),
+        st.booleans(),
+        st.floats(0.1, 9.0),
+        st.sampled_from([4, 8]),
+        st.integers(0, 3),
+        st.integers(0, 20),
+        st.one_of(st.none(), st.floats(0, 900)),
+    )
+
+    @given(st.integers(1, 80), st.lists(offers, min_size=1, max_size=8))
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    def test_a_plan_holds_through_any_lost_data_centre(self, needed, offers):
+        # Guards against a plan that counts on an instance the cloud refused.
+        inputs = PlanInputs(needed, offers)
+        plan = make_plan(inputs)
+        kept = slots_after_loss(inputs, plan.counts)
+        self.assertEqual(plan.holds, kept >= needed)
+        for offer, count in zip(offers, plan.counts, strict=True):
+            self.assertLessEqual(count, offer.limit)
+
+    def test_reacts_to_a_refused_start(self):
+        cheap = Offer("duran", "spot", True, 1.0, 8)
+        others = [Offer(name, "od", False, 3.0, 8) for name in DATA_CENTRES]
+        self.assertGreater(make_plan(PlanInputs(16, [cheap, *others])).counts[0], 0)
+        cheap.refused_seconds_ago = 10.0
+        plan = make_plan(PlanInputs(16, [cheap, *others]))
+        self.assertEqual(plan.counts[0], 0)
+        self.assertTrue(plan.holds)
+
+    def test_a_plan_replays(self):
+        inputs = PlanInputs(8, [Offer(name, "od", False, 3.0, 8) for name in "abc"])
+        plan = decide_plan(inputs, NullRecorder())
+        recorded = msgpack.unpackb(msgpack.packb(inputs.to_message()))
+        self.assertEqual(replay_plan(recorded), (plan.counts, plan.reason))
+
+
+class ReclaimTests(unittest.TestCase):
+    def choose(self, streams, seconds, can_export=True):
+        endpoint = LeavingEndpoint("a", seconds, 0.03, 0.0005, can_export, streams)
+        return {item.request_id: item.action for item in choose_for_streams(endpoint)}
+
+    def test_finishes_exports_or_resumes_by_time_and_tokens(self):
+        streams = [
+            StreamState("ends", 100, 50, 100.0),
+            StreamState("large", 4000, 900, 5000.0),
+            StreamState("small", 20, 5, 5000.0),
+        ]
+        chosen = self.choose(streams, 10.0)
+        self.assertEqual(chosen["ends"], ReclaimAction.FINISH)
+        self.assertEqual(chosen["large"], ReclaimAction.EXPORT)
+        self.assertEqual(chosen["small"], ReclaimAction.RESUME)
+        self.assertEqual(
+            self.choose(streams, 10.0, False)["large"], ReclaimAction.RESUME
+        )
+
+    @given(st.lists(st.integers(1, 60_000), max_size=12), st.floats(0, 30))
+    @settings(max_examples=50, deadline=None, derandomize=True)
+    def test_exports_fit_into_the_notice(self, prompts, seconds):
+        # Guards against exports that share the link and end after the instance.
+        streams = [
+            StreamState(str(number), prompt, 10, 1e6)
+            for number, prompt in enumerate(prompts)
+        ]
+        chosen = self.choose(streams, seconds)
+        tokens = [
+            item.prompt_tokens + item.output_tokens
+            for item in streams
+            if chosen[item.request_id] == ReclaimAction.EXPORT
+        ]
+        spent = sum(0.05 + count / 20_000 for count in tokens)
+        self.assertLessEqual(spent, seconds)
+
+
+class GroupingTests(unittest.TestCase):
+    @given(st.integers(1, 60), st.integers(1, 12))
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    def test_cells_are_bounded_and_complete(self, count, limit):
+        endpoints = make_endpoints(count)
+        cells = group_cells(endpoints, limit)
+        sizes = [len(cell.endpoints) for cell in cells]
+        self.assertLessEqual(max(sizes), limit)
+        self.assertEqual(sum(sizes), count)
+
+    @given(st.lists(st.floats(0.001, 1000), min_size=1, max_size=200))
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    def test_quantiles_are_within_a_bucket(self, values):
+        histogram = QuantileHistogram(0.001)
+        for value in values:
+            histogram.add(value)
+        largest = histogram.quantile(1.0)
+        self.assertLess(abs(largest / max(max(values), 0.001) - 1), 0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/routing_support.py
+++ b/tests/unit/routing_support.py
@@ -133,6 +133,15 @@
         self.routers[node_id].release(placement, Usage(**fields))
         settle()
 
+    @staticmethod
+    def rates(step: float) -> dict:
+        """Return usage fields of a stream with a time between tokens."""
+        return {
+            "prompt_tokens": 10,
+            "first_token_seconds": 0.01,
+            "seconds_between_tokens": step,
+        }
+
     def advance(self, seconds: float) -> None:
         """Advance time and run what became due."""
         self.timers.advance(seconds)
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -3,8 +3,7 @@
 import unittest
 
 from rattanwick.internal.base.errors import Refused
-from rattanwick.internal.platform.interfaces import InstanceList
-from tests.unit.routing_support import POOL, RoutingCluster, make_endpoints
+from tests.unit.routing_support import POOL, RoutingCluster
 
 
 class RouterTests(unittest.TestCase):
@@ -56,9 +55,11 @@
         with self.assertRaises(Refused):
             waiting.get(timeout=1)
 
-    def test_instances_stand_in_is_an_instance_list(self):
-        self.assertIsInstance(RoutingCluster().instances, InstanceList)
-        self.assertEqual(len(make_endpoints(4)), 4)
+    def test_requests_spread_over_the_cells_of_a_pool(self):
+        # Guards against a large pool of which only the first cell gets work.
+        cluster = RoutingCluster(nodes=1, endpoints=6, slots=40, cell_endpoints=2)
+        chosen = {cluster.place("node-0").endpoint_id for _ in range(24)}
+        self.assertEqual(len(chosen), 6)
 
 
 if __name__ == "__main__":
