Hedge trials early and measure the slots that work holds

Trials on endpoints that were still slow and late detection made up the tail. Under twice the capacity short work waited, since its share counted estimated work and not the time that slots are held.

Change: an endpoint that is set aside is tried only when idle; its streams in flight tell of recovery. A trial is hedged after the median time to the first token. The mix counts held time over estimated work.

--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -13,7 +13,7 @@
 
 PREFILL_SECONDS = 0.0001  # per prompt token
 STEP_SECONDS = 0.005  # per output token
-CHUNK_SECONDS = 0.05  # longest time between looks at the slowing
+CHUNK_SECONDS = 0.025  # work between looks at the slowing and progress reports
 CACHED_PREFIXES = 8
 REPORT_SECONDS = 1.0
 REPORT_LAG_SECONDS = 1.0
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -44,6 +44,12 @@
     flood: bool = False
 
 
+def slow_throughout(seconds: float) -> tuple[Slowing, ...]:
+    """Return a lasting slowing of two endpoints, fivefold."""
+    start = WARM_UP_SECONDS + 1.0
+    return tuple(Slowing(endpoint, start, seconds + 60.0, 5.0) for endpoint in (0, 4))
+
+
 def slow_episodes(seconds: float) -> tuple[Slowing, ...]:
     """Return brief slowings of two endpoints at a time, fivefold."""
     slowings = []
@@ -208,17 +214,21 @@
 
 def bench_slow(options: argparse.Namespace) -> tuple[list[dict], dict]:
     """Compare the tail with two of nine endpoints slowed and without."""
-    slowings = slow_episodes(options.seconds)
+    kinds = {
+        "slowed": slow_throughout(options.seconds),
+        "slowed in episodes": slow_episodes(options.seconds),
+    }
     arms = []
-    for policy in ["owner", *options.baselines]:
-        arms.append(Arm(f"{policy}", policy))
-        arms.append(Arm(f"{policy} slowed", policy, slowings))
+    for policy in ("owner", *options.baselines):
+        arms.append(Arm(policy, policy))
+        arms += [Arm(f"{policy} {kind}", policy, kinds[kind]) for kind in kinds]
     pairs = run_pairs(arms, options)
     ratios = {}
-    for policy in ["owner", *options.baselines]:
-        for path in ("short_wait.p99", "short_total.p99", "all_total.p99"):
-            name = f"{path}, {policy} slowed over not slowed"
-            ratios[name] = ratio(pairs, path, f"{policy} slowed", policy)
+    for policy in ("owner", *options.baselines):
+        for kind in kinds:
+            for path in ("short_wait.p99", "short_total.p99", "all_total.p99"):
+                name = f"{path}, {policy} {kind} over not slowed"
+                ratios[name] = ratio(pairs, path, f"{policy} {kind}", policy)
     return pairs, ratios
 
 
--- a/src/rattanwick/internal/routing/attempts.py
+++ b/src/rattanwick/internal/routing/attempts.py
@@ -36,14 +36,14 @@
         return bool(allowed)
 
     def hedge_delay(
-        self, req: ServingRequest, short: bool, p95: float | None
+        self, req: ServingRequest, short: bool, usual: float | None
     ) -> float | None:
         """Return seconds to wait before a hedge, or None for no hedge."""
         inputs = {
             "allowed": req.hedge,
             "idempotent": req.idempotent,
             "short": short,
-            "p95": p95,
+            "usual": usual,
             "available": self._hedges.available(req.organisation, req.pool),
         }
         delay, reason = decide_hedge(inputs)
--- a/src/rattanwick/internal/routing/budgets.py
+++ b/src/rattanwick/internal/routing/budgets.py
@@ -21,7 +21,7 @@
 class HedgeReason(StrEnum):
     """Tell why a request is hedged or not."""
 
-    AFTER_P95 = "after_p95"
+    LATE = "late"
     NOT_ALLOWED = "not_allowed"
     NOT_IDEMPOTENT = "not_idempotent"
     LONG = "long"
@@ -73,8 +73,8 @@
         return None, HedgeReason.NOT_IDEMPOTENT
     if not inputs["short"]:
         return None, HedgeReason.LONG
-    if inputs["p95"] is None:
+    if inputs["usual"] is None:
         return None, HedgeReason.NO_HISTORY
     if inputs["available"] < 1:
         return None, HedgeReason.BUDGET_SPENT
-    return max(inputs["p95"], LEAST_HEDGE_SECONDS), HedgeReason.AFTER_P95
+    return max(inputs["usual"], LEAST_HEDGE_SECONDS), HedgeReason.LATE
--- a/src/rattanwick/internal/routing/cellstate.py
+++ b/src/rattanwick/internal/routing/cellstate.py
@@ -33,6 +33,7 @@
     placed: float  # monotonic seconds
     ask: PlaceAsk | None = None
     queued_seconds: float = 0.0
+    trial: bool = False  # the endpoint was set aside as slow
     cached: float = 0.0  # share of the prompt believed to be cached
 
 
@@ -67,7 +68,7 @@
             counts.long += 1
         counts.finish += item.placed + item.work
         self.reports.note_count(item.endpoint_id, counts.short + counts.long, now)
-        self.health.note_placed(item.endpoint_id, item.ticket)
+        item.trial = self.health.note_placed(item.endpoint_id, item.ticket)
         if item.ask is not None:
             self.prefixes.add(item.endpoint_id, item.ask.prefix)
 
--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -130,7 +130,8 @@
     if req.data_centre and req.data_centre != endpoint.data_centre:
         link = OTHER_DATA_CENTRE_SECONDS
     price = snapshot.weights.cost * PRICE_SECONDS * endpoint.price
-    return link + price + (wait + work) * max(endpoint.slowness, 1.0)
+    slowness = max(endpoint.slowness, 1.0) ** snapshot.weights.tail
+    return link + price + (wait + work) * slowness
 
 
 def choose_next(snapshot: CellSnapshot) -> Choice | None:
--- a/src/rattanwick/internal/routing/health.py
+++ b/src/rattanwick/internal/routing/health.py
@@ -75,8 +75,12 @@
         health.evidence = [old for old in health.evidence if old.ticket != item.ticket]
         health.evidence.append(item)
         del health.evidence[:-EVIDENCE_KEPT]
-        if health.state == HealthState.ASIDE and item.ticket == health.trial_ticket:
+        if health.state != HealthState.ASIDE:
+            return
+        if item.ticket == health.trial_ticket:
             self._judge_trial(endpoint_id, health, item, now)
+        elif item.ratio < RECOVERED_SLOWNESS:
+            self._take_back(endpoint_id, health, item, now)
 
     def update(self, endpoints: Iterable[Endpoint], now: float) -> None:
         """Change states by the present slowness, the slowest endpoints first."""
@@ -90,10 +94,12 @@
             self._update_one(name, slowness, len(listed), now)
         metrics.ASIDE.labels(self._cell).set(self.count_aside())
 
-    def note_placed(self, endpoint_id: str, ticket: str) -> None:
+    def note_placed(self, endpoint_id: str, ticket: str) -> bool:
         """Take a placement on an endpoint that is set aside as its trial."""
-        if self.is_aside(endpoint_id):
+        aside = self.is_aside(endpoint_id)
+        if aside:
             self._endpoints[endpoint_id].trial_ticket = ticket
+        return aside
 
     def note_dropped(self, endpoint_id: str, ticket: str, now: float) -> None:
         """End a trial that gave no evidence."""
@@ -103,14 +109,18 @@
             health.trial_at = now + health.trial_delay
 
     def open_slots(self, endpoint: Endpoint, running: float, now: float) -> int:
-        """Return the slots that may be filled now."""
+        """Return the slots that may be filled now.
+
+        An endpoint that is set aside is tried only when it is idle, since its
+        streams in flight tell how fast it is.
+        """
         health = self._endpoints.get(endpoint.id)
         if health is None or health.state == HealthState.ACTIVE:
             return max(int(endpoint.slots - running), 0)
         if health.state == HealthState.REDUCED:
             return max(int(max(endpoint.slots // 2, 1) - running), 0)
         may_try = not health.trial_ticket and now >= health.trial_at
-        return TRIAL_SLOTS if may_try else 0
+        return TRIAL_SLOTS if may_try and running < 1 else 0
 
     def is_aside(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint gets only trials."""
@@ -148,12 +158,18 @@
     ) -> None:
         health.trial_ticket = ""
         if item.ratio < RECOVERED_SLOWNESS:
-            health.evidence = [item]
-            self._change(name, health, HealthState.REDUCED, item.ratio, now)
+            self._take_back(name, health, item, now)
         else:
             health.trial_delay = min(health.trial_delay * 2, LONGEST_TRIAL_SECONDS)
             health.trial_at = now + health.trial_delay
 
+    def _take_back(
+        self, name: str, health: EndpointHealth, item: Evidence, now: float
+    ) -> None:
+        health.evidence = [item]
+        health.trial_ticket = ""
+        self._change(name, health, HealthState.REDUCED, item.ratio, now)
+
     def _change(
         self,
         name: str,
--- a/src/rattanwick/internal/routing/messages.py
+++ b/src/rattanwick/internal/routing/messages.py
@@ -78,6 +78,7 @@
     endpoint_id: str = ""
     queued_seconds: float = 0.0
     reason: str = ""
+    trial: bool = False  # the endpoint is set aside as slow
 
 
 @dataclass(slots=True)
--- a/src/rattanwick/internal/routing/mix.py
+++ b/src/rattanwick/internal/routing/mix.py
@@ -5,6 +5,7 @@
 
 MIX_SECONDS = 20.0  # time constant of the averages
 RESERVE_DEVIATIONS = 2.5  # about the 99th percentile of slots that short work uses
+HELD_MEMORY = 0.995  # weight that is left of a request after the next one
 LONG_MARGIN = 1.1  # long work above its average load, so that its queue drains
 SHORT_MARGIN = 1.2
 
@@ -26,6 +27,28 @@
         return self.value * math.exp((self.updated - now) / MIX_SECONDS)
 
 
+@dataclass(slots=True)
+class HeldRatio:
+    """Hold the mean time that slots are held over the estimated work.
+
+    It is above 1 by the links, by work that is not like its median, and by slow
+    endpoints.
+    """
+
+    work: float = 0.0
+    held: float = 0.0
+
+    @property
+    def value(self) -> float:
+        """Return the ratio; 1 where nothing is known."""
+        return self.held / self.work if self.work > 0 else 1.0
+
+    def add(self, work: float, held: float) -> None:
+        """Take in one request; older ones weigh less."""
+        self.work = self.work * HELD_MEMORY + work
+        self.held = self.held * HELD_MEMORY + held
+
+
 @dataclass(slots=True)
 class MixMeter:
     """Measure the slots that short and long work would use on average."""
@@ -33,6 +56,8 @@
     short: DecayingSum = field(default_factory=DecayingSum)
     long: DecayingSum = field(default_factory=DecayingSum)
     started: float | None = None  # monotonic seconds
+    short_held: HeldRatio = field(default_factory=HeldRatio)
+    long_held: HeldRatio = field(default_factory=HeldRatio)
 
     def add(self, short: bool, work: float, now: float) -> None:
         """Count the work of an arrival, in seconds."""
@@ -46,10 +71,17 @@
             return 0.0, 0.0
         span = MIX_SECONDS * (1 - math.exp((self.started - now) / MIX_SECONDS))
         span = max(span, 1.0)
-        return self.short.read(now) / span, self.long.read(now) / span
+        short = self.short.read(now) / span * self.short_held.value
+        return short, self.long.read(now) / span * self.long_held.value
+
+    def learn_held(self, short: bool, work: float, held: float) -> None:
+        """Take in how long a slot was held for estimated work, in seconds."""
+        (self.short_held if short else self.long_held).add(work, held)
 
 
-def long_limit(slots: int, short_load: float, long_load: float) -> int:
+def long_limit(
+    slots: int, short_load: float, long_load: float, weight_short: float = 1.0
+) -> int:
     """Return how many slots long work may use at once.
 
     Short work keeps its average use plus a few deviations, unless long work
@@ -58,7 +90,8 @@
     """
     if slots <= 1:
         return slots
-    reserve = math.ceil(short_load + RESERVE_DEVIATIONS * math.sqrt(short_load))
+    deviations = RESERVE_DEVIATIONS * weight_short
+    reserve = math.ceil(short_load + deviations * math.sqrt(short_load))
     limit = slots - reserve
     least = min(
         math.ceil(long_load * LONG_MARGIN), slots - math.ceil(short_load * SHORT_MARGIN)
--- a/src/rattanwick/internal/routing/owner.py
+++ b/src/rattanwick/internal/routing/owner.py
@@ -103,8 +103,11 @@
     def release(self, note: ReleaseNote) -> None:
         """Free the slot of a placement and learn from it."""
         features = Features.from_message(note.features)
+        usage = note.read_usage()
         now = self.parts.timers.now()
-        self.state.finish(note.ticket, features, note.read_usage(), now)
+        placed = self.state.finish(note.ticket, features, usage, now)
+        if placed is not None and usage.ok and placed.ask is not None:
+            self.mix.learn_held(placed.short, placed.work, now - placed.placed)
         self.pump()
 
     def observe(self, note: ProgressNote) -> None:
@@ -245,7 +248,9 @@
             now,
             item.ask,
             now - item.arrived,
-            self.state.prefixes.cached_share(choice.endpoint_id, item.ask.prefix),
+            cached=self.state.prefixes.cached_share(
+                choice.endpoint_id, item.ask.prefix
+            ),
         )
         self.state.add(placed, now)
         self._record(snapshot, choice, item.ask.request_id)
@@ -265,7 +270,8 @@
 
     def _long_limit(self) -> int:
         short_load, long_load = self.mix.loads(self.parts.timers.now())
-        return long_limit(self.state.cell.slots, short_load, long_load)
+        weight = self.parts.settings.weight_short
+        return long_limit(self.state.cell.slots, short_load, long_load, weight)
 
     def _snapshot(self, endpoints: list[EndpointState]) -> CellSnapshot:
         self.seed += 1
@@ -333,4 +339,5 @@
             PlaceState.PLACED,
             placed.endpoint_id,
             placed.queued_seconds,
+            trial=placed.trial,
         )
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -45,6 +45,7 @@
 WAITER_SECONDS = 0.1
 CELL_CANDIDATES = 2
 HEDGE_QUANTILE = 0.95
+TRIAL_HEDGE_QUANTILE = 0.5  # a trial on a slow endpoint is hedged early
 
 
 @dataclass(slots=True)
@@ -55,6 +56,7 @@
     ask: PlaceAsk
     cell: Cell
     counted: Running
+    trial: bool  # the endpoint is set aside as slow
 
 
 class CellRouter(Router):
@@ -169,10 +171,16 @@
         state = self._alone.state(cell)
         features = features_of_request(req, prefix)
         estimate = state.history.estimate(features, req.prompt_tokens)
-        p95 = state.history.latency_quantile(
-            features, req.prompt_tokens, HEDGE_QUANTILE
+        trial = self._is_on_trial(req.id)
+        share = TRIAL_HEDGE_QUANTILE if trial else HEDGE_QUANTILE
+        usual = state.history.latency_quantile(features, req.prompt_tokens, share)
+        return self._attempts.hedge_delay(req, self._alone.is_short(estimate), usual)
+
+    def _is_on_trial(self, request_id: str) -> bool:
+        return any(
+            held.trial and held.ask.request_id == request_id
+            for held in self._held.values()
         )
-        return self._attempts.hedge_delay(req, self._alone.is_short(estimate), p95)
 
     def report_progress(
         self,
@@ -305,7 +313,7 @@
             hedged=ask.hedged,
         )
         counted = self._alone.count(cell, ask, reply.endpoint_id)
-        self._held[ask.ticket] = Held(placement, ask, cell, counted)
+        self._held[ask.ticket] = Held(placement, ask, cell, counted, reply.trial)
         self._held_requests[ask.request_id] += 1
         self._progress.streams[ask.ticket] = StreamProgress(
             cell.key,
