--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,19 +6,28 @@
 import statistics
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from pathlib import Path
 
 from bench.bound import bound_short_waits, reference_short_waits
 from bench.cluster import ENDPOINTS, SLOTS, BenchCluster, Outcome
 from bench.endpoint import Slowing, nominal_seconds
+from bench.overload import (
+    NODES,
+    OVERLOAD_DEADLINE_SECONDS,
+    make_flood,
+    make_overload_trace,
+    measure_others,
+    measure_overload,
+    summarize_overload,
+)
 from bench.stats import make_histogram, summarize, summarize_ratios
 from bench.workload import Arrival, Profile, Work, make_trace
 from rattanwick.internal.base.settings import RoutingSettings
 
 RESULTS = Path(__file__).parent / "results"
-WARM_UP_SECONDS = 6.0
+WARM_UP_SECONDS = 10.0
 LINK_SECONDS = {"guayas": 0.003, "bortolini": 0.007}
 SHORT_SECONDS = 0.35
 LONG_WAIT_SECONDS = 15.0
@@ -32,16 +41,13 @@
     name: str
     policy: str
     slowings: tuple[Slowing, ...] = ()
-    load: float | None = None
+    flood: bool = False
 
 
-@dataclass(slots=True)
-class Measured:
-    """Hold the figures of one run."""
-
-    arm: str
-    seed: int
-    figures: dict
+def slow_throughout(seconds: float) -> tuple[Slowing, ...]:
+    """Return a lasting slowing of two endpoints, fivefold."""
+    start = WARM_UP_SECONDS + 1.0
+    return tuple(Slowing(endpoint, start, seconds + 60.0, 5.0) for endpoint in (0, 4))
 
 
 def slow_episodes(seconds: float) -> tuple[Slowing, ...]:
@@ -56,7 +62,7 @@
     return tuple(slowings)
 
 
-def measure(outcomes: list[Outcome], link: float) -> dict:
+def measure(outcomes: list[Outcome]) -> dict:
     """Return the figures of a run after the warm-up."""
     kept = [item for item in outcomes if item.arrival.at >= WARM_UP_SECONDS]
     short = [item for item in kept if item.arrival.work == Work.SHORT]
@@ -111,11 +117,15 @@
 ) -> dict:
     """Run one arm on a trace."""
     gc.collect()
+    if arm.policy != "owner":
+        settings = replace(settings, hedge_share=0.0)
     cluster = BenchCluster(replace(settings, policy=arm.policy), link, arm.slowings)
     cpu = time.process_time()
     started = time.monotonic()
     outcomes = cluster.run(trace)
-    figures = measure(outcomes, link)
+    figures = measure(outcomes)
+    figures["overload"] = measure_overload(outcomes)
+    figures["others"] = measure_others(outcomes, WARM_UP_SECONDS)
     busy = (time.process_time() - cpu) / (time.monotonic() - started)
     figures["process_cpu"] = round(busy, 3)
     figures["messages_per_request"] = round(cluster.hub.messages / len(trace), 2)
@@ -125,7 +135,9 @@
 
 
 def run_pairs(
-    arms: list[Arm], options: argparse.Namespace, **profile_fields
+    arms: list[Arm],
+    options: argparse.Namespace,
+    trace_of: Callable[[Arm, int], list[Arrival]] | None = None,
 ) -> list[dict]:
     """Run all arms on each seed, in alternated order."""
     link = LINK_SECONDS[options.deployment]
@@ -135,12 +147,13 @@
     pairs = []
     for number in range(options.pairs):
         seed = options.seed + number
-        profile = make_profile(options.load, options.seconds, **profile_fields)
-        trace = make_trace(profile, seed, 6)
+        profile = make_profile(options.load, options.seconds)
+        trace = make_trace(profile, seed, NODES)
         order = arms if number % 2 == 0 else list(reversed(arms))
         pair: dict = {"seed": seed, "arms": {}}
         for arm in order:
-            pair["arms"][arm.name] = run_arm(arm, trace, link, settings)
+            own_trace = trace_of(arm, seed) if trace_of else trace
+            pair["arms"][arm.name] = run_arm(arm, own_trace, link, settings)
             _print_arm(seed, arm.name, pair["arms"][arm.name])
         waits = reference_short_waits(trace, link, WARM_UP_SECONDS)
         pair["reference_short_wait"] = summarize(make_histogram(waits))
@@ -201,21 +214,69 @@
 
 def bench_slow(options: argparse.Namespace) -> tuple[list[dict], dict]:
     """Compare the tail with two of nine endpoints slowed and without."""
-    slowings = slow_episodes(options.seconds)
+    kinds = {
+        "slowed": slow_throughout(options.seconds),
+        "slowed in episodes": slow_episodes(options.seconds),
+    }
     arms = []
-    for policy in ["owner", *options.baselines]:
-        arms.append(Arm(f"{policy}", policy))
-        arms.append(Arm(f"{policy} slowed", policy, slowings))
+    for policy in ("owner", *options.baselines):
+        arms.append(Arm(policy, policy))
+        arms += [Arm(f"{policy} {kind}", policy, kinds[kind]) for kind in kinds]
     pairs = run_pairs(arms, options)
     ratios = {}
-    for policy in ["owner", *options.baselines]:
-        for path in ("short_wait.p99", "short_total.p99", "all_total.p99"):
-            name = f"{path}, {policy} slowed over not slowed"
-            ratios[name] = ratio(pairs, path, f"{policy} slowed", policy)
+    for policy in ("owner", *options.baselines):
+        for kind in kinds:
+            for path in ("short_wait.p99", "short_total.p99", "all_total.p99"):
+                name = f"{path}, {policy} {kind} over not slowed"
+                ratios[name] = ratio(pairs, path, f"{policy} {kind}", policy)
     return pairs, ratios
 
 
-BENCHES = {"wait": bench_wait, "slow": bench_slow}
+def bench_overload(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Measure goodput at twice the capacity and the recovery from it."""
+    arms = [Arm(name, name) for name in ("owner", *options.baselines)]
+    profile = make_profile(1.0, 0.0, deadline_seconds=OVERLOAD_DEADLINE_SECONDS)
+    pairs = run_pairs(
+        arms, options, lambda arm, seed: make_overload_trace(profile, seed)
+    )
+    return pairs, summarize_overload(pairs, options)
+
+
+def bench_flood(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Compare the waits of other plans while one floods and without."""
+    arms = []
+    for policy in ("owner", *options.baselines):
+        arms.append(Arm(policy, policy))
+        arms.append(Arm(f"{policy} flooded", policy, flood=True))
+    calm = make_profile(options.load, options.seconds, deadline_seconds=20.0)
+    flooded = make_flood(calm)
+
+    def trace_of(arm: Arm, seed: int) -> list[Arrival]:
+        return make_trace(flooded if arm.flood else calm, seed, NODES)
+
+    pairs = run_pairs(arms, options, trace_of)
+    ratios = {
+        f"p99 wait of other plans, {policy} flooded over not": summarize_ratios(
+            [
+                _others_p99(pair, f"{policy} flooded") / _others_p99(pair, policy)
+                for pair in pairs
+            ]
+        )
+        for policy in ("owner", *options.baselines)
+    }
+    return pairs, ratios
+
+
+def _others_p99(pair: dict, arm: str) -> float:
+    return pair["arms"][arm]["others"]["short_wait"]["p99"]
+
+
+BENCHES = {
+    "wait": bench_wait,
+    "slow": bench_slow,
+    "overload": bench_overload,
+    "flood": bench_flood,
+}
 
 
 def main() -> int:
@@ -223,7 +284,7 @@
     parser = argparse.ArgumentParser(prog="python -m bench.policies")
     parser.add_argument("bench", choices=sorted(BENCHES))
     parser.add_argument("--pairs", type=int, default=5)
-    parser.add_argument("--seconds", type=float, default=26.0)
+    parser.add_argument("--seconds", type=float, default=32.0)
     parser.add_argument("--load", type=float, default=0.75)
     parser.add_argument("--seed", type=int, default=100)
     parser.add_argument("--deployment", choices=sorted(LINK_SECONDS), default="guayas")
