Keep a handed-over request in flight until its callers are told

Cause: the drain of a reclaimed node ended after 0.4 s and cut its callers off, because a request counted as finished as soon as its local run stopped. Change: a request that is handed over stays in flight until the drain finishes it.

--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -238,7 +238,9 @@
             self.timers.sleep(LOAD_RETRY_SECONDS)
         self.grants.start()
         self.server.start()
-        self.timers.subscribe("own notice", NOTICE_SECONDS, self._check_notice)
+        self._notice_timer = self.timers.subscribe(
+            "own notice", NOTICE_SECONDS, self._check_notice
+        )
         self.ready = True
         log.info("ready with version %d of the lists", self.lists.current().number)
 
@@ -263,6 +265,7 @@
             log.warning("cannot read the notice of this instance: %s", exc)
             return
         if notice is not None:
+            self._notice_timer.cancel()
             log.info("instance is reclaimed at %.1f", notice.not_before)
             self.drain.notice(notice.not_before)
             self._stop.set()
--- a/src/rattanwick/internal/requests/runs.py
+++ b/src/rattanwick/internal/requests/runs.py
@@ -173,9 +173,11 @@
         """Register a request; the caller of this method drives the run."""
 
         def end(run: Run) -> None:
+            # A request that is handed over stays in flight here until its callers
+            # have been told where it went; the drain finishes it.
             if not run.handing_over:
                 self._runs.pop(record.req.id, None)
-            self.table.finish(record.req.id)
+                self.table.finish(record.req.id)
             on_end(run)
             self._keep_finished(run)
 
