--- a/tests/unit/test_platform_clients.py
+++ b/tests/unit/test_platform_clients.py
@@ -156,6 +156,13 @@
         self.assertEqual(self.list.nodes(), (NODE,))
         self.assertGreaterEqual(self.list.age(), 10)
 
+    def test_an_unchanged_list_is_not_read_whole(self):
+        # Guards against traffic above what a node may cause at 990 instances.
+        before = self.platform.admin("GET", "counters")["list_whole_reads"]
+        self.clock.advance(26)
+        counters = self.platform.admin("GET", "counters")
+        self.assertEqual(counters["list_whole_reads"], before)
+
     def test_the_age_before_the_first_read_is_infinite(self):
         fresh = CloudMapInstanceList(self.platform.settings(), self.clock, "n2")
         self.assertEqual(fresh.age(), math.inf)
