--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -91,6 +91,8 @@
 class CallerHandler(WSGIHandler):
     """Serve one connection of a caller."""
 
+    header_limit: gevent.Timeout | None = None
+
     def handle(self):
         """Serve the connection, and let a stop close it while it is idle."""
         conn = self.socket
@@ -101,18 +103,33 @@
             super().handle()
         finally:
             self.server.idle.discard(conn)
+            self._end_header_limit()
+
+    def _end_header_limit(self) -> None:
+        if self.header_limit is not None:
+            self.header_limit.close()
+            self.header_limit = None
 
     def read_requestline(self):
-        """Wait for a request, then read its first line within the time limit."""
+        """Wait for a request; its first line and its header share a time limit."""
         if not self.rfile.peek(1):
             return ""
-        with gevent.Timeout(HEADER_SECONDS, TimeoutError("header took too long")):
-            return super().read_requestline()
+        self.header_limit = gevent.Timeout(
+            HEADER_SECONDS, TimeoutError("header took too long")
+        )
+        self.header_limit.start()
+        return super().read_requestline()
+
+    def read_request(self, raw_requestline):
+        """Read the header; the time limit ends with it."""
+        try:
+            return super().read_request(raw_requestline)
+        finally:
+            self._end_header_limit()
 
     def MessageClass(self, rfile, seekable=0):  # noqa: N802 (name of the base class)
-        """Read the header within its limits of size and time."""
-        with gevent.Timeout(HEADER_SECONDS, TimeoutError("header took too long")):
-            return HeaderLines(_read_header_lines(rfile))
+        """Read the header within its limit of size."""
+        return HeaderLines(_read_header_lines(rfile))
 
     def _handle_client_error(self, ex):
         if isinstance(ex, HeaderTooLarge):
