--- a/tests/unit/test_endpoint_fakes.py
+++ b/tests/unit/test_endpoint_fakes.py
@@ -9,8 +9,10 @@
 from pathlib import Path
 from urllib.request import Request, urlopen
 
-from fakes.endpoint_engine import PrefixCache
-from fakes.endpoint_faults import Faults
+import gevent
+
+from fakes.endpoint_engine import Engine, EngineSpec, PrefixCache
+from fakes.endpoint_faults import Faults, Ledger
 from fakes.endpoint_text import block_hashes, chat_text_of
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -84,6 +86,50 @@
         self.assertEqual(ask(port, "/v1/orders", stale)["values"]["set_role"], "long")
 
 
+class EngineTests(unittest.TestCase):
+    def setUp(self):
+        self.engine = Engine(EngineSpec(slots=1, first_token_seconds=0.01), Faults())
+
+    def job(self, prompt: str, name: str, priority: int = 5):
+        entry = Ledger().open({"HTTP_X_REQUEST_ID": name}, "/", False)
+        body = {"prompt": prompt, "max_tokens": 2, "priority": priority}
+        return self.engine.open_job(body, False, entry)
+
+    def test_the_most_urgent_waits_least(self):
+        order = []
+
+        def run(name, priority):
+            for _ in self.engine.generate(self.job("x", name, priority)):
+                pass
+            order.append(name)
+
+        queued = (("first", 5), ("long", 7), ("short", 1))
+        gevent.joinall([gevent.spawn(run, *item) for item in queued])
+        self.assertEqual(order, ["first", "short", "long"])
+        self.assertEqual(self.engine.running, 0)
+
+    def test_exported_blocks_are_cached_where_they_are_imported(self):
+        job = self.job("x" * 640, "r1")
+        tokens = self.engine.generate(job)
+        job.text.append(next(tokens))
+        exported = self.engine.export_blocks("r1")
+        other = Engine(EngineSpec(), Faults())
+        other.cache.add(exported["blocks"])
+        self.engine = other
+        list(other.generate(again := self.job("x" * 640, "r2")))
+        self.assertEqual(again.entry.cached_tokens, 160)
+        tokens.close()
+
+    def test_a_stale_load_report_shows_the_past(self):
+        self.engine.note_load()
+        gevent.sleep(0.03)
+        self.engine.take_slot(self.job("x", "r1").entry)
+        self.engine.note_load()
+        self.assertEqual(self.engine.load()["running"], 1)
+        self.engine.faults.update({"load_lag_seconds": 0.02})
+        self.assertEqual(self.engine.load()["running"], 0)
+
+
 class FaultTests(unittest.TestCase):
     def test_cache_events_come_late_and_with_gaps(self):
         faults = Faults()
