Add pauses and lagging lists to the property test of grants

Cause: trials with faults put into the code showed that the test did not see a missing expiry check or a node that takes grants under older lists. Change: two more operations, pause and lag.

--- a/tests/property/test_grant_sums.py
+++ b/tests/property/test_grant_sums.py
@@ -56,6 +56,8 @@
     st.tuples(st.just("loans"), st.booleans(), st.just(0)),
     st.tuples(st.just("restart"), st.integers(0, NODES - 1), st.just(0)),
     st.tuples(st.just("isolate"), st.integers(0, NODES - 1), st.booleans()),
+    st.tuples(st.just("pause"), st.integers(0, NODES - 1), st.booleans()),
+    st.tuples(st.just("lag"), st.integers(0, NODES - 1), st.booleans()),
     st.tuples(st.just("return"), st.integers(0, NODES - 1), st.just(0)),
     st.tuples(st.just("limit"), st.integers(100, 2000), st.just(0)),
 )
@@ -145,6 +147,16 @@
             unreachable | change if alone else unreachable - change
         )
 
+    def do_pause(self, index: int, paused: bool) -> None:
+        self.nodes[index].timers.stopped = paused
+
+    def do_lag(self, index: int, lagging: bool) -> None:
+        lists = self.nodes[index].lists
+        if lagging:
+            lists.adopt = lambda candidate: False
+        else:
+            vars(lists).pop("adopt", None)
+
     def do_return(self, index: int, _) -> None:
         self.nodes[index].grants.return_all()
         self.do_restart(index, 0)
