Record decisions in the object store and replay them

Cause: operators trust only what they can replay. Change: ObjectRecorder packs decisions without secrets into batches of bounded memory, states each drop, and chains digests over all records of a process; replay reads by time, request and node, runs decisions again and reports differences, gaps and changed records.

--- /dev/null
+++ b/src/rattanwick/internal/recording/recorder.py
@@ -0,0 +1,197 @@
+"""Recorder that stores batches of decisions in the object store."""
+
+import hashlib
+from collections import deque
+
+import gevent
+import msgpack
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.metrics import counter, gauge
+from rattanwick.internal.base.settings import RecordingSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.platform.interfaces import Objects
+from rattanwick.internal.recording.decisions import Decision, Recorder
+from rattanwick.internal.recording.records import (
+    Batch,
+    Gap,
+    Record,
+    chain_digest,
+    first_digest,
+)
+from rattanwick.internal.recording.redaction import redact
+
+# Larger inputs are replaced by their digest.
+MAX_INPUT_BYTES = 64 << 10
+# Compressing this much takes a few milliseconds, in which nothing else runs.
+BATCH_BYTES = 256 << 10
+RECORD_OVERHEAD_BYTES = 120  # of a record in memory, beyond its packed form
+
+RECORDED = counter("recorded_decisions", "Decisions recorded")
+DROPPED = counter("dropped_decisions", "Decisions dropped", ("reason",))
+BUFFERED = gauge("recording_buffer_bytes", "Memory of batches not stored yet")
+log = get_logger("recording")
+
+
+class ObjectRecorder(Recorder):
+    """Keep decisions in bounded memory until they are stored.
+
+    When the memory is full, new decisions are dropped and the oldest are kept: the
+    start of an incident explains the rest, and the stored sequence stays whole.
+    """
+
+    def __init__(
+        self,
+        objects: Objects,
+        node: Node,
+        timers: TimerService,
+        settings: RecordingSettings,
+    ):
+        self._objects = objects
+        self._node = node
+        self._timers = timers
+        self._settings = settings
+        self._sequence = 0
+        self._batch_number = 0
+        self._digest = first_digest(node.id, node.incarnation)
+        self._batch = self._new_batch()
+        self._batch_size = 0
+        self._full: deque[tuple[Batch, int]] = deque()  # with their bytes
+        self._sealed: deque[tuple[str, bytes]] = deque()
+        self._buffered = 0
+        self._gap: Gap | None = None
+        self._storing = False
+        self.dropped = 0
+
+    def start(self) -> None:
+        """Store batches periodically."""
+        self._timers.subscribe("recording", self._settings.batch_seconds, self.flush)
+
+    def record(self, decision: Decision) -> None:
+        """Keep a decision; never blocks and never raises."""
+        if not self._settings.enabled:
+            return
+        self._sequence += 1
+        try:
+            packed = self._pack(decision)
+        except Exception as exc:
+            # Inputs that cannot be packed must not fail the decision itself.
+            log.error("cannot record a %s decision: %s", decision.kind, exc)
+            self._drop(decision, "not_packable")
+            return
+        size = len(packed) + RECORD_OVERHEAD_BYTES
+        if self._buffered + size > self._settings.buffer_bytes:
+            self._drop(decision, "buffer_full")
+            return
+        self._end_gap()
+        self._digest = chain_digest(self._digest, packed)
+        self._batch.entries.append((packed, self._digest))
+        self._batch_size += size
+        self._buffered += size
+        RECORDED.inc()
+        if self._batch_size >= BATCH_BYTES:
+            self._close_batch()
+
+    def flush(self) -> None:
+        """Store everything that is buffered; keep it when the store is down."""
+        if self._storing:
+            return
+        self._storing = True
+        try:
+            self._end_gap()
+            self._close_batch()
+            while self._full or self._sealed:
+                self._seal_one()
+                if not self._store_one():
+                    return
+        finally:
+            self._storing = False
+            BUFFERED.set(self._buffered)
+
+    def status(self) -> dict:
+        """Return the state of the recorder for operators."""
+        return {
+            "sequence": self._sequence,
+            "dropped": self.dropped,
+            "buffered_bytes": self._buffered,
+            "batches_waiting": len(self._full) + len(self._sealed),
+        }
+
+    def _pack(self, decision: Decision) -> bytes:
+        inputs, altered = redact(decision.inputs)
+        packed_inputs = msgpack.packb(inputs)
+        if len(packed_inputs) > MAX_INPUT_BYTES:
+            inputs, altered = None, True
+        choice, _ = redact(decision.choice)
+        record = Record(
+            sequence=self._sequence,
+            time=self._timers.wall(),
+            kind=str(decision.kind),
+            request_id=decision.request_id,
+            inputs=inputs,
+            inputs_digest=hashlib.sha256(packed_inputs).hexdigest()[:32],
+            altered=altered,
+            choice=choice,
+            reason=str(decision.reason),
+        )
+        return record.pack()
+
+    def _drop(self, decision: Decision, reason: str) -> None:
+        now = self._timers.wall()
+        self.dropped += 1
+        DROPPED.labels(reason).inc()
+        if self._gap is not None and self._gap.reason != reason:
+            self._end_gap()
+        if self._gap is None:
+            self._gap = Gap(self._sequence, 0, now, now, {}, reason)
+        gap = self._gap
+        gap.last, gap.ended = self._sequence, now
+        kind = str(decision.kind)
+        gap.kinds[kind] = gap.kinds.get(kind, 0) + 1
+
+    def _end_gap(self) -> None:
+        if self._gap is not None:
+            log.warning("dropped %d to %d", self._gap.first, self._gap.last)
+            self._batch.gaps.append(self._gap)
+            self._gap = None
+
+    def _new_batch(self) -> Batch:
+        node = self._node
+        return Batch(
+            node.id,
+            node.incarnation,
+            self._batch_number,
+            self._timers.wall(),
+            self._digest,
+        )
+
+    def _close_batch(self) -> None:
+        if self._batch.entries or self._batch.gaps:
+            self._full.append((self._batch, self._batch_size))
+            self._batch_number += 1
+        self._batch = self._new_batch()
+        self._batch_size = 0
+
+    def _seal_one(self) -> None:
+        """Compress the oldest batch, so that it takes less memory."""
+        if not self._full:
+            return
+        batch, size = self._full.popleft()
+        data = batch.pack()
+        self._sealed.append((batch.name, data))
+        self._buffered += len(data) - size
+        gevent.sleep(0)
+
+    def _store_one(self) -> bool:
+        """Write the oldest sealed batch; a repeat writes the same object again."""
+        name, data = self._sealed[0]
+        try:
+            self._objects.put(name, data)
+        except StepError as exc:
+            log.warning("cannot store a batch, trying again later: %s", exc)
+            return False
+        self._sealed.popleft()
+        self._buffered -= len(data)
+        return True
--- /dev/null
+++ b/src/rattanwick/internal/recording/records.py
@@ -0,0 +1,120 @@
+"""Records of decisions and batches of them, as they are stored."""
+
+import hashlib
+import zlib
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+
+import msgpack
+
+from rattanwick.internal.base.errors import ProtocolError
+
+FORMAT = 1
+PREFIX = "recordings/"
+DIGEST_BYTES = 16
+MAX_BATCH_BYTES = 64 << 20
+COMPRESSION_LEVEL = 6
+
+
+@dataclass(slots=True)
+class Gap:
+    """Tell exactly which records were dropped in a row, and why."""
+
+    first: int  # sequence numbers
+    last: int
+    started: float  # Unix seconds
+    ended: float
+    kinds: dict[str, int]
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """Hold one decision as it was recorded."""
+
+    sequence: int
+    time: float  # Unix seconds
+    kind: str
+    request_id: str
+    inputs: dict | None  # None when too large to keep
+    inputs_digest: str
+    altered: bool  # secrets were removed or the inputs left out
+    choice: object
+    reason: str
+
+    def pack(self) -> bytes:
+        """Return the stored form."""
+        return msgpack.packb([getattr(self, name) for name in self.__slots__])
+
+    @classmethod
+    def unpack(cls, data: bytes) -> "Record":
+        """Return the record of its stored form."""
+        return cls(*msgpack.unpackb(data, strict_map_key=False))
+
+
+@dataclass(slots=True)
+class Batch:
+    """Hold consecutive records of one process; digests chain all its batches."""
+
+    node: str
+    incarnation: int
+    number: int
+    started: float  # Unix seconds
+    previous: bytes  # chain digest before the first record
+    entries: list[tuple[bytes, bytes]] = field(default_factory=list)  # record, digest
+    gaps: list[Gap] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """Return the object name, ordered by hour and node."""
+        hour = hour_of(self.started)
+        return f"{PREFIX}{hour}/{self.node}/{self.incarnation}-{self.number:08d}"
+
+    @property
+    def last_digest(self) -> bytes:
+        """Return the chain digest after the last record."""
+        return self.entries[-1][1] if self.entries else self.previous
+
+    def pack(self) -> bytes:
+        """Return the compressed form with a digest over everything else."""
+        gaps = [[getattr(gap, name) for name in Gap.__slots__] for gap in self.gaps]
+        head = [self.node, self.incarnation, self.number, self.started, self.previous]
+        content = msgpack.packb([FORMAT, *head, self.entries, gaps])
+        digest = hashlib.sha256(content).digest()
+        return zlib.compress(msgpack.packb([content, digest]), COMPRESSION_LEVEL)
+
+    @classmethod
+    def unpack(cls, name: str, data: bytes) -> "Batch":
+        """Return the batch of an object; raise ProtocolError for a damaged one."""
+        try:
+            stream = zlib.decompressobj()
+            raw = stream.decompress(data, MAX_BATCH_BYTES)
+            if not stream.eof:
+                raise ValueError("truncated or too large")
+            content, digest = msgpack.unpackb(raw)
+            if hashlib.sha256(content).digest() != digest:
+                raise ValueError("the digest of the batch does not match")
+            version, *head, entries, gaps = msgpack.unpackb(
+                content, strict_map_key=False
+            )
+            if version != FORMAT:
+                raise ValueError(f"unknown format {version}")
+            pairs = [(bytes(record), bytes(mark)) for record, mark in entries]
+            return cls(*head, pairs, [Gap(*gap) for gap in gaps])
+        except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as exc:
+            raise ProtocolError("read recording", name, str(exc))
+
+
+def chain_digest(previous: bytes, packed: bytes) -> bytes:
+    """Return the digest that covers a record and all records before it."""
+    return hashlib.blake2b(previous + packed, digest_size=DIGEST_BYTES).digest()
+
+
+def first_digest(node: str, incarnation: int) -> bytes:
+    """Return the digest before the first record of a process."""
+    return chain_digest(b"", f"{node}/{incarnation}".encode())
+
+
+def hour_of(wall: float) -> str:
+    """Return the part of an object name that stands for an hour."""
+    return datetime.fromtimestamp(wall, UTC).strftime("%Y%m%dT%H")
--- /dev/null
+++ b/src/rattanwick/internal/recording/redaction.py
@@ -0,0 +1,63 @@
+"""Removal of secrets and caller text from inputs before they are recorded."""
+
+SECRET_WORDS = frozenset(
+    {
+        "access_key",
+        "api_key",
+        "apikey",
+        "authorization",
+        "cookie",
+        "credentials",
+        "key",
+        "key_hash",
+        "key_hashes",
+        "password",
+        "proof",
+        "secret",
+        "secret_key",
+        "set_cookie",
+        "signature",
+        "x_api_key",
+    }
+)
+CALLER_TEXT = frozenset({"body", "messages", "prompt", "text"})
+REMOVED = "[removed]"
+SECRET_PREFIXES = ("Bearer ", "Basic ", "AWS4-HMAC-")
+
+
+def redact(value: object) -> tuple[object, bool]:
+    """Return the value without secrets and whether something was removed."""
+    if isinstance(value, dict):
+        return _redact_map(value)
+    if isinstance(value, (list, tuple)):
+        return _redact_list(value)
+    if isinstance(value, str) and value.startswith(SECRET_PREFIXES):
+        return REMOVED, True
+    return value, False
+
+
+def _redact_map(value: dict) -> tuple[dict, bool]:
+    result = {}
+    changed = False
+    for key, item in value.items():
+        if isinstance(key, str) and _is_removed(key):
+            result[key] = REMOVED
+            changed = True
+            continue
+        # Numbers are most of the inputs and need no look.
+        if type(item) in (int, float, bool):
+            result[key] = item
+            continue
+        result[key], removed = redact(item)
+        changed = changed or removed
+    return result, changed
+
+
+def _redact_list(value: list | tuple) -> tuple[list, bool]:
+    items = [redact(item) for item in value]
+    return [item for item, _ in items], any(removed for _, removed in items)
+
+
+def _is_removed(key: str) -> bool:
+    word = key.lower().replace("-", "_")
+    return word in SECRET_WORDS or word in CALLER_TEXT
--- /dev/null
+++ b/src/rattanwick/internal/recording/replay.py
@@ -0,0 +1,210 @@
+"""Reading of recordings: who decided what, whether it repeats, what is missing."""
+
+import importlib
+import pkgutil
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from rattanwick.internal.base.errors import ProtocolError
+from rattanwick.internal.platform.interfaces import Objects
+from rattanwick.internal.recording.decisions import DECISION_FUNCTIONS, DecisionKind
+from rattanwick.internal.recording.records import (
+    PREFIX,
+    Batch,
+    Record,
+    chain_digest,
+    first_digest,
+    hour_of,
+)
+
+PAGE = 1000
+# A batch is named after the hour of its first record and may reach into the next.
+BATCH_REACH_SECONDS = 3600.0
+DECIDING_PACKAGES = (
+    "rattanwick.internal.routing",
+    "rattanwick.internal.requests",
+    "rattanwick.internal.state",
+    "rattanwick.internal.peers",
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Query:
+    """Choose records by time, request and node; empty fields choose all."""
+
+    since: float = 0.0  # Unix seconds
+    until: float = float("inf")
+    request_id: str = ""
+    node: str = ""
+    rerun: bool = True
+
+    def includes(self, record: Record) -> bool:
+        """Tell whether a record was asked for."""
+        in_time = self.since <= record.time <= self.until
+        return in_time and self.request_id in ("", record.request_id)
+
+
+@dataclass(slots=True, frozen=True)
+class Decided:
+    """A decision, with the difference when it did not repeat."""
+
+    node: str
+    record: Record
+    difference: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Missing:
+    """Records that are absent: dropped by the recorder, or not in the store."""
+
+    node: str
+    what: str
+
+
+@dataclass(slots=True, frozen=True)
+class Tampered:
+    """An object or record that was changed after it was written."""
+
+    node: str
+    what: str
+
+
+Finding = Decided | Missing | Tampered
+
+
+def load_decision_functions() -> None:
+    """Import all modules that make decisions, so that their functions register."""
+    for name in DECIDING_PACKAGES:
+        package = importlib.import_module(name)
+        for module in pkgutil.walk_packages(package.__path__, f"{name}."):
+            importlib.import_module(module.name)
+
+
+class Replay:
+    """Read batches in order and report what they show."""
+
+    def __init__(self, objects: Objects, query: Query):
+        self._objects = objects
+        self._query = query
+
+    def run(self) -> Iterator[Finding]:
+        """Yield the findings, process by process, in the order of recording."""
+        previous: Batch | None = None
+        for name in self._names():
+            source = name.removeprefix(PREFIX)
+            try:
+                data = self._objects.get(name)
+                if data is None:
+                    yield Missing(source, "the object was removed while reading")
+                    continue
+                batch = Batch.unpack(name, data)
+            except ProtocolError as exc:
+                yield Tampered(source, exc.reason)
+                continue
+            if batch.name != name:
+                yield Tampered(source, f"the object holds {batch.name}")
+                continue
+            yield from self._check_order(previous, batch)
+            yield from self._read(batch)
+            previous = batch
+
+    def _names(self) -> list[str]:
+        """Return object names, ordered by process and batch number."""
+        names = []
+        first = self._query.since - BATCH_REACH_SECONDS
+        after = f"{PREFIX}{hour_of(first)}" if first > 0 else ""
+        last = self._query.until
+        end = hour_of(last) if last != float("inf") else "~"
+        while page := self._objects.list(PREFIX, after, PAGE):
+            names.extend(page)
+            after = page[-1]
+            if after > f"{PREFIX}{end}~":
+                break
+        chosen = [name.split("/") for name in names if name.count("/") == 3]
+        wanted = [
+            parts
+            for parts in chosen
+            if parts[1] <= end and self._query.node in ("", parts[2])
+        ]
+        return ["/".join(parts) for parts in sorted(wanted, key=lambda p: p[2:])]
+
+    def _check_order(self, previous: Batch | None, batch: Batch) -> Iterator[Finding]:
+        """Compare a batch with the one before it."""
+        process = (batch.node, batch.incarnation)
+        if previous is None or (previous.node, previous.incarnation) != process:
+            start = first_digest(*process)
+            if batch.number == 0 and batch.previous != start:
+                yield Tampered(batch.node, "the first batch has a wrong digest")
+            elif batch.number > 0 and self._query.since <= 0:
+                what = f"batches 0 to {batch.number - 1} are not in the store"
+                yield Missing(batch.node, what)
+        elif batch.number != previous.number + 1:
+            what = f"batches {previous.number + 1} to {batch.number - 1} are not there"
+            yield Missing(batch.node, what)
+        elif batch.previous != previous.last_digest:
+            what = f"batch {batch.number} does not continue batch {previous.number}"
+            yield Tampered(batch.node, what)
+
+    def _read(self, batch: Batch) -> Iterator[Finding]:
+        for gap in batch.gaps:
+            if gap.ended >= self._query.since and gap.started <= self._query.until:
+                what = (
+                    f"records {gap.first} to {gap.last} were dropped from "
+                    f"{gap.started:.3f} to {gap.ended:.3f} ({gap.reason}): {gap.kinds}"
+                )
+                yield Missing(batch.node, what)
+        digest = batch.previous
+        for index, (packed, mark) in enumerate(batch.entries):
+            digest = chain_digest(digest, packed)
+            if digest != mark:
+                what = f"record {index} of batch {batch.number} was changed"
+                yield Tampered(batch.node, what)
+                # Later digests cover the original record and are checked from here.
+                digest = mark
+            yield from self._read_record(batch, packed)
+
+    def _read_record(self, batch: Batch, packed: bytes) -> Iterator[Finding]:
+        try:
+            record = Record.unpack(packed)
+            included = self._query.includes(record)
+        except (ValueError, TypeError) as exc:
+            yield Tampered(batch.node, f"a record cannot be read: {exc}")
+            return
+        if included:
+            difference = run_again(record) if self._query.rerun else ""
+            yield Decided(batch.node, record, difference)
+
+
+def run_again(record: Record) -> str:
+    """Return how a decision made again differs, or nothing when it does not."""
+    function = _function_of(record.kind)
+    if function is None:
+        return f"no function decides {record.kind!r} in this version"
+    if record.inputs is None:
+        return "the inputs were too large to be recorded"
+    try:
+        choice, reason = function(record.inputs)
+    except Exception as exc:
+        text = f"the function failed: {type(exc).__name__}: {exc}"
+    else:
+        if _plain(choice) == _plain(record.choice) and str(reason) == record.reason:
+            return ""
+        text = f"now {choice!r} because {reason}"
+    note = " (parts of the inputs were removed)" if record.altered else ""
+    return text + note
+
+
+def _function_of(kind: str) -> Callable | None:
+    try:
+        return DECISION_FUNCTIONS.get(DecisionKind(kind))
+    except ValueError:
+        return None
+
+
+def _plain(value: object) -> object:
+    """Return the value as it looks after msgpack: tuples become lists."""
+    if isinstance(value, (list, tuple)):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value
