Add the operator interface and the commands lists, status and replay

Cause: editing the lists is the operators' only control, and incidents must be replayable without access to the object store. Change: falcon resources for lists, history, differences, status, recordings, metrics and health with operator keys; commands that use them; apply exits with 0 accepted, 3 stored but not confirmed, 4 stale, 5 not known. Conclusion: the node assembly passes providers and readiness as callables.

--- a/src/rattanwick/cli.py
+++ b/src/rattanwick/cli.py
@@ -4,7 +4,10 @@
 
 from rattanwick import __version__
 from rattanwick.internal.commands.check import add_check_command
+from rattanwick.internal.commands.lists import add_lists_command
+from rattanwick.internal.commands.replay import add_replay_command
 from rattanwick.internal.commands.serve import add_serve_command
+from rattanwick.internal.commands.status import add_status_command
 
 EXIT_OK = 0
 
@@ -22,6 +25,9 @@
     commands = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
     add_serve_command(commands)
     add_check_command(commands)
+    add_lists_command(commands)
+    add_status_command(commands)
+    add_replay_command(commands)
     return parser
 
 
--- /dev/null
+++ b/src/rattanwick/internal/commands/lists.py
@@ -0,0 +1,178 @@
+"""Check, compare, apply and show the lists."""
+
+import argparse
+import getpass
+import json
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+
+from rattanwick.internal.base.ini import SettingsError
+from rattanwick.internal.commands.operator_options import (
+    EXIT_FAILED,
+    EXIT_FAULTS,
+    EXIT_OK,
+    EXIT_STALE,
+    EXIT_UNCONFIRMED,
+    EXIT_UNKNOWN,
+    add_node_options,
+    client_for,
+    reports_errors,
+)
+from rattanwick.internal.operators.client import error_text
+from rattanwick.internal.state.list_format import (
+    ALLOWANCES_FILE,
+    PLANS_FILE,
+    parse_lists,
+)
+
+LISTS = "/v1/operator/lists"
+
+
+def add_lists_command(commands) -> None:
+    """Add ``lists`` to the command line."""
+    parser = commands.add_parser("lists", help="check and change the lists")
+    actions = parser.add_subparsers(dest="action", metavar="ACTION", required=True)
+    check = actions.add_parser("check", help="report every fault of both files")
+    _add_files(check)
+    check.set_defaults(run=reports_errors(run_check))
+    diff = actions.add_parser("diff", help="compare files or versions")
+    _add_files(diff, required=False)
+    diff.add_argument("--from-version", type=int, metavar="N")
+    diff.add_argument("--to-version", type=int, metavar="N")
+    add_node_options(diff)
+    diff.set_defaults(run=reports_errors(run_diff))
+    apply = actions.add_parser("apply", help="put both files in force")
+    _add_files(apply)
+    apply.add_argument("--from-version", type=int, required=True, metavar="N")
+    apply.add_argument("--author", default=None, help="name kept in the history")
+    add_node_options(apply)
+    apply.set_defaults(run=reports_errors(run_apply))
+    show = actions.add_parser("show", help="print the lists in force or a version")
+    show.add_argument("--version", type=int, metavar="N")
+    show.add_argument("--output", metavar="DIRECTORY", help="write both files there")
+    add_node_options(show)
+    show.set_defaults(run=reports_errors(run_show))
+    history = actions.add_parser("history", help="print the newest versions")
+    history.add_argument("--limit", type=int, default=20)
+    add_node_options(history)
+    history.set_defaults(run=reports_errors(run_history))
+
+
+def _add_files(parser: argparse.ArgumentParser, required: bool = True) -> None:
+    parser.add_argument("--plans", required=required, metavar=PLANS_FILE)
+    parser.add_argument("--allowances", required=required, metavar=ALLOWANCES_FILE)
+
+
+def _read_files(args: argparse.Namespace) -> tuple[str, str]:
+    plans = Path(args.plans).read_text(encoding="utf-8")
+    return plans, Path(args.allowances).read_text(encoding="utf-8")
+
+
+def run_check(args: argparse.Namespace) -> int:
+    """Print every fault and return 2, or 0 when there is none."""
+    return _check_texts(*_read_files(args), announce=True)
+
+
+def _check_texts(plans: str, allowances: str, announce: bool) -> int:
+    try:
+        lists = parse_lists(plans, allowances)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_FAULTS
+    if announce:
+        counts = (len(lists.plans), len(lists.organisations), len(lists.allowances))
+        print("{} plans, {} organisations, {} allowances; no faults".format(*counts))
+    return EXIT_OK
+
+
+def run_diff(args: argparse.Namespace) -> int:
+    """Print the difference between two versions, or of files with the lists."""
+    client = client_for(args, args.node)
+    if args.from_version is not None:
+        bounds = {"from": args.from_version, "to": args.to_version}
+        answer = client.get_json(f"{LISTS}/diff", **bounds)
+        print(answer["difference"])
+        return EXIT_OK
+    if not args.plans or not args.allowances:
+        print("name --plans and --allowances, or --from-version", file=sys.stderr)
+        return EXIT_FAULTS
+    plans, allowances = _read_files(args)
+    body = {"plans": plans, "allowances": allowances}
+    status, data = client.post(f"{LISTS}/diff", body)
+    if status != 200:
+        print(f"status {status}: {error_text(data)}", file=sys.stderr)
+        return EXIT_FAILED
+    answer = json.loads(data)
+    print(f"compared with version {answer['version']}")
+    print(answer["difference"] or "no difference")
+    return EXIT_OK
+
+
+def run_apply(args: argparse.Namespace) -> int:
+    """Apply both files and report whether every listed node confirmed them."""
+    plans, allowances = _read_files(args)
+    faults = _check_texts(plans, allowances, announce=False)
+    if faults:
+        return faults
+    body = {
+        "plans": plans,
+        "allowances": allowances,
+        "from_version": args.from_version,
+        "author": args.author or getpass.getuser(),
+    }
+    status, data = client_for(args, args.node).post(LISTS, body)
+    try:
+        answer = json.loads(data)
+    except ValueError:
+        answer = {}
+    return _report_apply(status, answer, data)
+
+
+def _report_apply(status: int, answer: dict, data: bytes) -> int:
+    result = answer.get("result")
+    if result == "accepted":
+        print(f"accepted: version {answer['version']} is in force at every listed node")
+        return EXIT_OK
+    if result == "stored":
+        nodes = ", ".join(answer["unconfirmed"])
+        print(f"stored as version {answer['version']}, not confirmed by: {nodes}")
+        return EXIT_UNCONFIRMED
+    if result == "stale":
+        print(
+            f"refused: version {answer['version']} by {answer['author']} is in force; "
+            "the difference from it to your edit is:",
+            file=sys.stderr,
+        )
+        print(answer["difference"], file=sys.stderr)
+        return EXIT_STALE
+    if result == "faulty":
+        print("\n".join(answer["faults"]), file=sys.stderr)
+        return EXIT_FAULTS
+    if result == "unknown":
+        print(f"not known whether it is stored: {answer['reason']}", file=sys.stderr)
+        return EXIT_UNKNOWN
+    print(f"not stored; status {status}: {error_text(data)}", file=sys.stderr)
+    return EXIT_FAILED
+
+
+def run_show(args: argparse.Namespace) -> int:
+    """Print or write both files of a version."""
+    answer = client_for(args, args.node).get_json(LISTS, version=args.version)
+    texts = {PLANS_FILE: answer["plans"], ALLOWANCES_FILE: answer["allowances"]}
+    print(f"# version {answer['version']} by {answer['author'] or 'nobody'}")
+    for file, text in texts.items():
+        if args.output:
+            Path(args.output, file).write_text(text, encoding="utf-8")
+        else:
+            print(f"# {file}\n{text}")
+    return EXIT_OK
+
+
+def run_history(args: argparse.Namespace) -> int:
+    """Print number, time and author of the newest versions."""
+    client = client_for(args, args.node)
+    for item in client.get_json(f"{LISTS}/history", limit=args.limit):
+        moment = datetime.fromtimestamp(item["time"], UTC).isoformat(timespec="seconds")
+        print(f"{item['version']:>8}  {moment}  {item['author']}")
+    return EXIT_OK
--- /dev/null
+++ b/src/rattanwick/internal/commands/replay.py
@@ -0,0 +1,97 @@
+"""Print recorded decisions and make them again."""
+
+import argparse
+import json
+from datetime import UTC, datetime
+
+from rattanwick.internal.commands.operator_options import (
+    EXIT_FAILED,
+    EXIT_OK,
+    add_node_options,
+    client_for,
+    reports_errors,
+)
+from rattanwick.internal.operators.client import RemoteObjects
+from rattanwick.internal.recording.replay import (
+    Decided,
+    Finding,
+    Missing,
+    Query,
+    Replay,
+    load_decision_functions,
+)
+
+
+def add_replay_command(commands) -> None:
+    """Add ``replay`` to the command line."""
+    parser = commands.add_parser("replay", help="show and repeat recorded decisions")
+    add_node_options(parser)
+    parser.add_argument("--since", type=moment, default=0.0, metavar="TIME")
+    parser.add_argument("--until", type=moment, default=float("inf"), metavar="TIME")
+    parser.add_argument("--request", default="", metavar="ID")
+    parser.add_argument("--by-node", default="", metavar="NODE", help="who decided")
+    parser.add_argument(
+        "--no-rerun", action="store_true", help="only print; do not decide again"
+    )
+    parser.add_argument(
+        "--no-inputs", action="store_true", help="leave out the inputs of decisions"
+    )
+    parser.set_defaults(run=reports_errors(run_replay))
+
+
+def moment(value: str) -> float:
+    """Read Unix seconds or an ISO 8601 time, which is UTC without an offset."""
+    try:
+        return float(value)
+    except ValueError:
+        pass
+    try:
+        parsed = datetime.fromisoformat(value)
+    except ValueError:
+        instead = "2026-12-04T10:00:00 or Unix seconds"
+        raise argparse.ArgumentTypeError(f"{value!r} is not a time; write {instead}")
+    return (parsed if parsed.tzinfo else parsed.replace(tzinfo=UTC)).timestamp()
+
+
+def run_replay(args: argparse.Namespace) -> int:
+    """Print the findings; 1 when a decision differs or a record was changed."""
+    query = Query(args.since, args.until, args.request, args.by_node, not args.no_rerun)
+    if query.rerun:
+        load_decision_functions()
+    objects = RemoteObjects(client_for(args, args.node))
+    decided = differences = missing = tampered = 0
+    for finding in Replay(objects, query).run():
+        print(describe(finding, not args.no_inputs))
+        if isinstance(finding, Decided):
+            decided += 1
+            differences += bool(finding.difference)
+        elif isinstance(finding, Missing):
+            missing += 1
+        else:
+            tampered += 1
+    print(
+        f"{decided} decisions, {differences} differences, {missing} gaps, "
+        f"{tampered} changed"
+    )
+    return EXIT_FAILED if differences or tampered else EXIT_OK
+
+
+def describe(finding: Finding, with_inputs: bool) -> str:
+    """Return the lines that show a finding."""
+    if not isinstance(finding, Decided):
+        kind = "missing" if isinstance(finding, Missing) else "CHANGED"
+        return f"{kind}: {finding.node}: {finding.what}"
+    record = finding.record
+    time = datetime.fromtimestamp(record.time, UTC).isoformat(timespec="milliseconds")
+    request = record.request_id or "-"
+    choice = json.dumps(record.choice, default=str)
+    lines = [
+        f"{time} {finding.node} {record.kind} {request}: {choice} "
+        f"because {record.reason}"
+    ]
+    if with_inputs:
+        inputs = json.dumps(record.inputs, default=str, sort_keys=True)
+        lines.append(f"    inputs {record.inputs_digest}: {inputs}")
+    if finding.difference:
+        lines.append(f"    DIFFERENT: {finding.difference}")
+    return "\n".join(lines)
--- /dev/null
+++ b/src/rattanwick/internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for operators, metrics and health."""
--- /dev/null
+++ b/src/rattanwick/internal/operators/application.py
@@ -0,0 +1,74 @@
+"""The falcon application for operators."""
+
+import json
+from collections.abc import Callable
+
+import falcon
+
+from rattanwick.internal.operators.authentication import OperatorAuthentication
+from rattanwick.internal.operators.list_resources import (
+    DiffResource,
+    HistoryResource,
+    ListsResource,
+)
+from rattanwick.internal.operators.status_resources import (
+    HealthResource,
+    MetricsResource,
+    Provider,
+    ReadinessResource,
+    RecordingsResource,
+    StatusResource,
+)
+from rattanwick.internal.platform.interfaces import Objects
+from rattanwick.internal.state.identity import OperatorKeys
+from rattanwick.internal.state.lists import ListStore
+
+
+def build_operator_application(
+    keys: OperatorKeys,
+    lists: ListStore,
+    objects: Objects,
+    providers: dict[str, Provider],
+    why_not_ready: Callable[[], str],
+) -> falcon.App:
+    """Return the WSGI application.
+
+    ``providers`` are the parts of /v1/operator/status by name; ``why_not_ready``
+    returns an empty string when the node is ready.
+    """
+    app = falcon.App(middleware=[OperatorAuthentication(keys)])
+    app.set_error_serializer(write_error)
+    app.add_route("/v1/operator/lists", ListsResource(lists))
+    app.add_route("/v1/operator/lists/history", HistoryResource(lists))
+    app.add_route("/v1/operator/lists/diff", DiffResource(lists))
+    app.add_route("/v1/operator/status", StatusResource(providers))
+    app.add_route("/v1/operator/recordings", RecordingsResource(objects))
+    app.add_route("/metrics", MetricsResource())
+    app.add_route("/healthz", HealthResource())
+    app.add_route("/readyz", ReadinessResource(why_not_ready))
+    return app
+
+
+def write_error(
+    req: falcon.Request, resp: falcon.Response, exc: falcon.HTTPError
+) -> None:
+    """Answer an error as JSON."""
+    resp.content_type = falcon.MEDIA_JSON
+    resp.data = json.dumps(exc.to_dict()).encode()
+
+
+def lists_status(lists: ListStore, now: Callable[[], float]) -> dict:
+    """Return the part of the status about the lists; ages in seconds."""
+    current = lists.current()
+    return {
+        "version": current.number,
+        "digest": current.digest,
+        "author": current.author,
+        "adopted_seconds_ago": _age(lists.adopted_at, now()),
+        "table_read_seconds_ago": _age(lists.checked_at, now()),
+        "unconfirmed": list(lists.unconfirmed(current.number)),
+    }
+
+
+def _age(moment: float | None, now: float) -> float | None:
+    return None if moment is None else round(now - moment, 1)
--- /dev/null
+++ b/src/rattanwick/internal/operators/client.py
@@ -0,0 +1,107 @@
+"""Client of the operator interface, for the command line."""
+
+import json
+import os
+from urllib.parse import urlencode, urlsplit
+
+from geventhttpclient import HTTPClient
+
+from rattanwick.internal.base.errors import ConnectionLost, Refused, Unavailable
+from rattanwick.internal.platform.interfaces import Objects
+
+KEY_VARIABLE = "RATTANWICK_OPERATOR_KEY"
+CONNECT_SECONDS = 3.0
+# A change waits for confirmation by all nodes.
+ANSWER_SECONDS = 330.0
+
+
+class OperatorClient:
+    """Send requests to one node's operator interface."""
+
+    def __init__(self, address: str, key: str):
+        parts = urlsplit(address)
+        self.address = address
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._http = HTTPClient(
+            parts.hostname,
+            parts.port,
+            ssl=parts.scheme == "https",
+            connection_timeout=CONNECT_SECONDS,
+            network_timeout=ANSWER_SECONDS,
+        )
+
+    def get(self, path: str, **params) -> tuple[int, bytes]:
+        """Return status and body of a GET request."""
+        given = {name: value for name, value in params.items() if value is not None}
+        query = f"?{urlencode(given)}" if given else ""
+        return self._send("GET", path + query, b"")
+
+    def post(self, path: str, body: dict) -> tuple[int, bytes]:
+        """Return status and body of a POST request."""
+        return self._send("POST", path, json.dumps(body).encode())
+
+    def get_json(self, path: str, **params) -> object:
+        """Return the JSON answer of a GET request; raise Refused for an error."""
+        status, data = self.get(path, **params)
+        if status != 200:
+            reason = f"status {status}: {error_text(data)}"
+            raise Refused(f"GET {path}", self.address, reason)
+        return json.loads(data)
+
+    def _send(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        headers = dict(self._headers)
+        if body:
+            headers["Content-Type"] = "application/json"
+        try:
+            response = self._http.request(method, path, body, headers)
+            return response.status_code, bytes(response.read())
+        except (ConnectionRefusedError, TimeoutError) as exc:
+            raise Unavailable(method, self.address, str(exc))
+        except Exception as exc:
+            reason = f"{type(exc).__name__}: {exc}"
+            raise ConnectionLost(method, self.address, reason, True)
+
+
+class RemoteObjects(Objects):
+    """Read recordings through a node."""
+
+    def __init__(self, client: OperatorClient):
+        self._client = client
+
+    def get(self, name: str) -> bytes | None:
+        """Return a recording."""
+        status, data = self._client.get("/v1/operator/recordings", name=name)
+        if status == 404:
+            return None
+        if status != 200:
+            raise Refused("get recording", self._client.address, error_text(data))
+        return data
+
+    def list(self, prefix: str, after: str = "", limit: int = 1000) -> list[str]:
+        """Return names of recordings."""
+        return self._client.get_json("/v1/operator/recordings", after=after)
+
+    def put(self, name: str, data: bytes) -> None:
+        """Refuse to write."""
+        raise Refused("put", self._client.address, "recordings are read only")
+
+    def delete(self, name: str) -> None:
+        """Refuse to delete."""
+        raise Refused("delete", self._client.address, "recordings are read only")
+
+
+def error_text(data: bytes) -> str:
+    """Return the description of an error answer."""
+    try:
+        body = json.loads(data)
+        return body.get("description") or body.get("reason") or body["title"]
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return data[:200].decode(errors="replace")
+
+
+def read_operator_key(path: str) -> str:
+    """Return the key of a file, or of the environment when no file is named."""
+    if not path:
+        return os.environ.get(KEY_VARIABLE, "")
+    with open(path, encoding="utf-8") as file:
+        return file.read().strip()
--- /dev/null
+++ b/src/rattanwick/internal/operators/status_resources.py
@@ -0,0 +1,93 @@
+"""Resources for status, metrics, health and recordings."""
+
+from collections.abc import Callable
+
+import falcon
+
+from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.metrics import CONTENT_TYPE, render_metrics
+from rattanwick.internal.platform.interfaces import Objects
+from rattanwick.internal.recording.records import PREFIX
+
+MAX_NAMES = 1000
+
+log = get_logger("operators")
+
+Provider = Callable[[], object]  # returns what JSON can hold
+
+
+class StatusResource:
+    """/v1/operator/status: this node's view of the deployment."""
+
+    def __init__(self, providers: dict[str, Provider]):
+        self._providers = providers
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer with each provider's part; a failing one names its error."""
+        status = {}
+        for name, provider in self._providers.items():
+            try:
+                status[name] = provider()
+            except Exception as exc:
+                # One part that fails must not hide the others in an incident.
+                log.exception("status of %s failed", name)
+                status[name] = {"error": f"{type(exc).__name__}: {exc}"}
+        resp.media = status
+
+
+class MetricsResource:
+    """/metrics: all metrics in the Prometheus text format."""
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer with the metrics."""
+        resp.content_type = CONTENT_TYPE
+        resp.data = render_metrics()
+
+
+class HealthResource:
+    """/healthz: the process runs."""
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer that the process runs."""
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.text = "ok\n"
+
+
+class ReadinessResource:
+    """/readyz: the node takes requests."""
+
+    def __init__(self, why_not_ready: Callable[[], str]):
+        self._why_not_ready = why_not_ready
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer 200 when ready, else 503 with the reason."""
+        reason = self._why_not_ready()
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.status = falcon.HTTP_SERVICE_UNAVAILABLE if reason else falcon.HTTP_OK
+        resp.text = f"{reason or 'ready'}\n"
+
+
+class RecordingsResource:
+    """/v1/operator/recordings: names and contents of stored batches."""
+
+    def __init__(self, objects: Objects):
+        self._objects = objects
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer with names after a name, or with one batch (``name``)."""
+        name = req.get_param("name")
+        try:
+            if name is None:
+                after = req.get_param("after", default="")
+                resp.media = self._objects.list(PREFIX, after, MAX_NAMES)
+                return
+            if not name.startswith(PREFIX):
+                raise falcon.HTTPNotFound(description="name: not a recording")
+            data = self._objects.get(name)
+        except StepError as exc:
+            raise falcon.HTTPServiceUnavailable(description=str(exc))
+        if data is None:
+            raise falcon.HTTPNotFound(description="name: there is no such recording")
+        resp.content_type = "application/octet-stream"
+        resp.data = data
