--- a/fakes/collaborators.py
+++ b/fakes/collaborators.py
@@ -90,6 +90,7 @@
         self.in_flight = defaultdict(int)
         self.placements: list[Placement] = []
         self.released: list[tuple[Placement, object]] = []
+        self.progress: list[tuple] = []
         self.retries = 100
         self.hedge_after: float | None = None
         self.place_seconds = 0.0
@@ -117,6 +118,10 @@
         if self.keep_history:
             self.released.append((placement, usage))
 
+    def report_progress(self, placement, first_token_seconds, seconds_between_tokens):
+        """Keep the report."""
+        self.progress.append((placement, first_token_seconds, seconds_between_tokens))
+
     def may_retry(self, req):
         """Spend one of the retries."""
         self.retries -= 1
--- a/src/rattanwick/cli.py
+++ b/src/rattanwick/cli.py
@@ -9,7 +9,10 @@
 
 from rattanwick import __version__  # noqa: E402
 from rattanwick.internal.commands.check import add_check_command  # noqa: E402
+from rattanwick.internal.commands.lists import add_lists_command  # noqa: E402
+from rattanwick.internal.commands.replay import add_replay_command  # noqa: E402
 from rattanwick.internal.commands.serve import add_serve_command  # noqa: E402
+from rattanwick.internal.commands.status import add_status_command  # noqa: E402
 
 EXIT_OK = 0
 
@@ -27,6 +30,9 @@
     commands = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
     add_serve_command(commands)
     add_check_command(commands)
+    add_lists_command(commands)
+    add_status_command(commands)
+    add_replay_command(commands)
     return parser
 
 
--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -18,7 +18,10 @@
     RequestTable,
     Transcript,
 )
-from rattanwick.internal.operators.app import build_operator_application
+from rattanwick.internal.operators.application import (
+    build_operator_application,
+    lists_status,
+)
 from rattanwick.internal.peers.drain import Drain as NodeDrain, DrainSteps
 from rattanwick.internal.peers.notices import NoticeWatch
 from rattanwick.internal.peers.parts import PeerParts, build_peers, read_secret
@@ -26,7 +29,7 @@
 from rattanwick.internal.platform.instances import CloudMapInstanceList
 from rattanwick.internal.platform.objects import S3Objects
 from rattanwick.internal.platform.table import DynamoTable
-from rattanwick.internal.recording.decisions import NullRecorder, Recorder
+from rattanwick.internal.recording.recorder import ObjectRecorder
 from rattanwick.internal.requests.app import CallerApplication, build_application
 from rattanwick.internal.requests.runs import Run, RunControl
 from rattanwick.internal.requests.server import CallerServer
@@ -35,7 +38,7 @@
 from rattanwick.internal.routing.router import CellRouter
 from rattanwick.internal.state.claims import Claims
 from rattanwick.internal.state.grants import Grants
-from rattanwick.internal.state.identity import Identity
+from rattanwick.internal.state.identity import Identity, OperatorKeys
 from rattanwick.internal.state.leases import Leases
 from rattanwick.internal.state.lists import ListStore
 
@@ -43,6 +46,7 @@
 
 NOTICE_SECONDS = 1.0  # between reads of this instance's own notice
 LOAD_RETRY_SECONDS = 0.5
+FLUSH_SECONDS = 2.0  # for the last recordings
 JOIN_SECONDS = 3.0  # time for the first instance list and the first peers
 
 
@@ -58,8 +62,10 @@
         self._stop = Event()
         tracing = settings.tracing
         self.tracer = Tracer(self.node.id, tracing.otlp_url, tracing.sample_ratio)
-        self.recorder: Recorder = NullRecorder()
         self._build_platform()
+        self.recorder = ObjectRecorder(
+            self.objects, self.node, self.timers, settings.recording
+        )
         self._build_peers()
         self._build_state()
         self._build_routing()
@@ -182,9 +188,60 @@
 
     def _build_operators(self) -> None:
         cfg = self.settings.operators
-        app = build_operator_application(lambda: self.ready, self.lists)
+        app = build_operator_application(
+            OperatorKeys(cfg.key_hashes),
+            self.lists,
+            self.objects,
+            self._status_providers(),
+            self._why_not_ready,
+        )
         self.operator_server = WSGIServer((cfg.address, cfg.port), app, log=None)
 
+    def _status_providers(self) -> dict:
+        now = self.timers.now
+        return {
+            "node": self._node_status,
+            "lists": lambda: lists_status(self.lists, now),
+            "members": self._members_status,
+            "endpoints": self._endpoints_status,
+            "grants": self.grants.status,
+            "recording": self.recorder.status,
+        }
+
+    def _node_status(self) -> dict:
+        return {
+            "id": self.node.id,
+            "data_centre": self.node.data_centre,
+            "incarnation": self.incarnation,
+            "ready": self.ready,
+            "draining": self.drain.started,
+            "requests_in_flight": len(self.requests.in_flight()),
+        }
+
+    def _members_status(self) -> dict:
+        records = self.peers.members.records()
+        return {
+            node_id: {"state": record.state.name.lower()}
+            for node_id, record in sorted(records.items())
+        }
+
+    def _endpoints_status(self) -> dict:
+        return {
+            "list_age_seconds": round(self.instances.age(), 1),
+            "endpoints": {
+                item.id: {
+                    "pool": item.pool,
+                    "leaving": self.application.endpoints.is_leaving(item.id),
+                }
+                for item in self.instances.endpoints()
+            },
+        }
+
+    def _why_not_ready(self) -> str:
+        if self.drain.started:
+            return "the node is draining"
+        return "" if self.ready else "the node has not joined its peers yet"
+
     def _build_drain(self) -> None:
         peers = self.peers
         self.drain = NodeDrain(
@@ -237,6 +294,7 @@
         while not self.lists.load_newest() and not self._stop.is_set():
             self.timers.sleep(LOAD_RETRY_SECONDS)
         self.grants.start()
+        self.recorder.start()
         self.server.start()
         self._notice_timer = self.timers.subscribe(
             "own notice", NOTICE_SECONDS, self._check_notice
@@ -315,6 +373,8 @@
         return self.settings.drain.limit_seconds or None
 
     def _shut_down(self) -> None:
+        with gevent.Timeout(FLUSH_SECONDS, False):
+            self.recorder.flush()
         self.instances.stop()
         self.peers.stop()
         self.tracer.stop()
--- a/src/rattanwick/internal/operators/__init__.py
+++ b/src/rattanwick/internal/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Interface for operators."""
+"""The HTTP interface for operators, metrics and health."""
--- a/src/rattanwick/internal/requests/app.py
+++ b/src/rattanwick/internal/requests/app.py
@@ -58,7 +58,7 @@
         )
         self._add_resources(services)
         timers.subscribe("requests.clean", CLEAN_SECONDS, self._clean)
-        self._endpoints = endpoints
+        self.endpoints = endpoints
 
     def _add_resources(self, services: RequestServices) -> None:
         admission = Admission(services, self.live.__len__)
@@ -105,7 +105,7 @@
 
     def _clean(self) -> None:
         self.live.drop_expired()
-        self.connections.close_idle(self._endpoints.by_id)
+        self.connections.close_idle(self.endpoints.by_id)
 
 
 def build_application(services: RequestServices) -> CallerApplication:
--- a/src/rattanwick/internal/requests/attempts.py
+++ b/src/rattanwick/internal/requests/attempts.py
@@ -59,10 +59,22 @@
         return self.result
 
 
+PROGRESS_SECONDS = 0.25  # between reports on a stream
+
+
 class Attempt:
     """Hold a placement and the stream at its endpoint."""
 
-    __slots__ = ("_placement", "_router", "endpoint_id", "error", "stream", "texts")
+    __slots__ = (
+        "_placement",
+        "_reported_at",
+        "_reported_texts",
+        "_router",
+        "endpoint_id",
+        "error",
+        "stream",
+        "texts",
+    )
 
     def __init__(self, router: Router, placement: Placement):
         self._router = router
@@ -71,6 +83,8 @@
         self.stream: EngineStream | None = None
         self.texts: list[str] = []  # arrived before the attempt was chosen
         self.error: StepError | None = None
+        self._reported_at = 0.0  # monotonic seconds; 0 before the first token
+        self._reported_texts = 0
 
     @property
     def sent(self) -> bool:
@@ -82,6 +96,20 @@
         """Return how many texts the endpoint has sent."""
         return 0 if self.stream is None else self.stream.texts_seen
 
+    def report_progress(self, now: float) -> None:
+        """Tell the router how the stream goes, at most every ``PROGRESS_SECONDS``."""
+        seen = self.texts_seen
+        if now - self._reported_at < PROGRESS_SECONDS or seen == 0:
+            return
+        first, between = None, None
+        if self._reported_at == 0.0:
+            first = self.stream.usage.first_token_seconds
+        elif seen > self._reported_texts:
+            between = (now - self._reported_at) / (seen - self._reported_texts)
+        self._reported_at, self._reported_texts = now, seen
+        if self._placement is not None and (first or between):
+            self._router.report_progress(self._placement, first, between)
+
     def end(self, reason: str) -> Usage:
         """Close the stream and give the placement back, once."""
         placement, self._placement = self._placement, None
--- a/src/rattanwick/internal/requests/dispatch.py
+++ b/src/rattanwick/internal/requests/dispatch.py
@@ -189,6 +189,7 @@
                 raise TimedOut("stream", attempt.endpoint_id, DEADLINE)
             texts = stream.read(min(TICK_SECONDS, max(left, 0.001)))
             append_texts(transcript, texts)
+            attempt.report_progress(self._timers.now())
             if not stream.done:
                 yield
         stream.drain_end()
