--- /dev/null
+++ b/tests/failure/test_caller_server.py
@@ -0,0 +1,130 @@
+"""The HTTP server bounds what callers can send, and takes new TLS keys."""
+
+import ssl
+import time
+from pathlib import Path
+
+import gevent
+from gevent import socket
+from gevent.ssl import SSLContext
+
+from rattanwick.internal.base.settings import CallerSettings
+from rattanwick.internal.requests import server, services
+from rattanwick.internal.requests.server import CallerServer, TlsKeys
+from tests.request_case import RequestCase
+
+# Pairs made for these tests; no deployment trusts them.
+DATA = Path(__file__).resolve().parent.parent / "data"
+
+
+class BoundTests(RequestCase):
+    settings = {"max_body_bytes": 2048, "max_in_flight": 1}
+
+    def raw(self, data: bytes) -> bytes:
+        conn = socket.create_connection(("127.0.0.1", self.server.server_port), 5.0)
+        self.addCleanup(conn.close)
+        conn.sendall(data)
+        received = b""
+        while piece := conn.recv(65536):
+            received += piece
+        return received
+
+    def test_an_oversized_body_is_refused_with_the_field(self):
+        answer = self.chat("x" * 3000)
+        self.assertEqual((answer.status, answer.outcome), (413, "not_run"))
+        self.assertEqual(answer.json()["error"]["param"], "body")
+
+    def test_an_oversized_chunked_body_is_refused_without_reading_it_all(self):
+        chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
+        head = (
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nConnection: close\r\n"
+            b"Authorization: Bearer key-a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        self.assertIn(b" 413 ", self.raw(head + chunk * 4 + b"0\r\n\r\n"))
+
+    def test_an_endless_body_is_not_read_to_its_end(self):
+        head = (
+            b"POST /v1/completions HTTP/1.1\r\nHost: n\r\nContent-Length: 99999999999"
+        )
+        started = time.monotonic()
+        received = self.raw(head + b"\r\n\r\n" + b"x" * 50_000)
+        self.assertIn(b" 401 ", received)
+        self.assertLess(time.monotonic() - started, 3.0)
+
+    def test_oversized_headers_are_refused_with_a_clear_error(self):
+        head = b"GET /v1/entry HTTP/1.1\r\nHost: n\r\nX-Long: " + b"x" * 20_000
+        received = self.raw(head + b"\r\n\r\n")
+        self.assertTrue(received.startswith(b"HTTP/1.1 431 "), received[:80])
+        self.assertIn(b"header", received)
+
+    def test_headers_that_could_hide_another_request_are_refused(self):
+        cases = (
+            b"Content-Length: 2\r\nContent-Length: 3",
+            b"X-One: 1\r\n folded: 2",
+            b"Content-Length : 2",
+            b"Content-Length: -1",
+            b"no colon",
+        )
+        for case in cases:
+            with self.subTest(case=case):
+                head = b"POST /v1/completions HTTP/1.1\r\nHost: n\r\n" + case
+                received = self.raw(head + b"\r\n\r\nxx")
+                self.assertTrue(received.startswith(b"HTTP/1.1 400 "), received[:80])
+
+    def test_a_body_that_does_not_come_is_refused(self):
+        self.addCleanup(setattr, services, "BODY_SECONDS", services.BODY_SECONDS)
+        services.BODY_SECONDS = 0.05
+        head = (
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: n\r\nConnection: close\r\n"
+            b"Authorization: Bearer key-a\r\nContent-Length: 9\r\n\r\n{"
+        )
+        self.assertIn(b" 408 ", self.raw(head))
+
+    def test_a_header_that_does_not_end_closes_the_connection(self):
+        self.addCleanup(setattr, server, "HEADER_SECONDS", server.HEADER_SECONDS)
+        server.HEADER_SECONDS = 0.05
+        self.assertEqual(self.raw(b"GET /v1/en"), b"")
+        self.assertIn(b" 400 ", self.raw(b"GET /v1/entry HTTP/1.1\r\nHost: n\r\n"))
+
+    def test_more_requests_than_allowed_are_not_run(self):
+        self.fakes["e1"].engine.spec.first_token_seconds = 0.2
+        first = gevent.spawn(self.chat, "one #tokens=1")
+        self.until(lambda: self.ledger("e1"))
+        second = self.chat("two")
+        self.assertEqual((second.status, second.outcome), (503, "not_run"))
+        self.assertEqual(second.json()["error"]["code"], "node_full")
+        self.assertEqual(first.get().outcome, "answered")
+
+
+class TlsTests(RequestCase):
+    def settings_for(self, name: str) -> CallerSettings:
+        return CallerSettings(
+            address="127.0.0.1",
+            port=1,
+            tls_certificate=str(DATA / f"tls_{name}.pem"),
+            tls_key=str(DATA / f"tls_{name}.key"),
+        )
+
+    def certificate(self, port: int) -> bytes:
+        context = SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+        raw = socket.create_connection(("127.0.0.1", port), 5.0)
+        with context.wrap_socket(raw) as conn:
+            conn.sendall(b"GET /v1/entry HTTP/1.1\r\nHost: n\r\n\r\n")
+            self.assertIn(b"200 OK", conn.recv(4096))
+            return conn.getpeercert(binary_form=True)
+
+    def test_a_changed_key_is_used_for_new_connections(self):
+        server = CallerServer(self.settings_for("a"), self.app, self.timers, 0)
+        server.start()
+        self.addCleanup(server.close_gracefully, 0.2)
+        before = self.certificate(server.server_port)
+        keys: TlsKeys = server._keys
+        self.assertFalse(keys.reload())
+        other = self.settings_for("b")
+        keys._files = (other.tls_certificate, str(DATA / "tls_a.key"))
+        self.assertFalse(keys.reload(), "a certificate of another key was loaded")
+        self.assertEqual(self.certificate(server.server_port), before)
+        keys._files = (other.tls_certificate, other.tls_key)
+        self.assertTrue(keys.reload())
+        self.assertNotEqual(self.certificate(server.server_port), before)
