--- a/fakes/platform_cloud.py
+++ b/fakes/platform_cloud.py
@@ -68,6 +68,7 @@
         revision = max(len(shown), 1)
         answer: dict = {"InstancesRevision": revision}
         if call.headers["x-amz-target"].endswith(".DiscoverInstances"):
+            self._state.counters["list_whole_reads"] += 1
             request = json.loads(call.body)
             answer["Instances"] = [
                 self._entry(item, request)
--- a/fakes/platform_table.py
+++ b/fakes/platform_table.py
@@ -18,6 +18,7 @@
 TOKEN_SECONDS = 600.0
 MAX_ITEM_BYTES = 400 * 1024
 MAX_TRANSACT_ITEMS = 100
+MAX_TOKEN = 36
 READS = ("GetItem", "Query")
 FUNCTION = re.compile(r"^(\w+)\(\s*([#\w]+)\s*(?:,\s*(:\w+)\s*)?\)$")
 EQUALS = re.compile(r"^([#\w]+)\s*=\s*(:\w+)$")
@@ -202,6 +203,8 @@
         if len(entries) > MAX_TRANSACT_ITEMS:
             raise TableError("ValidationException", "more than 100 items")
         token = request.get("ClientRequestToken", "")
+        if len(token) > MAX_TOKEN:
+            raise TableError("ValidationException", "token above 36 characters")
         digest = json.dumps(entries, sort_keys=True)
         if self._is_repeat(token, digest):
             return {}
--- a/src/rattanwick/internal/platform/client.py
+++ b/src/rattanwick/internal/platform/client.py
@@ -1,5 +1,6 @@
 """Signed calls to one platform service, with metrics and a limit of time."""
 
+import hashlib
 import random
 from collections.abc import Callable
 from typing import TypeVar
@@ -22,6 +23,8 @@
 FIRST_DELAY_SECONDS = 0.05
 CALL_TIMEOUTS = 2  # time for one call with its retries, in settings timeouts
 
+TOKEN_DIGITS = 32
+
 CALLS = counter(
     "platform_calls",
     "HTTP calls to platform services by result",
@@ -37,6 +40,13 @@
 T = TypeVar("T")
 
 
+def fit_token(token: str, limit: int) -> str:
+    """Return a token that a service accepts, the same one for the same input."""
+    if len(token) <= limit:
+        return token
+    return hashlib.sha256(token.encode()).hexdigest()[:TOKEN_DIGITS]
+
+
 class Rejected(Unavailable):
     """Report a call that the service declined and that a retry cannot help."""
 
--- a/src/rattanwick/internal/platform/cloud.py
+++ b/src/rattanwick/internal/platform/cloud.py
@@ -15,7 +15,7 @@
 )
 from rattanwick.internal.base.settings import PlatformSettings
 from rattanwick.internal.base.timers import TimerService
-from rattanwick.internal.platform.client import Rejected, ServiceClient
+from rattanwick.internal.platform.client import Rejected, ServiceClient, fit_token
 from rattanwick.internal.platform.http import HttpAnswer, HttpPool
 from rattanwick.internal.platform.interfaces import (
     CloudApi,
@@ -29,6 +29,9 @@
 API_VERSION = "2016-11-15"
 CONTENT_TYPE = "application/x-www-form-urlencoded"
 ROLE_TAG = "rattanwick-role"
+# Image, network and start script of a role are the operators' matter.
+TEMPLATE_PREFIX = "rattanwick-"
+MAX_TOKEN = 64  # characters of a client token
 EVENT_KINDS = {
     "instance-retirement": NoticeKind.RECLAIM,
     "instance-stop": NoticeKind.STOP,
@@ -93,7 +96,8 @@
             "InstanceType": spec.instance_class,
             "MinCount": "1",
             "MaxCount": "1",
-            "ClientToken": token,
+            "ClientToken": fit_token(token, MAX_TOKEN),
+            "LaunchTemplate.LaunchTemplateName": TEMPLATE_PREFIX + spec.role,
             "Placement.AvailabilityZone": spec.data_centre,
             "TagSpecification.1.ResourceType": "instance",
             "TagSpecification.1.Tag.1.Key": ROLE_TAG,
@@ -113,11 +117,21 @@
 
     def notices(self) -> list[Notice]:
         """Return all open notices; raise Unavailable."""
-        answer = self._call("DescribeInstanceStatus", {}, read=True)
-        try:
-            return parse_notices(answer.body)
-        except (ElementTree.ParseError, ValueError) as exc:
-            raise Unavailable("DescribeInstanceStatus", self._client.peer, str(exc))
+        step = "DescribeInstanceStatus"
+        parameters = {"Filter.1.Name": "event.code"}
+        for number, code in enumerate(EVENT_KINDS, 1):
+            parameters[f"Filter.1.Value.{number}"] = code
+        notices: list[Notice] = []
+        while True:
+            answer = self._call(step, parameters, read=True)
+            try:
+                notices.extend(parse_notices(answer.body))
+                token = find_text(ElementTree.fromstring(answer.body), "nextToken")
+            except (ElementTree.ParseError, ValueError) as exc:
+                raise Unavailable(step, self._client.peer, str(exc))
+            if not token:
+                return notices
+            parameters["NextToken"] = token
 
     def own_notice(self) -> Notice | None:
         """Return the notice for this instance; raise Unavailable.
--- a/src/rattanwick/internal/platform/objects.py
+++ b/src/rattanwick/internal/platform/objects.py
@@ -12,6 +12,7 @@
 
 SERVICE = "s3"
 PAGE_NAMES = 1000
+NO_BUCKET = "NoSuchBucket"
 NOT_APPLIED = frozenset({"ServiceUnavailable", "SlowDown"})
 
 
@@ -28,6 +29,14 @@
     return ""
 
 
+def error_code(answer: HttpAnswer) -> str:
+    """Return the code of an error answer, or an empty text."""
+    try:
+        return find_text(ElementTree.fromstring(answer.body), "Code")
+    except ElementTree.ParseError:
+        return ""
+
+
 def parse_list(peer: str, body: bytes) -> tuple[list[str], str]:
     """Return the names of a page and the token of the next page."""
     try:
@@ -104,20 +113,19 @@
 
         def attempt(timeout: float) -> HttpAnswer:
             answer = self._client.call(step, method, path, {}, body, timeout)
-            if answer.status in (200, 204) or (absent_ok and answer.status == 404):
+            if answer.status in (200, 204):
+                return answer
+            code = error_code(answer)
+            if absent_ok and answer.status == 404 and code != NO_BUCKET:
                 return answer
-            raise self._failure(step, answer)
+            raise self._failure(step, answer.status, code)
 
         return self._client.retry(step, attempt, read)
 
-    def _failure(self, step: str, answer: HttpAnswer) -> Exception:
-        try:
-            code = find_text(ElementTree.fromstring(answer.body), "Code")
-        except ElementTree.ParseError:
-            code = ""
-        reason = f"status {answer.status} {code}".strip()
+    def _failure(self, step: str, status: int, code: str) -> Exception:
+        reason = f"status {status} {code}".strip()
         if code in NOT_APPLIED:
             return Unavailable(step, self._client.peer, reason)
-        if answer.status >= 500:
+        if status >= 500:
             return MaybeApplied(step, self._client.peer, reason)
         return Rejected(step, self._client.peer, reason)
--- a/src/rattanwick/internal/platform/table.py
+++ b/src/rattanwick/internal/platform/table.py
@@ -6,7 +6,7 @@
 from rattanwick.internal.base.errors import MaybeApplied, Unavailable
 from rattanwick.internal.base.settings import PlatformSettings
 from rattanwick.internal.base.timers import TimerService
-from rattanwick.internal.platform.client import ServiceClient
+from rattanwick.internal.platform.client import ServiceClient, fit_token
 from rattanwick.internal.platform.interfaces import Expectation, Row, Table, Write
 from rattanwick.internal.platform.table_items import (
     ItemConflict,
@@ -22,6 +22,7 @@
 SERVICE = "dynamodb"
 TARGET = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
+MAX_TOKEN = 36  # characters of a client request token
 
 
 class DynamoTable(Table):
@@ -86,7 +87,10 @@
     def transact(self, writes: Sequence[Write], token: str) -> None:
         """Write all rows or none; repeats carry the same client request token."""
         entries = [transact_entry(self._name, write, token) for write in writes]
-        request = {"TransactItems": entries, "ClientRequestToken": token}
+        request = {
+            "TransactItems": entries,
+            "ClientRequestToken": fit_token(token, MAX_TOKEN),
+        }
         self._call("TransactWriteItems", request, with_name=False)
 
     def close(self) -> None:
--- a/tests/claim_tools.py
+++ b/tests/claim_tools.py
@@ -18,11 +18,11 @@
         self.objects = MemoryObjects()
         self.timers = ManualTimerService()
 
-    def node(self, name: str) -> Claims:
+    def node(self, name: str, table=None, objects=None) -> Claims:
         """Return the claims of a new process."""
         return Claims(
-            self.table,
-            self.objects,
+            table or self.table,
+            objects or self.objects,
             self.timers,
             ClaimSettings(),
             f"{name}/1",
--- a/tests/failure/test_claim_failures.py
+++ b/tests/failure/test_claim_failures.py
@@ -3,7 +3,9 @@
 import unittest
 
 import gevent
+import msgpack
 
+from fakes.memory import MemoryObjects, MemoryTable
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
 from rattanwick.internal.base.outcomes import Answered, NotRun
 from rattanwick.internal.base.settings import ClaimSettings
@@ -182,15 +184,18 @@
 
     def test_a_stopping_node_hands_its_settlements_to_a_peer(self):
         # Guards against an answer that is lost when a node stops in an outage.
-        claimed = self.first.claim(self.bench.call())
-        self.bench.table.down = True
-        answer = StoredAnswer(200, {}, b"x" * (MAX_INLINE_BYTES + 1))
-        self.first.settle(claimed, Answered(), answer)
-        (message,) = self.first.pending_settlements()
-        self.second.adopt_settlement(message)
-        self.bench.table.down = False
-        self.bench.timers.advance(2)
-        self.assertEqual(self.second.claim(self.bench.call()).answer, answer)
+        for size in (10, MAX_INLINE_BYTES + 1):
+            table, objects = MemoryTable(), MemoryObjects()
+            table.rows = self.bench.table.rows
+            stopping = self.bench.node("n3", table, objects)
+            call = self.bench.call(key=f"size{size}")
+            claimed = stopping.claim(call)
+            table.down = objects.down = True
+            answer = StoredAnswer(200, {"a": "b"}, b"x" * size)
+            stopping.settle(claimed, Answered(), answer)
+            (message,) = stopping.pending_settlements()
+            self.second.adopt_settlement(msgpack.unpackb(msgpack.packb(message)))
+            self.assertEqual(self.second.claim(call).answer, answer)
 
     def test_malformed_settlements_of_a_peer_are_rejected(self):
         bad = {"key": "lists#current", "claim_id": "c", "expected_version": 0}
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -4,11 +4,14 @@
 a lease that nobody can take after its holder was lost.
 """
 
+import time
 import unittest
+from unittest.mock import patch
 
 from fakes.memory import MemoryTable
 from rattanwick.internal.base.errors import MaybeApplied, Refused, StepError
 from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.state.clock import boot_seconds
 from rattanwick.internal.state.leases import (
     LEASE_SECONDS,
     MARGIN_SECONDS,
@@ -74,6 +77,10 @@
         self.assertRaises(Refused, self.first.renew, lease)
         self.assertEqual(self.first.acquire(NAME).fencing_number, 2)
 
+    def test_the_clock_counts_the_time_of_a_suspended_machine(self):
+        with patch("time.clock_gettime", side_effect={time.CLOCK_BOOTTIME: 7.0}.get):
+            self.assertEqual(boot_seconds(), 7.0)
+
     def test_clocks_that_differ_by_an_hour_do_not_matter(self):
         for offset in (-3600.0, 3600.0):
             other = self.make(f"n{offset}/1", offset)
@@ -92,6 +99,23 @@
             self.timers.advance(0.1)
         self.assertFalse(slow.holds(lease))
 
+    def test_a_holder_with_a_clock_that_is_far_too_slow_loses_at_its_renewal(self):
+        slow = self.make("slow/1", rate=0.5)
+        lease = slow.acquire(NAME)
+        self.second.acquire(NAME)
+        self.timers.advance(TAKEOVER_SECONDS)
+        taken = self.second.acquire(NAME)
+        self.assertTrue(slow.holds(lease))
+        self.assertRaises(Refused, slow.renew, lease)
+        self.assertEqual(self.second.renew(taken).fencing_number, 2)
+
+    def test_a_waiting_keeper_takes_over_from_a_lost_holder(self):
+        self.first.acquire(NAME)
+        keeper = LeaseKeeper(self.second, NAME, self.timers)
+        keeper.tick()
+        self.timers.advance(2 * TAKEOVER_SECONDS)
+        self.assertEqual(keeper.current().fencing_number, 2)
+
     def test_a_released_lease_is_taken_at_once_with_a_higher_number(self):
         lease = self.first.acquire(NAME)
         self.first.release(lease)
--- a/tests/unit/test_platform_clients.py
+++ b/tests/unit/test_platform_clients.py
@@ -87,7 +87,7 @@
             Write(f"pages#{name}", {}, Expectation.absent())
             for name in ("a1", "a2", "a3", "b1")
         ]
-        self.table.transact(writes, "pages")
+        self.table.transact(writes, "pages" * 10)  # longer than the protocol allows
         keys = [row.key for row in self.table.query("pages#a", limit=2)]
         self.assertEqual(keys, ["pages#a1", "pages#a2"])
         self.assertEqual(len(self.table.query("pages#")), 4)
@@ -122,6 +122,12 @@
         objects = S3Objects(self.platform.settings(object_url=url), self.timers, "n1")
         self.assertRaises(Unavailable, objects.get, "x")
 
+    def test_a_missing_bucket_is_not_taken_for_a_missing_object(self):
+        body = b"<Error><Code>NoSuchBucket</Code></Error>"
+        head = b"HTTP/1.1 404 X\r\nContent-Length: %d\r\n\r\n" % len(body)
+        cfg = self.platform.settings(object_url=serve(head + body))
+        self.assertRaises(Unavailable, S3Objects(cfg, self.timers, "n1").get, "x")
+
     def test_an_outage_is_unavailable(self):
         self.platform.faults(object_down=True)
         for call in (
@@ -156,6 +162,13 @@
         self.assertEqual(self.list.nodes(), (NODE,))
         self.assertGreaterEqual(self.list.age(), 10)
 
+    def test_an_unchanged_list_is_not_read_whole(self):
+        # Guards against traffic above what a node may cause at 990 instances.
+        before = self.platform.admin("GET", "counters")["list_whole_reads"]
+        self.clock.advance(26)
+        counters = self.platform.admin("GET", "counters")
+        self.assertEqual(counters["list_whole_reads"], before)
+
     def test_the_age_before_the_first_read_is_infinite(self):
         fresh = CloudMapInstanceList(self.platform.settings(), self.clock, "n2")
         self.assertEqual(fresh.age(), math.inf)
@@ -220,6 +233,21 @@
         self.assertEqual(own.kind, NoticeKind.RECLAIM)
         self.assertAlmostEqual(own.not_before, moment, places=2)
 
+    def test_notices_are_read_from_all_pages(self):
+        event = "<code>instance-stop</code><notBefore>2026-12-04T00:00:00Z</notBefore>"
+        closed = f"{event}<description>[Completed] maintenance</description>"
+        answers = []
+        for name, more in (("i-1", "<nextToken>t</nextToken>"), ("i-2", "")):
+            items = f"<item>{event}</item><item>{closed}</item>"
+            status = f"<instanceId>{name}</instanceId><eventsSet>{items}</eventsSet>"
+            body = f"<instanceStatusSet><item>{status}</item></instanceStatusSet>{more}"
+            text = f"<R>{body}</R>".encode()
+            answers.append(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text))
+            answers[-1] += text
+        cfg = self.platform.settings(cloud_url=serve(*answers))
+        found = Ec2CloudApi(cfg, self.timers, "n1").notices()
+        self.assertEqual([notice.instance_id for notice in found], ["i-1", "i-2"])
+
     def test_unreadable_metadata_is_not_taken_for_no_notice(self):
         self.platform.faults(metadata_down=True)
         with self.assertRaises(Unavailable):
