Never report a call that ran as not run while its answer is read

Cause: the limit of a claim's deadline also covered reading a large stored answer; a hung object store made a repeat of a finished call end as not_run. Change: the answer is read after the timed part; a failed read gives "in progress".

--- a/src/rattanwick/internal/state/claims.py
+++ b/src/rattanwick/internal/state/claims.py
@@ -129,6 +129,9 @@
             # Also when this task is killed because its caller went away.
             if attempt.in_doubt:
                 self._abandon(call, attempt)
+        if isinstance(result, _DoneRow):
+            # Read without the limit: a call that ran is never reported as not run.
+            return self._replay(result.values)
         if isinstance(result, Claimed) and not self.may_dispatch(result):
             self._settle(result, ClaimState.NOT_RUN, None)
             return NotRun("claim_not_in_time")
@@ -136,7 +139,7 @@
 
     def _claim_until(
         self, call: ServiceCall, attempt: "_Attempt", expires: float
-    ) -> ClaimResult:
+    ) -> "ClaimResult | _DoneRow":
         delay = FIRST_RETRY_SECONDS
         while True:
             try:
@@ -151,7 +154,7 @@
 
     def _try_claim(
         self, call: ServiceCall, attempt: "_Attempt", expires: float
-    ) -> ClaimResult:
+    ) -> "ClaimResult | _DoneRow":
         """Write the claim's row; a conflict shows the row that is there.
 
         After a lost answer the same write is repeated: it either succeeds or
@@ -211,7 +214,7 @@
             "answer": None,
         }
 
-    def _judge(self, call: ServiceCall, row: Row) -> ClaimResult | None:
+    def _judge(self, call: ServiceCall, row: Row) -> "ClaimResult | _DoneRow | None":
         """Return what a row means for the call, or None when it may be claimed."""
         values = row.values
         now = self._timers.wall()
@@ -224,7 +227,7 @@
         if state == ClaimState.NOT_RUN:
             return None
         if state == ClaimState.DONE:
-            return self._replay(values)
+            return _DoneRow(values)
         if state == ClaimState.UNKNOWN:
             return Replayed(Unknown("call_not_confirmed"), None, request_id)
         unknown_at = values["deadline"] + self._unknown_after
@@ -275,6 +278,15 @@
         self._settlements.add(settlement, wait=False)
 
 
+class _DoneRow:
+    """Hold the values of a row whose answer is still to be read."""
+
+    __slots__ = ("values",)
+
+    def __init__(self, values: dict):
+        self.values = values
+
+
 class _Attempt:
     """Hold the row that a claim writes, and whether it may arrive later."""
 
--- a/tests/failure/test_claim_failures.py
+++ b/tests/failure/test_claim_failures.py
@@ -113,6 +113,20 @@
         result = self.first.claim(self.bench.call(seconds=0.05))
         self.assertEqual(result, NotRun("claim_not_in_time"))
 
+    def test_a_hung_object_store_does_not_make_a_run_call_not_run(self):
+        # Guards against "not run" for a call whose answer is slow to read.
+        answer = StoredAnswer(200, {}, b"x" * (MAX_INLINE_BYTES + 1))
+        claimed = self.first.claim(self.bench.call())
+        self.first.settle(claimed, Answered(), answer)
+
+        def fail_late(name):
+            gevent.sleep(0.1)
+            raise Unavailable("get", name, "no answer in time")
+
+        self.bench.objects.get = fail_late
+        result = self.second.claim(self.bench.call(seconds=0.05))
+        self.assertIsInstance(result, InProgress)
+
     def test_a_pause_during_the_claim_prevents_the_dispatch(self):
         # Guards against a paused process that sends an expired call.
         def pause(original, *args):
