--- a/bench/peer_cost.py
+++ b/bench/peer_cost.py
@@ -4,7 +4,6 @@
 import json
 import statistics
 import time
-from pathlib import Path
 
 import numpy as np
 
@@ -119,6 +118,36 @@
     return result
 
 
+def run_loss(count: int, seconds: float) -> dict:
+    """Kill a whole data centre and return when and at what cost others know."""
+    data_centres = 6
+    peers = PeerProcesses(count, data_centres)
+    try:
+        peers.wait_live(list(range(count)), count)
+        time.sleep(SETTLE_SECONDS)
+        lost = [index for index in range(count) if index % data_centres == 0]
+        rest = [index for index in range(count) if index not in lost]
+        before = [peers.ask(index, "stats") for index in rest]
+        for index in lost:
+            peers.processes[index].kill()
+        agreed = peers.wait_live(rest, len(rest))
+        time.sleep(seconds)
+        after = [peers.ask(index, "stats") for index in rest]
+        live = [stats["live"] for stats in after]
+    finally:
+        peers.stop()
+    rows = [use_between(*pair) for pair in zip(before, after, strict=True)]
+    return {
+        "nodes": count,
+        "killed": len(lost),
+        "agreed_seconds": round(agreed, 2),
+        "measured_seconds": round(agreed + seconds, 1),
+        "live_at_the_end": spread(live),
+        "payload_bytes_per_second": spread([row["payload"] for row in rows]),
+        "cpu_percent": spread([row["cpu_percent"] for row in rows]),
+    }
+
+
 def model_target(count: int, data_centres: int, max_links: int) -> dict:
     """Return link counts and times of the functions that grow with the nodes."""
     nodes = [
@@ -172,8 +201,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--nodes", type=int, nargs="+", default=[6, 12, 24, 48])
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--loss", action="store_true", help="kill a data centre")
     parser.add_argument("--name", default="peer_cost")
     args = parser.parse_args()
+    if args.loss:
+        store(args.name, run_loss(max(args.nodes), args.seconds))
+        return
     runs = []
     for count in args.nodes:
         runs.append(run_size(count, 8, args.seconds, news=True))
@@ -184,9 +217,14 @@
     model = model_target(TARGET_NODES, 6, 8)
     result = {"runs": runs, "slopes": fit_slopes(runs), "model": model}
     print(json.dumps({"slopes": result["slopes"], "model": model}, indent=1))
+    store(args.name, result)
+
+
+def store(name: str, result: dict) -> None:
+    """Write a result to the directory of results."""
     RESULTS.mkdir(exist_ok=True)
-    path = Path(RESULTS / f"{args.name}.json")
-    path.write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
+    text = json.dumps(result, indent=1) + "\n"
+    (RESULTS / f"{name}.json").write_text(text, encoding="utf-8")
 
 
 if __name__ == "__main__":
