Confirm slowness and count usable slots only

A pause of one node made several healthy endpoints look slow for one report.

Change: the limit uses the slots of endpoints that are not set aside, and an endpoint is reduced only after it has looked slow for 0.1 s.

--- a/src/rattanwick/internal/routing/cellstate.py
+++ b/src/rattanwick/internal/routing/cellstate.py
@@ -145,6 +145,14 @@
             )
         return states
 
+    def usable_slots(self, usable: set[str]) -> int:
+        """Return the slots of endpoints that are usable and not set aside."""
+        return sum(
+            self.health.full_slots(item)
+            for item in self.cell.endpoints
+            if item.id in usable
+        )
+
     def cached_shares(
         self, states: list[EndpointState], prefix: list[int]
     ) -> list[float]:
--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -141,7 +141,8 @@
     long ones while fewer than the limit run. Plans take turns by virtual time.
     """
     policy = POLICIES["owner"]
-    long_running = sum(item.long_running for item in snapshot.endpoints)
+    active = [item for item in snapshot.endpoints if not item.aside]
+    long_running = sum(item.long_running for item in active)
     for req in sorted(snapshot.waiting, key=lambda item: _queue_rank(snapshot, item)):
         aged = is_aged(snapshot, req)
         if not req.short and not aged and long_running >= snapshot.long_limit:
--- a/src/rattanwick/internal/routing/health.py
+++ b/src/rattanwick/internal/routing/health.py
@@ -18,6 +18,8 @@
 ASIDE_SLOWNESS = 3.0
 RECOVERED_SLOWNESS = 1.5
 FAILURE_RATIO = 10.0
+# A pause of one node makes all its streams look slow for a moment.
+CONFIRM_SECONDS = 0.1
 FIRST_TRIAL_SECONDS = 1.0
 LONGEST_TRIAL_SECONDS = 16.0
 TRIAL_SLOTS = 1
@@ -47,6 +49,7 @@
     state: HealthState = HealthState.ACTIVE
     evidence: list[Evidence] = field(default_factory=list)
     changed: float = 0.0  # monotonic seconds of the last change of state
+    suspected: float | None = None  # monotonic seconds, since it looks slow
     trial_delay: float = FIRST_TRIAL_SECONDS
     trial_at: float = 0.0  # monotonic seconds
     trial_ticket: str = ""  # the trial in flight
@@ -114,14 +117,20 @@
         An endpoint that is set aside is tried only when it is idle, since its
         streams in flight tell how fast it is.
         """
-        health = self._endpoints.get(endpoint.id)
-        if health is None or health.state == HealthState.ACTIVE:
-            return max(int(endpoint.slots - running), 0)
-        if health.state == HealthState.REDUCED:
-            return max(int(max(endpoint.slots // 2, 1) - running), 0)
+        if not self.is_aside(endpoint.id):
+            return max(int(self.full_slots(endpoint) - running), 0)
+        health = self._endpoints[endpoint.id]
         may_try = not health.trial_ticket and now >= health.trial_at
         return TRIAL_SLOTS if may_try and running < 1 else 0
 
+    def full_slots(self, endpoint: Endpoint) -> int:
+        """Return the slots that an endpoint may use in its present state."""
+        health = self._endpoints.get(endpoint.id)
+        if health is None or health.state == HealthState.ACTIVE:
+            return endpoint.slots
+        reduced = health.state == HealthState.REDUCED
+        return max(endpoint.slots // 2, 1) if reduced else 0
+
     def is_aside(self, endpoint_id: str) -> bool:
         """Tell whether an endpoint gets only trials."""
         health = self._endpoints.get(endpoint_id)
@@ -140,6 +149,8 @@
         health = self._endpoints[name]
         if health.state == HealthState.ASIDE:
             return
+        if not self._is_confirmed(health, slowness, now):
+            slowness = min(slowness, REDUCED_SLOWNESS - 0.01)
         room = self.count_aside() + 1 <= self._probation_share * total
         if slowness >= ASIDE_SLOWNESS and room:
             health.trial_at = now + health.trial_delay
@@ -153,6 +164,16 @@
                 health.trial_delay = FIRST_TRIAL_SECONDS
                 self._change(name, health, HealthState.ACTIVE, slowness, now)
 
+    @staticmethod
+    def _is_confirmed(health: EndpointHealth, slowness: float, now: float) -> bool:
+        """Tell whether an endpoint has looked slow for long enough."""
+        if slowness < REDUCED_SLOWNESS:
+            health.suspected = None
+        elif health.suspected is None:
+            health.suspected = now
+        since = health.suspected
+        return since is not None and now - since >= CONFIRM_SECONDS
+
     def _judge_trial(
         self, name: str, health: EndpointHealth, item: Evidence, now: float
     ) -> None:
--- a/src/rattanwick/internal/routing/owner.py
+++ b/src/rattanwick/internal/routing/owner.py
@@ -217,7 +217,7 @@
     def _admission_inputs(
         self, ask: PlaceAsk, estimate: WorkEstimate, short: bool
     ) -> AdmissionInputs:
-        slots = self.state.cell.slots
+        slots = self.state.usable_slots(self.parts.usable())
         return AdmissionInputs(
             endpoints=len(self._candidates(ask, self.parts.usable())),
             slots=slots if short else self._long_limit(),
@@ -271,7 +271,8 @@
     def _long_limit(self) -> int:
         short_load, long_load = self.mix.loads(self.parts.timers.now())
         weight = self.parts.settings.weight_short
-        return long_limit(self.state.cell.slots, short_load, long_load, weight)
+        slots = self.state.usable_slots(self.parts.usable())
+        return long_limit(slots, short_load, long_load, weight)
 
     def _snapshot(self, endpoints: list[EndpointState]) -> CellSnapshot:
         self.seed += 1
--- a/tests/unit/test_slow_endpoints.py
+++ b/tests/unit/test_slow_endpoints.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from rattanwick.internal.routing.health import Evidence, HealthState, HealthView
+from rattanwick.internal.routing.health import (
+    CONFIRM_SECONDS,
+    Evidence,
+    HealthState,
+    HealthView,
+)
 from tests.unit.routing_support import make_endpoints
 
 
@@ -20,6 +25,8 @@
             evidence = Evidence(f"t{self.tickets}", self.now, ratio)
             self.view.observe(self.endpoints[index].id, evidence, self.now)
         self.view.update(self.endpoints, self.now)
+        self.now += CONFIRM_SECONDS * 2
+        self.view.update(self.endpoints, self.now)
 
     def open_slots(self, index):
         """Return the open slots of an idle endpoint."""
@@ -37,6 +44,18 @@
         self.observe(0, 30.0, times=1)
         self.assertEqual(self.open_slots(0), 4)
 
+    def test_a_moment_of_slowness_changes_nothing(self):
+        # Guards against a pause of a node that reduces all endpoints at once.
+        self.observe(0, 1.0)
+        for ratio in (5.0, 1.0):
+            for number in range(3):
+                evidence = Evidence(f"paused-{number}", self.now, ratio)
+                self.view.observe(self.endpoints[0].id, evidence, self.now)
+            self.view.update(self.endpoints, self.now)
+            self.now += CONFIRM_SECONDS / 2
+        self.view.update(self.endpoints, self.now + 1.0)
+        self.assertEqual(self.open_slots(0), 4)
+
     def test_at_most_a_third_of_a_pool_is_set_aside(self):
         # Guards against a slow pool that removes all of its endpoints.
         for index in range(9):
