--- a/src/rattanwick/internal/routing/cellstate.py
+++ b/src/rattanwick/internal/routing/cellstate.py
@@ -141,10 +141,19 @@
                     open_slots=self.health.open_slots(item, running, now),
                     price=item.price,
                     aside=self.health.is_aside(item.id),
+                    trial_overdue=self.health.is_trial_overdue(item.id, now),
                 )
             )
         return states
 
+    def usable_slots(self, usable: set[str]) -> int:
+        """Return the slots of endpoints that are usable and not set aside."""
+        return sum(
+            self.health.full_slots(item)
+            for item in self.cell.endpoints
+            if item.id in usable
+        )
+
     def cached_shares(
         self, states: list[EndpointState], prefix: list[int]
     ) -> list[float]:
--- a/src/rattanwick/internal/routing/owner.py
+++ b/src/rattanwick/internal/routing/owner.py
@@ -217,11 +217,12 @@
     def _admission_inputs(
         self, ask: PlaceAsk, estimate: WorkEstimate, short: bool
     ) -> AdmissionInputs:
-        slots = self.state.cell.slots
+        slots = self.state.usable_slots(self.parts.usable())
         return AdmissionInputs(
             endpoints=len(self._candidates(ask, self.parts.usable())),
             slots=slots if short else self._long_limit(),
-            work_ahead=self.queue.work_ahead(short, ask.plan),
+            work_ahead=self.mix.held_ratio(short)
+            * self.queue.work_ahead(short, ask.plan),
             work=estimate.seconds,
             seconds_left=ask.seconds_left,
         )
@@ -271,7 +272,8 @@
     def _long_limit(self) -> int:
         short_load, long_load = self.mix.loads(self.parts.timers.now())
         weight = self.parts.settings.weight_short
-        return long_limit(self.state.cell.slots, short_load, long_load, weight)
+        slots = self.state.usable_slots(self.parts.usable())
+        return long_limit(slots, short_load, long_load, weight)
 
     def _snapshot(self, endpoints: list[EndpointState]) -> CellSnapshot:
         self.seed += 1
@@ -308,6 +310,7 @@
             excluded=ask.excluded,
             cached=self.state.cached_shares(endpoints, ask.prefix),
             idempotent=ask.idempotent,
+            can_hedge=ask.can_hedge,
         )
 
     def _candidates(self, ask: PlaceAsk, usable: set[str]) -> list[str]:
