Keep the whole allowance granted and lend instead of returning tokens

Change: a node never shrinks because it lends; nodes take their fair share at the start, when a limit changes and when membership changes, and the busy node borrows each window.

--- a/src/rattanwick/internal/state/grant_accounts.py
+++ b/src/rattanwick/internal/state/grant_accounts.py
@@ -3,24 +3,12 @@
 All changes are local and immediate; nothing here waits for the table or a peer.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
 from gevent.lock import RLock
 
 from rattanwick.internal.state.amounts import ZERO, Amount
 
-WINDOWS_REMEMBERED = 3
-
-
-@dataclass(slots=True, frozen=True)
-class WindowSummary:
-    """Tell what moved in one window."""
-
-    used: Amount = ZERO
-    lent: Amount = ZERO
-    borrowed: Amount = ZERO
-
 
 @dataclass(slots=True)
 class LoanHint:
@@ -36,12 +24,11 @@
     __slots__ = (
         "_cap",
         "borrowed",
-        "checked_window",
+        "checked",
         "expires_monotonic",
         "expires_wall",
         "held",
         "hints",
-        "history",
         "known_free",
         "known_free_at",
         "lent",
@@ -71,11 +58,10 @@
         self.borrowed = ZERO
         self._cap: Amount | None = None  # own part of this window after a decrease
         self.previous_charge = ZERO
-        self.history: deque[WindowSummary] = deque(maxlen=WINDOWS_REMEMBERED)
         self.known_free: Amount | None = None  # None when not known in this window
         self.known_free_at = 0.0  # monotonic seconds
         self.refill_after = 0.0  # monotonic seconds
-        self.checked_window = 0  # last window with a resize from the timer
+        self.checked = (0, 0)  # window and live nodes of the last check by the timer
         self.hints: dict[str, LoanHint] = {}
 
     def enter_window(self, window: int) -> None:
@@ -84,9 +70,6 @@
             return
         follows = window == self.window + 1
         self.previous_charge = self.own_charge() if follows else ZERO
-        self.history.append(WindowSummary(self.used, self.lent, self.borrowed))
-        if not follows:
-            self.history.append(WindowSummary())
         self.window = window
         self.used = self.lent = self.borrowed = ZERO
         self._cap = None
@@ -158,22 +141,7 @@
         held = self.held.lowered(self.limit, limit)
         self.limit = limit
         self.known_free = None
+        self.checked = (0, 0)
         if held != self.held:
             self.lower_to(held)
             self.lowered = True
-
-    def steady_lent(self) -> Amount:
-        """Return what was lent in each remembered window."""
-        return self._steady([item.lent for item in self.history])
-
-    def steady_borrowed(self) -> Amount:
-        """Return what was borrowed in each remembered window."""
-        return self._steady([item.borrowed for item in self.history])
-
-    def _steady(self, amounts: list[Amount]) -> Amount:
-        if len(amounts) < WINDOWS_REMEMBERED:
-            return ZERO
-        lowest = amounts[0]
-        for amount in amounts[1:]:
-            lowest = lowest.at_most(amount)
-        return lowest
--- a/src/rattanwick/internal/state/grants.py
+++ b/src/rattanwick/internal/state/grants.py
@@ -25,8 +25,6 @@
 REFILLS_PER_WINDOW = 120  # most unsuccessful refills of an account
 # A grant is renewed once this part of its life has passed.
 RENEW_AFTER_PART = 1 / 3
-# A node gives back what it lent in each remembered window from this part on.
-LENT_PART_RETURNED = 1 / 20
 UNAVAILABLE_RETRY_SECONDS = 5.0
 
 RESERVATIONS = counter(
@@ -83,6 +81,7 @@
         self._lists.subscribe(self._follow_lists)
         self._follow_lists(self._lists.current())
         period = self._window_seconds / TICKS_PER_WINDOW
+        self._timers.after(0, self.maintain)
         self._timers.subscribe("grants", period, self.maintain)
 
     def reserve(self, plan: str, pool: str, tokens: int) -> Reservation | NotRun:
@@ -192,12 +191,14 @@
 
     def _maintain_account(self, account: GrantAccount) -> None:
         account.enter_window(self._window())
-        first = account.checked_window < account.window
-        account.checked_window = account.window
+        live = len(self._members.live())
+        seen = (account.window, live)
+        changed = account.checked != seen
         # On average one node of the deployment sweeps in each window.
-        if first and self._random.random() * len(self._members.live()) < 1:
+        if account.checked[0] < account.window and self._random.random() * live < 1:
             self._sweep(account)
-        if account.lowered or (first and self._needs_resize(account)):
+        account.checked = seen
+        if account.lowered or (changed and self._needs_resize(account)):
             with account.lock:
                 self._resize(
                     account, lambda held, free: self._choose(account, held, free)
@@ -207,8 +208,6 @@
         return account.limit != ZERO and (
             self._is_renewal_due(account)
             or not account.held.covers(self._fair_share(account))
-            or account.steady_lent() != ZERO
-            or account.steady_borrowed() != ZERO
         )
 
     def _is_renewal_due(self, account: GrantAccount) -> bool:
@@ -216,20 +215,15 @@
         return left < self._settings.grant_seconds * (1 - RENEW_AFTER_PART)
 
     def _choose(self, account: GrantAccount, held: Amount, free: Amount) -> Amount:
-        """Return the holding that suits the latest windows."""
+        """Return the holding wanted when nobody waits for it.
+
+        The nodes together hold the whole allowance, so that nothing lies free at the
+        table during its outage. The busy node borrows what the others do not use; a
+        holding that moved through the table would lie free there for a while.
+        """
         if account.lowered:
             return held.at_most(account.held)
-        lent = account.steady_lent()
-        least = Amount(
-            math.ceil(account.limit.tokens * LENT_PART_RETURNED),
-            math.ceil(account.limit.requests * LENT_PART_RETURNED),
-        )
-        if lent.tokens >= least.tokens or lent.requests >= least.requests:
-            return held.less(lent)
-        wanted = held + account.steady_borrowed()
-        if lent == ZERO:
-            wanted = wanted.at_least(self._fair_share(account))
-        return held + free.at_most(wanted.less(held))
+        return held.at_least(self._fair_share(account))
 
     def _fair_share(self, account: GrantAccount) -> Amount:
         return account.limit.share(max(len(self._members.live()), 1))
--- a/src/rattanwick/internal/state/list_format.py
+++ b/src/rattanwick/internal/state/list_format.py
@@ -106,7 +106,8 @@
     except SettingsError as exc:
         faults.extend(exc.faults)
         return []
-    return [(name.split(), name, dict(parser[name])) for name in parser.sections()]
+    titles = parser.sections()
+    return [(title.split() or [""], title, dict(parser[title])) for title in titles]
 
 
 def _read_plans(content: str, faults: list[Fault]):
