Follow list news in a task of its own and bound the wait for loans

Cause: a news callback that calls a peer would block the task that reads from that peer, and a request could wait 0.5 s for each of eight unreachable lenders. Change: news schedules the catch-up on the timer service; a refill asks for at most 0.5 s, 0.25 s each. The age test applies directly, because apply over HTTP now takes one confirmation poll.

--- a/src/rattanwick/internal/state/grant_loans.py
+++ b/src/rattanwick/internal/state/grant_loans.py
@@ -12,7 +12,9 @@
 from rattanwick.internal.state.grant_accounts import GrantAccount, LoanHint
 
 LEND = "grants.lend"
-LOAN_TIMEOUT_SECONDS = 0.5
+LOAN_TIMEOUT_SECONDS = 0.25
+# A request that waits for loans is refused after about this time.
+BORROW_SECONDS = 0.5
 # Bounds the messages of one refill in a large deployment.
 MAX_PEERS_ASKED = 8
 HINT_SECONDS = 2.0
@@ -45,9 +47,11 @@
     ) -> None:
         """Ask peers until the account covers a request or all were asked."""
         window = account.window
+        limit = self._timers.now() + BORROW_SECONDS
         for peer in self._order_peers(account)[:MAX_PEERS_ASKED]:
             short = want.less(available())
-            if short == ZERO or account.window != window:
+            late = self._timers.now() >= limit
+            if late or short == ZERO or account.window != window:
                 return
             self._ask(account, peer, short)
 
--- a/src/rattanwick/internal/state/lists.py
+++ b/src/rattanwick/internal/state/lists.py
@@ -251,6 +251,12 @@
         self.adopt(version)
 
     def _follow_news(self, key: str, version: int, body: dict) -> None:
+        if version > self._current.number:
+            # A task of its own: the caller may be the task that reads from a peer.
+            self._timers.after(0, lambda: self._catch_up(version))
+
+    def _catch_up(self, version: int) -> None:
+        """Adopt at least a version from the table or from a few peers."""
         if version <= self._current.number:
             return
         self.poll()
--- a/tests/unit/test_grants.py
+++ b/tests/unit/test_grants.py
@@ -117,6 +117,7 @@
         version = self.nodes[0].lists.current().number
         texts = self.texts(tokens, requests)
         self.nodes[0].lists.apply(*texts, version, "ana")
+        self.timers.advance(0)
 
     def spend_all(self, node: GrantNode, tokens: int = 100) -> int:
         """Reserve until refused; return the tokens charged."""
--- a/tests/unit/test_lists.py
+++ b/tests/unit/test_lists.py
@@ -67,6 +67,12 @@
             for index, store in enumerate(self.stores)
         }
 
+    def apply(self, plans: str, allowances: str, from_version: int, author: str):
+        """Apply at the first node and let the news arrive."""
+        version = self.stores[0].apply(plans, allowances, from_version, author)
+        self.timers.advance(0)
+        return version
+
 
 class ListFormatTests(unittest.TestCase):
     def test_reports_every_fault_of_both_files_in_one_run(self):
@@ -126,7 +132,7 @@
         self.first, self.second, self.third = self.cluster.stores
 
     def test_a_change_is_in_force_everywhere_and_identifies_callers(self):
-        version = self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        version = self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.assertEqual(self.first.wait_confirmed(version.number), ())
         identity = Identity(self.third)
         self.assertEqual(
@@ -138,7 +144,7 @@
         self.assertIsNone(identity.allowance("basic", "agenda-vans"))
 
     def test_a_stale_edit_is_refused_with_the_version_in_force(self):
-        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         with self.assertRaises(Conflict) as caught:
             self.second.apply(PLANS, "", 0, "luis")
         self.assertEqual(caught.exception.current.author, "ana")
@@ -146,7 +152,7 @@
 
     def test_a_lost_answer_is_read_back_and_applied_once(self):
         self.cluster.table.lose_answers = 1
-        version = self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        version = self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.assertEqual(version.number, 1)
         self.assertEqual([item.number for item in self.first.history()], [1])
 
@@ -163,28 +169,28 @@
 
         table.transact = transact_then_fail
         with self.assertRaises(MaybeApplied):
-            self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+            self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.assertEqual(self.first.current().number, 0)
 
     def test_an_outage_refuses_a_change(self):
         self.cluster.table.down = True
         with self.assertRaises(Unavailable):
-            self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+            self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
 
     def test_an_older_version_never_replaces_a_newer_one(self):
-        old = self.first.apply(PLANS, ALLOWANCES, 0, "ana")
-        self.first.apply(PLANS, "", 1, "ana")
+        old = self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.apply(PLANS, "", 1, "ana")
         self.assertFalse(self.second.adopt(old))
         self.assertEqual(self.second.current().number, 2)
 
     def test_names_nodes_that_have_not_confirmed(self):
         late = self.cluster.mesh.add("node-9")
         self.assertIsNotNone(late)
-        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.assertEqual(self.first.wait_confirmed(1), ("node-9",))
 
     def test_a_new_node_loads_from_peers_while_the_table_is_down(self):
-        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.cluster.table.down = True
         self.cluster.mesh.unreachable = {"node-0"}
         fresh = self.cluster.add("node-3")
@@ -197,7 +203,7 @@
         self.assertFalse(self.cluster.add("node-3").load_newest())
 
     def test_a_peer_with_altered_texts_is_not_believed(self):
-        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         handlers = self.cluster.mesh.networks["node-0"].handlers
         genuine = handlers[FETCH]
         handlers[FETCH] = lambda peer, body: (
--- a/tests/unit/test_operators.py
+++ b/tests/unit/test_operators.py
@@ -151,7 +151,7 @@
         self.assertEqual(client.get("/v1/operator/recordings", name="lists/x")[0], 404)
 
     def test_status_shows_ages_and_survives_a_failing_part(self):
-        self.apply(0)
+        self.store.apply(PLANS, ALLOWANCES, 0, "ana")
         self.cluster.timers.advance(7)
         view = OperatorClient(self.address, KEY).get_json("/v1/operator/status")
         self.assertEqual(view["lists"]["version"], 1)
