Test clock skew, sweeping and older lists of grants directly

Change: unit tests for a return across a window boundary with skewed clocks, for the moment at which a grant is swept, and a node with older lists now tries to take more.

--- a/tests/unit/test_grants.py
+++ b/tests/unit/test_grants.py
@@ -15,6 +15,7 @@
 from rattanwick.internal.base.settings import AllowanceSettings, ListSettings
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.state.amounts import Amount
+from rattanwick.internal.state.grant_rows import GrantRows
 from rattanwick.internal.state.grants import Grants, Reservation
 from rattanwick.internal.state.lists import ListStore
 
@@ -200,6 +201,33 @@
         self.assertEqual(fleet.spend_all(other), 6000)
         self.assertIsInstance(paused.reserve(1), NotRun)
 
+    def test_a_grant_is_swept_only_after_its_expiry_and_the_clock_skew(self):
+        fleet = Fleet(count=1)
+        fleet.timers.advance(1)
+        expires = fleet.table.rows["grant#basic#pool#node-0.1"].values["expires"]
+        self.assertEqual(expires % 60, 0)
+        rows = GrantRows(fleet.table, "other")
+        self.assertEqual(rows.sweep(*POOL, expires + 2, 2.0), 0)
+        self.assertEqual(rows.sweep(*POOL, expires + 2.1, 2.0), 1)
+        total = fleet.table.rows["allowance#basic#pool"].values
+        self.assertEqual((total["granted"], total["granted_requests"]), (0, 0))
+
+    def test_nodes_whose_clocks_differ_do_not_spend_a_window_twice(self):
+        fleet = Fleet(count=0, change=False)
+        early = GrantNode(fleet, "node-0", 0.9)
+        late = GrantNode(fleet, "node-1", -0.9)
+        fleet.nodes = [early, late]
+        fleet.change(6000, 600)
+        fleet.timers.advance(120)
+        fleet.timers.advance(59 - fleet.timers.wall() % 60)
+        window = late.window()
+        self.assertEqual(early.window(), window)
+        early.grants.reserve(*POOL, 3000)
+        fleet.timers.advance(1)
+        self.assertEqual((early.window(), late.window()), (window + 1, window))
+        early.grants.return_all()
+        self.assertEqual(fleet.spend_all(late), 3000)
+
     def test_grants_last_through_a_long_outage(self):
         fleet = Fleet()
         fleet.timers.advance(120)
@@ -246,6 +274,9 @@
         late.lists.adopt = lambda candidate: False
         fleet.change(3000, 600)
         fleet.timers.advance(120)
+        fleet.mesh.lose_reply = lambda *_: True
+        fleet.spend_all(late)
+        fleet.mesh.lose_reply = lambda *_: False
         del late.lists.adopt
         late.lists.poll()
         fleet.next_window()
