Borrow from peers before taking from the table

Cause: in the usual state all of an allowance is granted, and a slow table would delay requests that a peer can help. Change: a refill asks peers first unless the node holds nothing; tests for large texts and for news during an outage.

--- a/src/rattanwick/internal/state/grants.py
+++ b/src/rattanwick/internal/state/grants.py
@@ -229,16 +229,22 @@
         return account.limit.share(max(len(self._members.live()), 1))
 
     def _refill(self, account: GrantAccount, want: Amount) -> None:
-        """Take from the table or borrow from peers, until a request fits."""
+        """Borrow from peers and take from the table, until a request fits.
+
+        The table comes second because all of an allowance is usually granted, and a
+        slow table would delay requests that a peer can help.
+        """
         with account.lock:
             if self._available(account).covers(want):
                 return
             if self._timers.now() < account.refill_after:
                 return
-            if self._table_may_have(account):
+            if account.held == ZERO and self._table_may_have(account):
+                self._take(account, want)
+            self._borrower.borrow(account, want, lambda: self._available(account))
+            short = not self._available(account).covers(want)
+            if short and self._table_may_have(account):
                 self._take(account, want)
-            if not self._available(account).covers(want):
-                self._borrower.borrow(account, want, lambda: self._available(account))
             if not self._available(account).covers(want):
                 pause = self._window_seconds / REFILLS_PER_WINDOW
                 account.refill_after = self._timers.now() + pause
--- a/tests/unit/test_lists.py
+++ b/tests/unit/test_lists.py
@@ -3,7 +3,7 @@
 import hashlib
 import unittest
 
-from fakes.memory import MemoryTable
+from fakes.memory import MemoryObjects, MemoryTable
 from fakes.memory_peers import (
     MemoryInstances,
     MemoryMembers,
@@ -197,6 +197,22 @@
         self.assertTrue(fresh.load_newest())
         self.assertEqual(fresh.current().number, 1)
 
+    def test_nodes_follow_the_news_through_peers_while_the_table_is_down(self):
+        self.first.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.cluster.table.down = True
+        self.cluster.timers.advance(0)
+        self.assertEqual(self.third.current().number, 1)
+
+    def test_large_texts_are_kept_in_the_object_store(self):
+        objects = MemoryObjects()
+        for store in self.cluster.stores:
+            store._objects = objects
+        text = ALLOWANCES + "; comment\n" * 30_000
+        self.cluster.apply(PLANS, text, 0, "ana")
+        self.assertEqual(self.second.current().allowances_text, text)
+        sizes = [len(str(row.values)) for row in self.cluster.table.rows.values()]
+        self.assertLess(max(sizes), 2_000)
+
     def test_a_new_node_without_any_source_is_not_ready(self):
         self.cluster.table.down = True
         self.cluster.mesh.unreachable = {"node-0", "node-1", "node-2"}
