--- a/bench/grants_usable.py
+++ b/bench/grants_usable.py
@@ -146,7 +146,9 @@
             self.timers.advance(self.random.expovariate(rate))
             self.finish_due()
             self.arrive(int(elapsed // WINDOW_SECONDS))
-        windows = range(first + WARM_UP_WINDOWS, first + WARM_UP_WINDOWS + 8)
+        windows = range(
+            first + WARM_UP_WINDOWS, first + WARM_UP_WINDOWS + MEASURED_WINDOWS
+        )
         minutes = MEASURED_WINDOWS * WINDOW_SECONDS / 60 * NODES
         return {
             "charged_share": [
--- a/tests/property/test_grant_sums.py
+++ b/tests/property/test_grant_sums.py
@@ -6,43 +6,13 @@
 
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from fakes.memory import MemoryTable
-from rattanwick.internal.base.errors import Conflict, MaybeApplied
 from rattanwick.internal.base.outcomes import NotRun
-from tests.unit.test_grants import POOL, Fleet, GrantNode
+from tests.unit.test_grants import POOL, DelayingTable, Fleet, GrantNode
 
 NODES = 3
 LIMIT = 1000
 
 
-class DelayingTable(MemoryTable):
-    """Apply some writes only later, after their answer was lost."""
-
-    def __init__(self):
-        super().__init__()
-        self.delay = 0
-        self.late: list[tuple] = []
-
-    def transact(self, writes, token) -> None:
-        """Write now, or later when a delay is set."""
-        if self.delay and not self.down:
-            self.delay -= 1
-            self.late.append((list(writes), token))
-            raise MaybeApplied("transact", "table", "delayed")
-        super().transact(writes, token)
-
-    def apply_late(self) -> None:
-        """Apply the delayed writes whose conditions still hold."""
-        if self.down:
-            return
-        late, self.late = self.late, []
-        for writes, token in late:
-            try:
-                super().transact(writes, token)
-            except (Conflict, MaybeApplied):
-                continue
-
-
 OPERATIONS = st.one_of(
     st.tuples(st.just("reserve"), st.integers(0, NODES - 1), st.integers(1, 400)),
     st.tuples(st.just("spend"), st.integers(0, NODES - 1), st.integers(20, 120)),
--- a/tests/unit/test_grants.py
+++ b/tests/unit/test_grants.py
@@ -10,7 +10,7 @@
     MemoryMesh,
     MemoryNews,
 )
-from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.base.errors import Conflict, MaybeApplied, Refused
 from rattanwick.internal.base.outcomes import NotRun
 from rattanwick.internal.base.settings import AllowanceSettings, ListSettings
 from rattanwick.internal.base.timers import ManualTimerService
@@ -30,6 +30,34 @@
     )
 
 
+class DelayingTable(MemoryTable):
+    """Apply some writes only later, after their answer was lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.delay = 0
+        self.late: list[tuple] = []
+
+    def transact(self, writes, token) -> None:
+        """Write now, or later when a delay is set."""
+        if self.delay and not self.down:
+            self.delay -= 1
+            self.late.append((list(writes), token))
+            raise MaybeApplied("transact", "table", "delayed")
+        super().transact(writes, token)
+
+    def apply_late(self) -> None:
+        """Apply the delayed writes whose conditions still hold."""
+        if self.down:
+            return
+        late, self.late = self.late, []
+        for writes, token in late:
+            try:
+                super().transact(writes, token)
+            except (Conflict, MaybeApplied):
+                continue
+
+
 class SkewedTimers:
     """Show the time of a shared clock with an offset of the wall clock."""
 
@@ -297,6 +325,19 @@
         fleet.timers.advance(120)
         self.assertEqual(fleet.spend_all(fleet.nodes[0]), 6000)
 
+    def test_a_grant_is_not_spent_while_its_write_is_not_confirmed(self):
+        fleet = Fleet(count=0, change=False)
+        fleet.table = DelayingTable()
+        fleet.nodes = [GrantNode(fleet, f"node-{n}") for n in range(2)]
+        texts = fleet.texts(6000, 600)
+        fleet.nodes[0].lists.apply(*texts, 0, "ana")
+        fleet.nodes[1].lists.poll()
+        fleet.table.delay = 4
+        self.assertEqual(fleet.spend_all(fleet.nodes[0]), 0)
+        self.assertEqual(fleet.spend_all(fleet.nodes[1]), 6000)
+        fleet.table.apply_late()
+        self.assertEqual(fleet.spend_all(fleet.nodes[0]), 0)
+
     def test_invalid_loan_messages_are_refused_and_change_nothing(self):
         fleet = Fleet()
         fleet.timers.advance(120)
