--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,308 @@
+"""Run a trace through real routers against in-process endpoints, in real time."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+
+from bench.endpoint import (
+    REPORT_LAG_SECONDS,
+    REPORT_SECONDS,
+    BenchEndpoint,
+    Slowing,
+    nominal_seconds,
+)
+from bench.inprocess import (
+    Hub,
+    LocalInstances,
+    LocalMembers,
+    LocalNetwork,
+    LocalNews,
+    LocalOwnership,
+)
+from bench.workload import Arrival, Work
+from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.base.settings import RoutingSettings
+from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.model.instances import Endpoint, EndpointKind, Node
+from rattanwick.internal.model.requests import (
+    Placement,
+    RequestKind,
+    ServingRequest,
+    Usage,
+)
+from rattanwick.internal.recording.decisions import Decision, Recorder
+from rattanwick.internal.routing.router import CellRouter
+
+NODES = 6
+ENDPOINTS = 9
+SLOTS = 4
+POOL = "pool"
+REGION = "region"
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+LOCAL_LINK_SECONDS = 0.0002
+
+
+class CountingRecorder(Recorder):
+    """Count decisions by reason."""
+
+    def __init__(self):
+        self.reasons: dict[str, int] = {}
+
+    def record(self, decision: Decision) -> None:
+        """Count a decision."""
+        name = f"{decision.kind}:{decision.reason}"
+        self.reasons[name] = self.reasons.get(name, 0) + 1
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Hold what became of one arrival."""
+
+    arrival: Arrival
+    first_token: float | None = None  # seconds from the intended time
+    total: float | None = None
+    refused: str = ""
+    endpoints: list[str] = field(default_factory=list)
+    hedged: bool = False
+    busy: float = 0.0  # seconds that the answer held a slot
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether the whole answer met the deadline."""
+        return self.total is not None and self.total <= self.arrival.deadline_seconds
+
+    @property
+    def stretch(self) -> float:
+        """Return the latency over the work at an idle endpoint."""
+        return (self.total or 0.0) / nominal_seconds(self.arrival)
+
+
+class Race:
+    """Let the attempt with the first token win and cancel the other one."""
+
+    def __init__(self, outcome: Outcome):
+        self.outcome = outcome
+        self.decided = Event()
+        self.tasks: list[gevent.Greenlet] = []
+
+    def start(self, run: Callable[..., None], *arguments: object) -> None:
+        """Start an attempt."""
+        self.tasks.append(gevent.spawn(run, *arguments))
+
+    def win(self, task: gevent.Greenlet) -> bool:
+        """Tell whether an attempt came first; cancel the others."""
+        if self.decided.is_set():
+            return False
+        self.decided.set()
+        others = [item for item in self.tasks if item is not task]
+        gevent.killall(others, block=False)
+        return True
+
+
+class BenchCluster:
+    """Hold routers and endpoints of one run."""
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        link_seconds: float,
+        slowings: tuple[Slowing, ...] = (),
+    ):
+        self._link_seconds = link_seconds
+        self._slowings = slowings
+        self._start = 0.0
+        self.timers = GeventTimerService()
+        self.recorder = CountingRecorder()
+        self.hub = Hub(_make_nodes(), self._latency)
+        self.listed = _make_endpoints()
+        self.instances = LocalInstances(self.listed)
+        self.news = LocalNews(self.hub)
+        self.engines = {
+            item.id: BenchEndpoint(item.id, SLOTS, self._slowness_of(index))
+            for index, item in enumerate(self.listed)
+        }
+        ownership = LocalOwnership(self.hub)
+        self.routers = [
+            CellRouter(
+                settings,
+                LocalMembers(self.hub, node_id),
+                ownership,
+                LocalNetwork(self.hub, node_id),
+                self.instances,
+                self.news,
+                self.timers,
+                self.recorder,
+            )
+            for node_id in self.hub.nodes
+        ]
+
+    def run(self, trace: list[Arrival]) -> list[Outcome]:
+        """Send each arrival at its intended time and wait for all outcomes."""
+        self._start = time.monotonic()
+        reporter = gevent.spawn(self._report_loads)
+        tasks = []
+        for arrival in trace:
+            delay = self._start + arrival.at - time.monotonic()
+            if delay > 0:
+                gevent.sleep(delay)
+            tasks.append(gevent.spawn(self._serve, arrival))
+        gevent.joinall(tasks)
+        reporter.kill()
+        self.timers.stop()
+        return [task.value for task in tasks]
+
+    def _serve(self, arrival: Arrival) -> Outcome:
+        outcome = Outcome(arrival)
+        router = self.routers[arrival.node]
+        req = self._make_request(arrival)
+        try:
+            placement = router.place(req)
+        except Refused as exc:
+            outcome.refused = exc.reason
+            return outcome
+        delay = router.hedge_delay(req)
+        if delay is None:
+            self._attempt(router, placement, Race(outcome))
+        else:
+            self._attempt_hedged(router, req, placement, Race(outcome), delay)
+        return outcome
+
+    def _attempt(self, router: CellRouter, placement: Placement, race: "Race") -> None:
+        """Run one attempt; an attempt that is killed releases its placement."""
+        outcome = race.outcome
+        engine = self.engines[placement.endpoint_id]
+        outcome.endpoints.append(placement.endpoint_id)
+        link = self._endpoint_link(outcome.arrival.node, placement.endpoint_id)
+        usage = Usage(reason="cancelled")
+        started = time.monotonic()
+        first_token: list[float] = []
+
+        def note_first_token():
+            first_token.append(time.monotonic() - started + link)
+            router.report_progress(placement, first_token[0], None)
+            if race.win(gevent.getcurrent()):
+                outcome.first_token = self._since(outcome.arrival) + link
+
+        def note_progress(seconds_between_tokens: float):
+            router.report_progress(placement, None, seconds_between_tokens)
+
+        try:
+            gevent.sleep(link)
+            usage = engine.run(outcome.arrival, note_first_token, note_progress)
+            usage.first_token_seconds = first_token[0]
+            gevent.sleep(link)
+            outcome.total = self._since(outcome.arrival)
+            outcome.busy = usage.total_seconds
+        finally:
+            router.release(placement, usage)
+
+    def _attempt_hedged(
+        self,
+        router: CellRouter,
+        req: ServingRequest,
+        placement: Placement,
+        race: "Race",
+        delay: float,
+    ) -> None:
+        """Start a second attempt when no first token came; the first one wins."""
+        race.start(self._attempt, router, placement, race)
+        if not race.decided.wait(delay):
+            try:
+                second = router.place(req, frozenset([placement.endpoint_id]))
+            except Refused:
+                second = None
+            if second is not None and race.decided.is_set():
+                router.release(second, Usage(reason="cancelled"))
+            elif second is not None:
+                race.outcome.hedged = True
+                race.start(self._attempt, router, second, race)
+        race.decided.wait()
+        gevent.joinall(race.tasks)
+
+    def _make_request(self, arrival: Arrival) -> ServingRequest:
+        now = time.time()
+        late = self._since(arrival)
+        idempotent = arrival.work != Work.BOOKING
+        prompt = arrival.prefix.ljust(512, ".") + f" question {arrival.index}"
+        return ServingRequest(
+            id=f"req-{arrival.index}",
+            kind=RequestKind.CHAT,
+            organisation=arrival.organisation,
+            plan=arrival.plan,
+            pool=POOL,
+            body={"messages": [{"role": "user", "content": prompt}]},
+            stream=True,
+            deadline=now + arrival.deadline_seconds - late,
+            received=now,
+            prompt_tokens=arrival.prompt_tokens,
+            max_output_tokens=arrival.max_output_tokens,
+            idempotent=idempotent,
+            hedge=idempotent,
+        )
+
+    def _report_loads(self) -> None:
+        """Report the load of each endpoint to all routers, late."""
+        while True:
+            gevent.sleep(REPORT_SECONDS)
+            loads = [
+                (name, engine.running, engine.waiting)
+                for name, engine in self.engines.items()
+            ]
+            gevent.spawn_later(REPORT_LAG_SECONDS, self._tell_loads, loads)
+
+    def _tell_loads(self, loads: list[tuple[str, int, int]]) -> None:
+        for router in self.routers:
+            for name, running, waiting in loads:
+                router.report_load(name, running, waiting, REPORT_LAG_SECONDS)
+
+    def _since(self, arrival: Arrival) -> float:
+        return time.monotonic() - self._start - arrival.at
+
+    def _slowness_of(self, index: int):
+        """Return a function that gives the present slowing of an endpoint."""
+        own = [item for item in self._slowings if item.endpoint == index]
+
+        def slowness() -> float:
+            now = time.monotonic() - self._start
+            factors = [item.factor for item in own if item.start <= now < item.end]
+            return max(factors, default=1.0)
+
+        return slowness
+
+    def _latency(self, sender: Node, receiver: Node) -> float:
+        if sender.data_centre == receiver.data_centre:
+            return LOCAL_LINK_SECONDS
+        return self._link_seconds
+
+    def _endpoint_link(self, node: int, endpoint_id: str) -> float:
+        home = DATA_CENTRES[node % len(DATA_CENTRES)]
+        endpoint = next(item for item in self.listed if item.id == endpoint_id)
+        return (
+            LOCAL_LINK_SECONDS if endpoint.data_centre == home else self._link_seconds
+        )
+
+
+def _make_nodes() -> list[Node]:
+    return [
+        Node(f"node-{i}", DATA_CENTRES[i % 3], REGION, "127.0.0.1", 1, 2, 3)
+        for i in range(NODES)
+    ]
+
+
+def _make_endpoints() -> list[Endpoint]:
+    return [
+        Endpoint(
+            f"engine-{i}",
+            POOL,
+            EndpointKind.ENGINE,
+            DATA_CENTRES[i % 3],
+            REGION,
+            "127.0.0.1",
+            1,
+            SLOTS,
+        )
+        for i in range(ENDPOINTS)
+    ]
--- a/src/rattanwick/cli.py
+++ b/src/rattanwick/cli.py
@@ -1,13 +1,18 @@
 """Command line."""
 
-import argparse
-
-from rattanwick import __version__
-from rattanwick.internal.commands.check import add_check_command
-from rattanwick.internal.commands.lists import add_lists_command
-from rattanwick.internal.commands.replay import add_replay_command
-from rattanwick.internal.commands.serve import add_serve_command
-from rattanwick.internal.commands.status import add_status_command
+# The standard library must be patched before any module imports ssl or threading.
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+
+from rattanwick import __version__  # noqa: E402
+from rattanwick.internal.commands.check import add_check_command  # noqa: E402
+from rattanwick.internal.commands.lists import add_lists_command  # noqa: E402
+from rattanwick.internal.commands.replay import add_replay_command  # noqa: E402
+from rattanwick.internal.commands.serve import add_serve_command  # noqa: E402
+from rattanwick.internal.commands.status import add_status_command  # noqa: E402
 
 EXIT_OK = 0
 
--- a/src/rattanwick/internal/base/ids.py
+++ b/src/rattanwick/internal/base/ids.py
@@ -16,6 +16,11 @@
     return secrets.token_hex(16)
 
 
+def new_generation() -> str:
+    """Return the id of one generation of a request's text."""
+    return secrets.token_hex(4)
+
+
 def new_incarnation() -> int:
     """Return a number that grows with each start of a process."""
     return int(time.time() * 1000)
@@ -23,4 +28,4 @@
 
 def rendezvous_rank(key: str, candidate: str) -> int:
     """Return the weight of a candidate for a key; the highest one owns it."""
-    return xxhash.xxh64_intdigest(f"{key}\x00{candidate}")
+    return xxhash.xxh64_intdigest(f"{key}\x00{candidate}".encode())
--- /dev/null
+++ b/src/rattanwick/internal/peers/tls.py
@@ -0,0 +1,88 @@
+"""TLS contexts for connections between nodes, with reload of the key."""
+
+import hashlib
+import os
+
+from gevent.ssl import (
+    CERT_NONE,
+    CERT_REQUIRED,
+    PROTOCOL_TLS_CLIENT,
+    PROTOCOL_TLS_SERVER,
+    PEM_cert_to_DER_cert,
+    SSLContext,
+    SSLError,
+    TLSVersion,
+)
+
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import PeerSettings
+
+log = get_logger("peers")
+PEM_START = "-----BEGIN CERTIFICATE-----"
+PEM_END = "-----END CERTIFICATE-----"
+
+
+class PeerTls:
+    """Wrap sockets in TLS; certificates are checked against the authority.
+
+    Node names are not checked: the handshake proves who a node is, and its proof
+    covers the certificate of the side that accepted.
+    """
+
+    def __init__(self, settings: PeerSettings):
+        self._settings = settings
+        self._stamp = self._read_stamp()
+        self._load()
+
+    def reload_if_changed(self) -> bool:
+        """Load the certificate and key again when the files have changed."""
+        try:
+            stamp = self._read_stamp()
+            if stamp == self._stamp:
+                return False
+            self._load()
+        except (OSError, SSLError, ValueError) as exc:
+            # The two files are seldom replaced at the same moment.
+            log.warning("certificate not reloaded, the old one stays: %s", exc)
+            return False
+        self._stamp = stamp
+        log.info("certificate reloaded")
+        return True
+
+    def wrap_accepted(self, sock):
+        """Return the TLS socket and the digest of the own certificate."""
+        digest = self._digest
+        return self._server.wrap_socket(sock, server_side=True), digest
+
+    def wrap_dialled(self, sock):
+        """Return the TLS socket and the digest of the acceptor's certificate."""
+        wrapped = self._client.wrap_socket(sock)
+        return wrapped, hashlib.sha256(wrapped.getpeercert(True)).digest()
+
+    def _read_stamp(self) -> tuple[int, int]:
+        paths = (self._settings.tls_certificate, self._settings.tls_key)
+        return tuple(os.stat(path).st_mtime_ns for path in paths)
+
+    def _load(self) -> None:
+        # New contexts, because a failed load leaves a context without its key.
+        server = self._make_context(PROTOCOL_TLS_SERVER)
+        client = self._make_context(PROTOCOL_TLS_CLIENT)
+        self._digest = self._read_digest()
+        self._server, self._client = server, client
+
+    def _make_context(self, protocol: int) -> SSLContext:
+        cfg = self._settings
+        context = SSLContext(protocol)
+        context.check_hostname = False
+        context.minimum_version = TLSVersion.TLSv1_2
+        context.verify_mode = CERT_REQUIRED if cfg.tls_authority else CERT_NONE
+        if cfg.tls_authority:
+            context.load_verify_locations(cfg.tls_authority)
+        context.load_cert_chain(cfg.tls_certificate, cfg.tls_key)
+        return context
+
+    def _read_digest(self) -> bytes:
+        with open(self._settings.tls_certificate, encoding="ascii") as file:
+            first = file.read().partition(PEM_END)[0] + PEM_END
+        der = PEM_cert_to_DER_cert(first[first.index(PEM_START) :])
+        return hashlib.sha256(der).digest()
--- /dev/null
+++ b/src/rattanwick/internal/requests/stored.py
@@ -0,0 +1,126 @@
+"""Resource that resumes or repeats an answer, wherever the request runs."""
+
+import falcon
+
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord, Transcript
+from rattanwick.internal.requests.caller_errors import CallerError
+from rattanwick.internal.requests.chat import (
+    answer_whole,
+    redirect,
+    set_stream_headers,
+)
+from rattanwick.internal.requests.fetch import find_answer
+from rattanwick.internal.requests.identity import authenticate
+from rattanwick.internal.requests.interfaces import Caller
+from rattanwick.internal.requests.relay import (
+    AnswerSource,
+    FollowedRun,
+    KeptRecord,
+    relay_events,
+)
+from rattanwick.internal.requests.runs import LiveRequests
+from rattanwick.internal.requests.service_calls import answer_service
+from rattanwick.internal.requests.services import RequestServices
+from rattanwick.internal.requests.validation import ResumePoint, read_resume_point
+
+MAX_ID_CHARS = 64
+
+
+class StoredAnswerResource:
+    """Answer GET /v1/requests/ID."""
+
+    def __init__(self, services: RequestServices, live: LiveRequests):
+        self._services = services
+        self._live = live
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response, request_id: str):
+        """Resume or repeat an answer for the organisation that asked for it."""
+        caller = authenticate(req, self._services.directory)
+        if len(request_id) > MAX_ID_CHARS:
+            raise _not_found()
+        point = read_resume_point(
+            req.get_param("offset"),
+            req.get_param("generation"),
+            req.get_header("Last-Event-ID"),
+            request_id,
+        )
+        address = self._live.moved_address(request_id)
+        if address:
+            redirect(resp, address, request_id + point.query())
+            return
+        source = self._source(request_id, caller)
+        offset = self._offset_in(source.transcript, point)
+        if self._is_streamed(req, source.req):
+            set_stream_headers(resp, source.record)
+            timers = self._services.timers
+            resp.stream = relay_events(source, offset, timers.now, timers.wall)
+            return
+        try:
+            self._await_outcome(source)
+        finally:
+            source.close()
+        self._answer(source, resp)
+
+    def _source(self, request_id: str, caller: Caller) -> AnswerSource:
+        record = self._services.table.get(request_id)
+        if record is not None:
+            if record.req.organisation != caller.organisation:
+                raise _not_found()
+            run = self._live.get(request_id)
+            if run is not None:
+                return FollowedRun(run)
+            return KeptRecord(record)
+        fetcher = self._services.fetcher
+        if fetcher is None:
+            raise _not_found()
+        found = find_answer(fetcher, request_id, caller.organisation)
+        if found is None:
+            raise _not_found()
+        return found
+
+    def _offset_in(self, transcript: Transcript, point: ResumePoint) -> int:
+        """Return where to continue; from the start for text of another generation."""
+        if not point.offset:
+            return 0
+        # Without a generation, only a text that never was another one is safe.
+        unique = len(transcript.lineage) == 1 and not transcript.restarted
+        if not point.generation and unique:
+            return min(point.offset, transcript.length)
+        if transcript.contains(point.generation, point.offset):
+            return point.offset
+        transcript.restarted = True
+        return 0
+
+    def _is_streamed(self, req: falcon.Request, serving: ServingRequest) -> bool:
+        if serving.kind is RequestKind.SERVICE:
+            return False
+        return serving.stream or "text/event-stream" in (req.accept or "")
+
+    def _await_outcome(self, source: AnswerSource) -> None:
+        deadline = source.req.deadline + 5.0
+        while source.transcript.outcome is None and not source.moved_address():
+            if self._services.timers.wall() > deadline:
+                break
+            source.advance()
+
+    def _answer(self, source: AnswerSource, resp: falcon.Response) -> None:
+        record: RequestRecord = source.record
+        address = source.moved_address()
+        if address:
+            redirect(resp, address, record.req.id)
+        elif record.transcript.outcome is None:
+            message = "the answer is not complete; ask again"
+            raise CallerError(
+                503, "not_complete", message, outcome="", headers={"Retry-After": "1"}
+            )
+        elif record.req.kind is RequestKind.SERVICE:
+            outcome = record.transcript.outcome
+            answer_service(outcome, record.answer, record.req.id, resp)
+        else:
+            answer_whole(record, resp)
+
+
+def _not_found() -> CallerError:
+    message = "ID: no such request, or its answer is not kept any more"
+    return CallerError(404, "not_found", message, "ID", outcome="")
--- /dev/null
+++ b/src/rattanwick/internal/routing/router.py
@@ -0,0 +1,349 @@
+"""Placement of requests by asking the soft owner of a cell."""
+
+import itertools
+from collections import Counter
+from dataclasses import asdict, dataclass
+
+from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.settings import RoutingSettings
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.model.requests import Placement, ServingRequest, Usage
+from rattanwick.internal.peers.interfaces import Members, News, Ownership, PeerNetwork
+from rattanwick.internal.platform.interfaces import InstanceList
+from rattanwick.internal.recording.decisions import Recorder
+from rattanwick.internal.routing.alone import AlonePlacer
+from rattanwick.internal.routing.asking import OwnerClient
+from rattanwick.internal.routing.attempts import ExtraAttempts
+from rattanwick.internal.routing.cells import Cell
+from rattanwick.internal.routing.cellstate import Running
+from rattanwick.internal.routing.endpoints import EndpointDirectory
+from rattanwick.internal.routing.hosting import OwnedCells
+from rattanwick.internal.routing.interfaces import Router
+from rattanwick.internal.routing.messages import (
+    PROGRESS,
+    RELEASE,
+    Holding,
+    PlaceAsk,
+    PlaceReply,
+    PlaceState,
+    ProgressNote,
+    RefuseReason,
+    ReleaseNote,
+)
+from rattanwick.internal.routing.owner import OwnerParts
+from rattanwick.internal.routing.progress import ProgressWatch, StreamProgress
+from rattanwick.internal.routing.ranks import hash_rank
+from rattanwick.internal.routing.work import (
+    features_of,
+    features_of_request,
+    hash_prefix,
+)
+
+log = get_logger("routing")
+
+WAITER_SECONDS = 0.1
+CELL_CANDIDATES = 2
+HEDGE_QUANTILE = 0.95
+TRIAL_HEDGE_QUANTILE = 0.5  # a trial on a slow endpoint is hedged early
+
+
+@dataclass(slots=True)
+class Held:
+    """Hold a placement of this node until it is released."""
+
+    placement: Placement
+    ask: PlaceAsk
+    cell: Cell
+    counted: Running
+    trial: bool  # the endpoint is set aside as slow
+
+
+class CellRouter(Router):
+    """Place requests through soft owners, or alone where none is reachable."""
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        members: Members,
+        ownership: Ownership,
+        network: PeerNetwork,
+        instances: InstanceList,
+        news: News,
+        timers: TimerService,
+        recorder: Recorder,
+    ):
+        self._settings = settings
+        self._members = members
+        self._ownership = ownership
+        self._network = network
+        self._timers = timers
+        self._recorder = recorder
+        self._self_id = members.self_node.id
+        self._region = members.self_node.region
+        self._tickets = itertools.count()
+        self._ticket_prefix = f"{self._self_id}.{members.self_node.incarnation}"
+        self._held: dict[str, Held] = {}
+        self._held_requests: Counter[str] = Counter()  # placements by request
+        self._client = OwnerClient(self._self_id, ownership, network, timers)
+        self._directory = EndpointDirectory(instances, news, settings.cell_endpoints)
+        self._parts = OwnerParts(
+            settings, timers, recorder, self._client.deliver, self._directory.usable
+        )
+        self._alone = AlonePlacer(self._parts)
+        self._attempts = ExtraAttempts(settings, recorder)
+        self._progress = ProgressWatch()
+        self._owned = OwnedCells(
+            self._parts,
+            members,
+            ownership,
+            network,
+            self._directory,
+            self._holdings,
+            self._held.__contains__,
+        )
+        self._directory.subscribe(self._owned.update_cells)
+        self._client.attach(self._owned)
+        timers.subscribe("routing waiters", WAITER_SECONDS, self._sweep)
+
+    def place(
+        self, req: ServingRequest, excluded: frozenset[str] = frozenset()
+    ) -> Placement:
+        """Wait for a placement; raise Refused when the deadline cannot be met."""
+        started = self._timers.now()
+        deadline = started + req.deadline - self._timers.wall()
+        hedged = self._begin_attempt(req)
+        prefix = hash_prefix(req)
+        while True:
+            cell = self._select_cell(req, excluded, prefix)
+            ask = self._make_ask(req, cell, excluded, prefix, started, deadline)
+            ask.hedged = hedged
+            if ask.seconds_left <= 0:
+                raise Refused("place", req.pool, RefuseReason.DEADLINE_PASSED)
+            owner = self._find_owner(cell)
+            if owner is None:
+                return self._place_alone(cell, ask)
+            reply = self._client.ask(owner, ask, deadline)
+            if reply is None:
+                continue
+            if reply.state == PlaceState.REFUSED:
+                raise Refused("place", req.pool, reply.reason)
+            return self._hold(cell, ask, reply, owner)
+
+    def release(self, placement: Placement, usage: Usage) -> None:
+        """Give a placement back and report how the attempt went."""
+        held = self._held.pop(placement.id, None)
+        if held is None:
+            return
+        self._forget_request(placement.request_id)
+        self._progress.streams.pop(placement.id, None)
+        features = features_of(held.ask, held.cell.pool)
+        note = ReleaseNote(
+            held.cell.key,
+            placement.id,
+            placement.endpoint_id,
+            asdict(usage),
+            features.to_message(),
+        )
+        self._alone.release(note, features, usage)
+        for node_id in self._release_targets(held):
+            if node_id == self._self_id:
+                self._owned.release(note)
+            else:
+                self._network.notify(node_id, RELEASE, note.to_message())
+
+    def may_retry(self, req: ServingRequest) -> bool:
+        """Spend one retry of the budget; tell whether there was one."""
+        return self._attempts.may_retry(req)
+
+    def hedge_delay(self, req: ServingRequest) -> float | None:
+        """Return seconds without a first token after which to hedge, or None.
+
+        For services it is seconds without an answer. The hedge itself is a second
+        ``place`` for the request while the first placement is held; that call
+        spends the budget.
+        """
+        prefix = hash_prefix(req)
+        try:
+            cell = self._select_cell(req, frozenset(), prefix)
+        except Refused:
+            return None
+        state = self._alone.state(cell)
+        features = features_of_request(req, prefix)
+        estimate = state.history.estimate(features, req.prompt_tokens)
+        trial = self._is_on_trial(req.id)
+        share = TRIAL_HEDGE_QUANTILE if trial else HEDGE_QUANTILE
+        usual = state.history.latency_quantile(features, req.prompt_tokens, share)
+        return self._attempts.hedge_delay(req, self._alone.is_short(estimate), usual)
+
+    def _is_on_trial(self, request_id: str) -> bool:
+        return any(
+            held.trial and held.ask.request_id == request_id
+            for held in self._held.values()
+        )
+
+    def report_progress(
+        self,
+        placement: Placement,
+        first_token_seconds: float | None,
+        seconds_between_tokens: float | None,
+    ) -> None:
+        """Tell how a stream goes: at its first token, then a few times a second."""
+        held = self._held.get(placement.id)
+        if held is None:
+            return
+        note = self._progress.report(
+            placement.id,
+            self._alone.state(held.cell).history,
+            first_token_seconds,
+            seconds_between_tokens,
+        )
+        if note is not None:
+            self._send_progress(note)
+
+    def report_load(
+        self, endpoint_id: str, running: int, waiting: int, age: float
+    ) -> None:
+        """Take in an endpoint's own load report, ``age`` seconds old."""
+        self._owned.report_load(endpoint_id, running + waiting, age)
+        self._alone.report_load(endpoint_id, running + waiting, age)
+
+    def _send_progress(self, note: ProgressNote) -> None:
+        self._alone.observe(note)
+        owner = self._ownership.owner(note.cell)
+        if owner is None or self._settings.policy != "owner":
+            return
+        if owner.id == self._self_id:
+            self._owned.observe(note)
+        else:
+            self._network.notify(owner.id, PROGRESS, note.to_message())
+
+    def _forget_request(self, request_id: str) -> None:
+        self._held_requests[request_id] -= 1
+        if self._held_requests[request_id] <= 0:
+            del self._held_requests[request_id]
+
+    def _begin_attempt(self, req: ServingRequest) -> bool:
+        """Count the request, or spend the budget of a hedge; tell which it is."""
+        hedged = self._held_requests[req.id] > 0
+        if not hedged:
+            self._attempts.note_request(req)
+        elif not self._attempts.spend_hedge(req):
+            raise Refused("place", req.pool, RefuseReason.HEDGE_BUDGET)
+        return hedged
+
+    def _select_cell(
+        self, req: ServingRequest, excluded: frozenset[str], prefix: list[int]
+    ) -> Cell:
+        """Return a cell of the nearest region that can run the request.
+
+        Of two cells that the leading text hashes to, the one with fewer requests
+        of this node is taken, so that prefixes stay together and load spreads.
+        """
+        cells = self._directory.open_cells(req.pool, excluded)
+        if not cells:
+            raise Refused("place", req.pool, RefuseReason.NO_ENDPOINT)
+        near = [item for item in cells if item.region == self._region] or cells
+        text = str(prefix[0]) if prefix else req.id
+        ranked = sorted(near, key=lambda item: -hash_rank(text, item.key))
+        return min(ranked[:CELL_CANDIDATES], key=self._own_load)
+
+    def _own_load(self, cell: Cell) -> float:
+        return len(self._alone.state(cell).running) / max(cell.slots, 1)
+
+    def _make_ask(
+        self,
+        req: ServingRequest,
+        cell: Cell,
+        excluded: frozenset[str],
+        prefix: list[int],
+        started: float,
+        deadline: float,
+    ) -> PlaceAsk:
+        now = self._timers.now()
+        return PlaceAsk(
+            cell=cell.key,
+            ticket=f"{self._ticket_prefix}.{next(self._tickets)}",
+            request_id=req.id,
+            organisation=req.organisation,
+            plan=req.plan,
+            kind=str(req.kind),
+            prompt_tokens=req.prompt_tokens,
+            max_output_tokens=req.max_output_tokens,
+            priority=req.priority,
+            seconds_left=deadline - now,
+            data_centre=self._members.self_node.data_centre,
+            excluded=sorted(excluded),
+            prefix=prefix,
+            idempotent=req.idempotent,
+            waited=now - started,
+        )
+
+    def _find_owner(self, cell: Cell) -> str | None:
+        """Return the soft owner, or None where the request is placed alone."""
+        if self._settings.policy != "owner":
+            return None
+        return self._client.find_owner(cell.key)
+
+    def _place_alone(self, cell: Cell, ask: PlaceAsk) -> Placement:
+        reply = self._alone.place(cell, ask)
+        if reply.state == PlaceState.REFUSED:
+            raise Refused("place", cell.pool, reply.reason)
+        return self._hold(cell, ask, reply, "")
+
+    def _release_targets(self, held: Held) -> set[str]:
+        """Return the nodes that count a placement: its owner and a newer one."""
+        if self._settings.policy != "owner":
+            return set()
+        owner = self._ownership.owner(held.cell.key)
+        targets = {held.placement.owner}
+        if owner is not None:
+            targets.add(owner.id)
+        return targets - {""}
+
+    def _hold(
+        self, cell: Cell, ask: PlaceAsk, reply: PlaceReply, owner: str
+    ) -> Placement:
+        placement = Placement(
+            id=ask.ticket,
+            request_id=ask.request_id,
+            endpoint_id=reply.endpoint_id,
+            owner=owner,
+            queued_seconds=reply.queued_seconds,
+            hedged=ask.hedged,
+        )
+        counted = self._alone.count(cell, ask, reply.endpoint_id)
+        self._held[ask.ticket] = Held(placement, ask, cell, counted, reply.trial)
+        self._held_requests[ask.request_id] += 1
+        self._progress.streams[ask.ticket] = StreamProgress(
+            cell.key,
+            reply.endpoint_id,
+            features_of(ask, cell.pool),
+            ask.prompt_tokens,
+            self._timers.now(),
+        )
+        return placement
+
+    def _holdings(self, cell: str) -> list[Holding]:
+        now = self._timers.now()
+        return [
+            Holding(
+                cell,
+                ticket,
+                held.ask.request_id,
+                held.placement.endpoint_id,
+                held.counted.short,
+                held.counted.work,
+                now - held.counted.placed,
+            )
+            for ticket, held in self._held.items()
+            if held.cell.key == cell
+        ]
+
+    def _sweep(self) -> None:
+        self._client.check_waiters()
+        self._alone.sweep()
+        now = self._timers.now()
+        for key, state in self._alone.states.items():
+            for note in self._progress.late(state.history, key, now):
+                self._send_progress(note)
--- /dev/null
+++ b/src/rattanwick/internal/routing/work.py
@@ -0,0 +1,284 @@
+"""Estimates of work from the history of similar requests."""
+
+import math
+from dataclasses import dataclass, field
+
+import xxhash
+
+from rattanwick.internal.model.requests import RequestKind, ServingRequest, Usage
+from rattanwick.internal.routing.messages import Message, PlaceAsk
+
+BLOCK_CHARACTERS = 512
+MAX_BLOCKS = 16
+CHARACTERS_PER_TOKEN = 4
+BUCKETS_PER_OCTAVE = 4
+MAX_BUCKETS = 160
+HALF_LIFE_SAMPLES = 500
+MIN_SAMPLES = 8
+MIN_SAMPLES_OF_APPLICATION = 2  # requests with the same leading text are alike
+MAX_KEYS = 4096
+LATENCY_UNIT = 1e-6  # seconds per prompt token
+LEAST_EXPECTED_SECONDS = 0.01
+RATE_STEP = 0.02  # a rate moves by this part towards the median of what is seen
+DEFAULT_PREFILL_SECONDS = 0.0002  # per prompt token
+DEFAULT_STEP_SECONDS = 0.02  # per output token
+DEFAULT_SERVICE_SECONDS = 0.2
+DEFAULT_OUTPUT_SHARE = 0.25  # of the largest output, where nothing is known
+CLASS_QUANTILE = 0.75
+LOW_QUANTILE = 0.25
+
+
+class QuantileHistogram:
+    """Count values in buckets that grow by a fixed factor, and forget slowly."""
+
+    __slots__ = ("_counts", "_scale", "total", "unit")
+
+    def __init__(self, unit: float):
+        self.unit = unit  # smallest value told apart
+        self.total = 0.0
+        self._counts: dict[int, float] = {}
+        self._scale = 1.0
+
+    def add(self, value: float) -> None:
+        """Count a value; older values weigh less."""
+        self._scale *= 2 ** (1 / HALF_LIFE_SAMPLES)
+        bucket = self._bucket(value)
+        self._counts[bucket] = self._counts.get(bucket, 0.0) + self._scale
+        self.total += 1
+        if self._scale > 1e9:
+            self._rescale()
+
+    def quantile(self, share: float) -> float:
+        """Return the middle of the bucket that holds a quantile."""
+        wanted = share * sum(self._counts.values())
+        seen = 0.0
+        last = 0
+        for last in sorted(self._counts):
+            seen += self._counts[last]
+            if seen >= wanted:
+                break
+        return self.unit * 2 ** (max(last - 0.5, 0) / BUCKETS_PER_OCTAVE)
+
+    def _bucket(self, value: float) -> int:
+        if value <= self.unit:
+            return 0
+        exact = math.log2(value / self.unit) * BUCKETS_PER_OCTAVE
+        return min(math.ceil(exact - 1e-9), MAX_BUCKETS)
+
+    def _rescale(self) -> None:
+        counts = {key: value / self._scale for key, value in self._counts.items()}
+        self._counts = {key: value for key, value in counts.items() if value > 1e-6}
+        self._scale = 1.0
+
+
+@dataclass(slots=True)
+class Features(Message):
+    """Describe what requests of similar work have in common."""
+
+    pool: str
+    kind: str
+    organisation: str
+    max_output_tokens: int
+    first_block: int = 0  # hash of the leading text, which names the application
+
+    def history_keys(self) -> list[tuple]:
+        """Return keys of histories, the most specific one first."""
+        size = self.max_output_tokens.bit_length()
+        whole = (self.pool, self.kind, self.organisation)
+        return [(*whole, size, self.first_block), (*whole, size), whole]
+
+
+@dataclass(slots=True)
+class WorkEstimate(Message):
+    """Hold the expected work of a request at an idle endpoint."""
+
+    seconds: float  # median
+    low_seconds: float
+    high_seconds: float
+    prefill_seconds: float  # part that a cached prefix saves
+
+
+@dataclass(slots=True)
+class MedianTracker:
+    """Track a median; a mean would follow the slow endpoints."""
+
+    value: float
+    samples: int = 0
+
+    def add(self, seen: float) -> None:
+        """Move towards a value, by less the more were seen."""
+        self.samples += 1
+        if self.samples == 1:
+            self.value = seen
+            return
+        factor = 1 + max(RATE_STEP, 1 / self.samples)
+        self.value = self.value * factor if seen > self.value else self.value / factor
+
+
+@dataclass(slots=True)
+class PoolRates:
+    """Hold seconds per token of a pool."""
+
+    prefill: MedianTracker = field(
+        default_factory=lambda: MedianTracker(DEFAULT_PREFILL_SECONDS)
+    )
+    step: MedianTracker = field(
+        default_factory=lambda: MedianTracker(DEFAULT_STEP_SECONDS)
+    )
+
+
+def features_of(ask: PlaceAsk, pool: str) -> Features:
+    """Return the features of an ask."""
+    first = ask.prefix[0] if ask.prefix else 0
+    return Features(pool, ask.kind, ask.organisation, ask.max_output_tokens, first)
+
+
+def features_of_request(req: ServingRequest, prefix: list[int]) -> Features:
+    """Return the features of a request."""
+    first = prefix[:1]
+    return Features(
+        req.pool,
+        str(req.kind),
+        req.organisation,
+        req.max_output_tokens,
+        first[0] if first else 0,
+    )
+
+
+def hash_prefix(req: ServingRequest) -> list[int]:
+    """Return hashes of the leading blocks of a prompt, each over all text before."""
+    if req.kind == RequestKind.SERVICE:
+        return []
+    text = _prompt_text(req.body)[: BLOCK_CHARACTERS * MAX_BLOCKS]
+    digest = xxhash.xxh64(req.organisation.encode())
+    hashes = []
+    for start in range(0, len(text), BLOCK_CHARACTERS):
+        digest.update(text[start : start + BLOCK_CHARACTERS].encode())
+        hashes.append(digest.intdigest())
+    return hashes
+
+
+def _prompt_text(body: dict) -> str:
+    if isinstance(body.get("prompt"), str):
+        return body["prompt"]
+    parts = []
+    for message in body.get("messages") or ():
+        if isinstance(message, dict):
+            parts.append(f"{message.get('role', '')}:{message.get('content', '')}\n")
+    return "".join(parts)
+
+
+@dataclass(slots=True)
+class WorkHistory:
+    """Estimate work from the requests that were released here."""
+
+    _output: dict[tuple, QuantileHistogram] = field(default_factory=dict)
+    _latency: dict[tuple, QuantileHistogram] = field(default_factory=dict)
+    _rates: dict[str, PoolRates] = field(default_factory=dict)
+
+    def estimate(self, features: Features, prompt_tokens: int) -> WorkEstimate:
+        """Return the expected work of a request."""
+        if features.kind == RequestKind.SERVICE:
+            return self._estimate_service(features, 0)
+        rates = self._rates.get(features.pool) or PoolRates()
+        prefill = prompt_tokens * rates.prefill.value
+        low, median, high = self._output_quantiles(features)
+        return WorkEstimate(
+            seconds=prefill + median * rates.step.value,
+            low_seconds=low * rates.step.value,
+            high_seconds=prefill + high * rates.step.value,
+            prefill_seconds=prefill,
+        )
+
+    def observe(self, features: Features, usage: Usage) -> None:
+        """Add a finished attempt."""
+        if not usage.ok:
+            return
+        self._add(self._latency, features, self._relative_latency(usage), LATENCY_UNIT)
+        if features.kind == RequestKind.SERVICE:
+            return
+        self._add(self._output, features, usage.output_tokens, 1.0)
+        rates = self._rates.setdefault(features.pool, PoolRates())
+        computed = usage.prompt_tokens - usage.cached_tokens
+        if usage.first_token_seconds is not None and computed > 0:
+            rates.prefill.add(usage.first_token_seconds / computed)
+        if usage.seconds_between_tokens is not None:
+            rates.step.add(usage.seconds_between_tokens)
+
+    def latency_quantile(
+        self, features: Features, prompt_tokens: int, share: float
+    ) -> float | None:
+        """Return a quantile of seconds to the first token, or to an answer."""
+        known = self._find(self._latency, features)
+        if known is None:
+            return None
+        return known.quantile(share) * max(prompt_tokens, 1)
+
+    def _relative_latency(self, usage: Usage) -> float:
+        """Return seconds to the first token, or to an answer, per prompt token."""
+        first = usage.first_token_seconds
+        latency = usage.total_seconds if first is None else first
+        return latency / max(usage.prompt_tokens, 1)
+
+    def rates(self, pool: str) -> PoolRates:
+        """Return the tracked rates of a pool."""
+        return self._rates.get(pool) or PoolRates()
+
+    def slowness(self, features: Features, usage: Usage) -> float | None:
+        """Return the observed over the expected time of an attempt's own tokens."""
+        if features.kind == RequestKind.SERVICE:
+            expected = self.latency_quantile(
+                features, usage.prompt_tokens, CLASS_QUANTILE
+            )
+            return usage.total_seconds / expected if expected else None
+        if usage.first_token_seconds is None or usage.seconds_between_tokens is None:
+            return None
+        rates = self._rates.get(features.pool)
+        if rates is None:
+            return None
+        computed = usage.prompt_tokens - usage.cached_tokens
+        expected = self._expected(rates, computed, usage.output_tokens)
+        spent = usage.seconds_between_tokens * usage.output_tokens
+        seen = usage.first_token_seconds + spent
+        return seen / max(expected, LEAST_EXPECTED_SECONDS)
+
+    def _output_quantiles(self, features: Features) -> tuple[float, float, float]:
+        most = max(features.max_output_tokens, 1)
+        known = self._find(self._output, features)
+        if known is None:
+            guess = most * DEFAULT_OUTPUT_SHARE
+            return 1.0, guess, guess
+        shares = (LOW_QUANTILE, 0.5, CLASS_QUANTILE)
+        low, median, high = (min(known.quantile(share), most) for share in shares)
+        return low, median, high
+
+    def _estimate_service(self, features: Features, size: int) -> WorkEstimate:
+        if self._find(self._latency, features) is None:
+            guess = DEFAULT_SERVICE_SECONDS
+            return WorkEstimate(guess, 0.0, guess, 0.0)
+        shares = (LOW_QUANTILE, 0.5, CLASS_QUANTILE)
+        low, median, high = (
+            self.latency_quantile(features, size, share) for share in shares
+        )
+        return WorkEstimate(median, low, high, 0.0)
+
+    @staticmethod
+    def _expected(rates: PoolRates, computed: int, output: int) -> float:
+        return computed * rates.prefill.value + output * rates.step.value
+
+    @staticmethod
+    def _find(table: dict, features: Features) -> QuantileHistogram | None:
+        needed = MIN_SAMPLES_OF_APPLICATION if features.first_block else MIN_SAMPLES
+        for key in features.history_keys():
+            known = table.get(key)
+            if known is not None and known.total >= needed:
+                return known
+            needed = MIN_SAMPLES
+        return None
+
+    @staticmethod
+    def _add(table: dict, features: Features, value: float, unit: float) -> None:
+        for key in features.history_keys():
+            if key not in table and len(table) >= MAX_KEYS:
+                table.pop(next(iter(table)))
+            table.setdefault(key, QuantileHistogram(unit)).add(value)
--- /dev/null
+++ b/tests/failure/test_callers_and_drain.py
@@ -0,0 +1,310 @@
+"""Callers that leave, nodes that drain, keepers that are slow."""
+
+import json
+import time
+
+import gevent
+from gevent import socket
+
+from fakes.collaborators import MemoryPeers, node, request_services
+from fakes.endpoint_text import chat_text_of as chat_text
+from rattanwick.internal.base.outcomes import Answered
+from rattanwick.internal.model.requests import RequestKind, ServingRequest
+from rattanwick.internal.model.transcripts import RequestRecord, Transcript
+from rattanwick.internal.peers.fetch import RequestFetcher
+from rattanwick.internal.peers.kept import KeptStore
+from rattanwick.internal.requests import runs
+from rattanwick.internal.requests.app import build_application
+from rattanwick.internal.requests.interfaces import Allowance
+from rattanwick.internal.requests.server import CallerServer
+from tests.request_case import (
+    CHAT,
+    SERVICE,
+    Caller,
+    RequestCase,
+    chat_body,
+    events_of,
+    text_of,
+)
+
+OTHER = "http://10.0.0.9:80"
+
+
+class LeavingCallerTests(RequestCase):
+    engine = {"first_token_seconds": 0.0, "token_seconds": 0.005}
+
+    def request_id(self, caller) -> str:
+        return (
+            caller.received.split(b"rattanwick-request-id: ")[1][:40]
+            .split()[0]
+            .decode()
+        )
+
+    def test_a_caller_that_lost_its_stream_resumes_after_its_last_event(self):
+        prompt = "resume #tokens=60"
+        caller = self.stream(prompt, 5)
+        request_id = self.request_id(caller)
+        last_id = caller.received.split(b"id: ")[-2].split(b"\n")[0].decode()
+        offset = int(last_id.rsplit(":", 1)[1])
+        caller.close()
+        answer = self.call("GET", f"/v1/requests/{request_id}", Last_Event_ID=last_id)
+        self.assertEqual(text_of(answer.body), chat_text(prompt)[offset:])
+        repeated = self.call("GET", f"/v1/requests/{request_id}?offset=0")
+        self.assertEqual(text_of(repeated.body), chat_text(prompt))
+        self.assertEqual(len(self.ledger("e1", "e2", "e3")), 1)
+
+    def test_a_request_whose_caller_stays_away_stops_after_the_grace(self):
+        self.addCleanup(setattr, runs, "GRACE_SECONDS", runs.GRACE_SECONDS)
+        runs.GRACE_SECONDS = 0.1
+        caller = self.stream("away #tokens=2000", 3)
+        request_id = self.request_id(caller)
+        caller.close()
+        self.until(lambda: self.ledger("e1")[0].outcome == "cancelled")
+        answer = self.call("GET", f"/v1/requests/{request_id}")
+        self.assertEqual(
+            events_of(answer.body)[-1]["data"]["error"]["code"], "caller_left"
+        )
+        self.assertEqual(sum(self.services.router.in_flight.values()), 0)
+        self.assertEqual(self.services.grants.open, 0)
+
+    def test_another_organisation_does_not_see_the_request(self):
+        request_id = self.chat("mine #tokens=2").request_id
+        path = f"/v1/requests/{request_id}"
+        answer = self.call("GET", path, Authorization="Bearer key-b")
+        self.assertEqual((answer.status, answer.outcome), (404, ""))
+
+
+class OtherNodeTests(RequestCase):
+    engine = {"first_token_seconds": 0.0, "token_seconds": 0.005}
+
+    def test_an_answer_is_resumed_at_a_node_that_does_not_run_it(self):
+        hub = {}
+        nodes = [node("n2", "dc-b"), node("n1")]
+        self.services.fetcher = RequestFetcher(
+            MemoryPeers("n1", hub),
+            self.services.members,
+            self.services.table,
+            KeptStore(self.timers.wall),
+            self.timers,
+        )
+        other = request_services(self.endpoints, self.timers, nodes=nodes, hub=hub)
+        server = CallerServer(other.settings, build_application(other), self.timers, 0)
+        server.start()
+        self.addCleanup(server.close_gracefully, 0.2)
+        prompt = "elsewhere #tokens=40"
+        caller = self.stream(prompt, 3)
+        request_id = caller.received.split(b"rattanwick-request-id: ")[1].split()[0]
+        path = f"/v1/requests/{request_id.decode()}"
+
+        def ask(key, suffix):
+            remote = Caller(server.server_port)
+            headers = {"Authorization": f"Bearer {key}"}
+            remote.send("GET", path + suffix, b"", headers)
+            return remote.answer()
+
+        self.assertEqual(text_of(ask("key-a", "?offset=9").body), chat_text(prompt)[9:])
+        self.assertEqual(ask("key-b", "").status, 404)
+        self.assertEqual(text_of(caller.answer().body), chat_text(prompt))
+
+
+class TakeOverTests(RequestCase):
+    def test_a_request_taken_over_goes_on_after_the_text_that_came_with_it(self):
+        prompt = "taken over #tokens=20"
+        tokens = chat_text(prompt).split(" ")[1:8]
+        text = "".join(f" {token}" for token in tokens)
+        now = self.timers.wall()
+        req = ServingRequest(
+            id="req_other",
+            kind=RequestKind.CHAT,
+            organisation="org-a",
+            plan="gold",
+            pool="rattan",
+            body=chat_body(prompt),
+            stream=True,
+            deadline=now + 10,
+            received=now,
+            prompt_tokens=5,
+            max_output_tokens=100,
+        )
+        transcript = Transcript()
+        transcript.append(text)
+        transcript.tokens = len(tokens)
+        run = self.app.take_over(req, transcript)
+        self.assertIs(self.app.take_over(req, transcript), run)
+        answer = self.call("GET", f"/v1/requests/req_other?offset={len(text)}")
+        self.assertEqual(text + text_of(answer.body), chat_text(prompt))
+        self.assertEqual(self.ledger("e1")[0].output_tokens, 13)
+
+    def test_a_restarted_answer_is_sent_whole_and_marked(self):
+        # A sampled answer may differ, so the text before the offset is void.
+        prompt = "restarted #tokens=6"
+        now = self.timers.wall()
+        body = chat_body(prompt)
+        req = ServingRequest(
+            "req_again", RequestKind.CHAT, "org-a", "gold", "rattan", body, True,
+            now + 10, now, 5, 100,
+        )  # fmt: skip
+        transcript = Transcript()
+        transcript.restarted = True
+        self.app.take_over(req, transcript)
+        answer = self.call("GET", "/v1/requests/req_again?offset=9")
+        self.assertEqual(text_of(answer.body), chat_text(prompt))
+        self.assertEqual(answer.headers["rattanwick-restarted"], "true")
+
+    def test_a_record_that_another_task_fills_is_followed_to_its_end(self):
+        now = self.timers.wall()
+        req = ServingRequest(
+            "req_kept", RequestKind.CHAT, "org-a", "gold", "rattan", {}, True,
+            now + 10, now, 5, 100,
+        )  # fmt: skip
+        record = RequestRecord(req)
+        self.services.table.put(record)
+        task = gevent.spawn(self.call, "GET", "/v1/requests/req_kept")
+        for text in ("one", "two"):
+            gevent.sleep(0.02)
+            record.transcript.append(text)
+        record.transcript.finish(Answered())
+        self.assertEqual(text_of(task.get(timeout=2).body), "onetwo")
+
+
+class DrainTests(RequestCase):
+    engine = {"first_token_seconds": 0.0, "token_seconds": 0.005}
+
+    def test_new_requests_are_refused_with_the_address_of_another_node(self):
+        self.services.drain.refuse_new(OTHER)
+        answer = self.chat("new")
+        self.assertEqual((answer.status, answer.outcome), (503, "not_run"))
+        self.assertEqual(answer.headers["rattanwick-next-address"], OTHER)
+        self.assertEqual(self.call("GET", "/v1/entry").json()["addresses"], [])
+        self.assertEqual(self.ledger("e1"), [])
+
+    def test_a_streaming_caller_is_told_where_the_answer_goes_on(self):
+        prompt = "moving #tokens=400"
+        caller = self.stream(prompt, 4)
+        request_id = caller.received.split(b"rattanwick-request-id: ")[1].split()[0]
+        request_id = request_id.decode()
+        self.app.live.stop_attempt(request_id)
+        self.until(lambda: self.ledger("e1")[0].outcome == "cancelled")
+        handed = self.services.table.get(request_id).transcript.text()
+        self.app.live.hand_off_callers(request_id, OTHER)
+        answer = caller.answer()
+        last = events_of(answer.body)[-1]
+        self.assertEqual(last["event"], "rattanwick.moved")
+        self.assertEqual(last["data"]["address"], OTHER)
+        self.assertEqual(last["data"]["offset"], len(handed))
+        self.assertEqual(text_of(answer.body), handed)
+        self.assertTrue(chat_text(prompt).startswith(handed))
+        later = self.call("GET", f"/v1/requests/{request_id}?offset=3")
+        location = f"{OTHER}/v1/requests/{request_id}?offset=3"
+        self.assertEqual((later.status, later.headers["location"]), (303, location))
+
+    def test_a_waiting_caller_is_redirected(self):
+        task = gevent.spawn(self.chat, "moving #tokens=400")
+        self.until(lambda: self.ledger("e1"))
+        request_id = next(iter(self.app.live._runs))
+        self.app.live.hand_off_callers(request_id, OTHER)
+        answer = task.get()
+        self.assertEqual(answer.status, 303)
+        self.assertEqual(
+            answer.headers["location"], f"{OTHER}/v1/requests/{request_id}"
+        )
+
+    def test_a_caller_is_redirected_while_its_placement_is_awaited(self):
+        self.services.router.place_seconds = 5.0
+        task = gevent.spawn(self.chat, "queued")
+        self.until(lambda: len(self.app.live))
+        self.app.live.hand_off_callers(next(iter(self.app.live._runs)), OTHER)
+        self.assertEqual(task.get(timeout=1.0).status, 303)
+
+    def test_a_caller_is_redirected_while_two_attempts_race(self):
+        # Stopping a race must free both placements, opened or not.
+        self.services.directory.default = Allowance(10**9, 10**9, 4096, hedge=True)
+        self.services.router.hedge_after = 0.02
+        for name in ("e1", "e2"):
+            self.fakes[name].engine.spec.first_token_seconds = 3.0
+        task = gevent.spawn(self.chat, "racing")
+        self.until(lambda: self.ledger("e2"))
+        self.app.live.hand_off_callers(next(iter(self.app.live._runs)), OTHER)
+        self.assertEqual(task.get(timeout=1.0).status, 303)
+        self.assertEqual(sum(self.services.router.in_flight.values()), 0)
+        self.assertEqual(self.services.grants.open, 0)
+
+    def test_a_service_call_is_not_handed_off(self):
+        # It was sent, so only this node can tell its outcome.
+        self.fakes["s1"].call_seconds = 0.1
+        task = gevent.spawn(self.call, "POST", SERVICE, b"{}")
+        self.until(lambda: self.ledger("s1"))
+        request_id = next(iter(self.app.live._runs))
+        self.app.live.stop_attempt(request_id)
+        self.app.live.hand_off_callers(request_id, OTHER)
+        self.assertEqual(task.get().outcome, "answered")
+
+    def test_a_graceful_stop_waits_for_the_request_in_flight(self):
+        prompt = "finish #tokens=40"
+        caller = self.stream(prompt, 2)
+        stopping = gevent.spawn(self.server.close_gracefully, None)
+        gevent.sleep(0.02)
+        with self.assertRaises(OSError):
+            socket.create_connection(("127.0.0.1", self.server.server_port), 1.0)
+        self.assertEqual(text_of(caller.answer().body), chat_text(prompt))
+        self.assertTrue(stopping.get(timeout=2.0))
+
+
+class TraceTests(RequestCase):
+    """Each step of a kept trace is a span under the caller's."""
+
+    parent = "00-" + "a" * 32 + "-" + "b" * 16
+
+    def spans_of(self, path: str, body, flags: str) -> list[str]:
+        names = []
+        tracer = self.services.tracer
+        original = tracer.span
+
+        def span(name, parent=None, **attributes):
+            names.append((name, parent[3:35]))
+            return original(name, parent, **attributes)
+
+        tracer.span = span
+        traceparent = f"{self.parent}-{flags}"
+        answer = self.call("POST", path, body, traceparent=traceparent)
+        self.assertEqual(answer.outcome, "answered")
+        self.assertEqual({trace for _, trace in names}, {"a" * 32})
+        return sorted(name for name, _ in names)
+
+    def test_a_kept_trace_has_a_span_for_each_step(self):
+        body = chat_body("traced #tokens=2")
+        wanted = ["attempt", "chat request", "copy", "place", "reserve", "settle"]
+        self.assertEqual(self.spans_of(CHAT, body, "01"), wanted)
+        wanted = ["call", "claim", "place", "reserve", "service request", "settle"]
+        self.assertEqual(self.spans_of(SERVICE, b"{}", "01"), wanted)
+
+    def test_a_trace_that_is_not_kept_costs_one_span(self):
+        body = chat_body("traced #tokens=2")
+        self.assertEqual(self.spans_of(CHAT, body, "00"), ["chat request"])
+
+
+class CopyTests(RequestCase):
+    def test_headers_wait_for_the_copy_of_the_request(self):
+        self.services.keepers.delay = 0.1
+        started = time.monotonic()
+        answer = self.chat("copy #tokens=2")
+        self.assertGreaterEqual(time.monotonic() - started, 0.1)
+        self.assertEqual(answer.headers["rattanwick-copies"], "1")
+
+    def test_a_keeper_that_is_slow_delays_headers_by_a_quarter_second_at_most(self):
+        self.services.keepers.delay = 1.0
+        started = time.monotonic()
+        answer = self.chat("copy #tokens=2")
+        self.assertLess(time.monotonic() - started, 0.6)
+        self.assertEqual(answer.headers["rattanwick-copies"], "0")
+
+    def test_the_copy_is_tried_again_while_the_request_runs(self):
+        self.services.keepers.delay = 0.4
+        self.fakes["e1"].engine.spec.first_token_seconds = 1.0
+        caller = self.caller()
+        caller.send("POST", CHAT, json.dumps(chat_body("slow #tokens=1")).encode(), {})
+        self.until(lambda: self.services.keepers.messages)
+        message = next(iter(self.services.keepers.messages.values()))
+        self.assertEqual(message["node"], "n1")
+        caller.answer()
+        self.until(lambda: not self.services.keepers.messages)
