--- a/tests/unit/test_grants.py
+++ b/tests/unit/test_grants.py
@@ -10,11 +10,12 @@
     MemoryMesh,
     MemoryNews,
 )
-from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.base.errors import Conflict, MaybeApplied, Refused
 from rattanwick.internal.base.outcomes import NotRun
 from rattanwick.internal.base.settings import AllowanceSettings, ListSettings
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.state.amounts import Amount
+from rattanwick.internal.state.grant_rows import GrantRows
 from rattanwick.internal.state.grants import Grants, Reservation
 from rattanwick.internal.state.lists import ListStore
 
@@ -29,6 +30,34 @@
     )
 
 
+class DelayingTable(MemoryTable):
+    """Apply some writes only later, after their answer was lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.delay = 0
+        self.late: list[tuple] = []
+
+    def transact(self, writes, token) -> None:
+        """Write now, or later when a delay is set."""
+        if self.delay and not self.down:
+            self.delay -= 1
+            self.late.append((list(writes), token))
+            raise MaybeApplied("transact", "table", "delayed")
+        super().transact(writes, token)
+
+    def apply_late(self) -> None:
+        """Apply the delayed writes whose conditions still hold."""
+        if self.down:
+            return
+        late, self.late = self.late, []
+        for writes, token in late:
+            try:
+                super().transact(writes, token)
+            except (Conflict, MaybeApplied):
+                continue
+
+
 class SkewedTimers:
     """Show the time of a shared clock with an offset of the wall clock."""
 
@@ -117,6 +146,7 @@
         version = self.nodes[0].lists.current().number
         texts = self.texts(tokens, requests)
         self.nodes[0].lists.apply(*texts, version, "ana")
+        self.timers.advance(0)
 
     def spend_all(self, node: GrantNode, tokens: int = 100) -> int:
         """Reserve until refused; return the tokens charged."""
@@ -199,6 +229,33 @@
         self.assertEqual(fleet.spend_all(other), 6000)
         self.assertIsInstance(paused.reserve(1), NotRun)
 
+    def test_a_grant_is_swept_only_after_its_expiry_and_the_clock_skew(self):
+        fleet = Fleet(count=1)
+        fleet.timers.advance(1)
+        expires = fleet.table.rows["grant#basic#pool#node-0.1"].values["expires"]
+        self.assertEqual(expires % 60, 0)
+        rows = GrantRows(fleet.table, "other")
+        self.assertEqual(rows.sweep(*POOL, expires + 2, 2.0), 0)
+        self.assertEqual(rows.sweep(*POOL, expires + 2.1, 2.0), 1)
+        total = fleet.table.rows["allowance#basic#pool"].values
+        self.assertEqual((total["granted"], total["granted_requests"]), (0, 0))
+
+    def test_nodes_whose_clocks_differ_do_not_spend_a_window_twice(self):
+        fleet = Fleet(count=0, change=False)
+        early = GrantNode(fleet, "node-0", 0.9)
+        late = GrantNode(fleet, "node-1", -0.9)
+        fleet.nodes = [early, late]
+        fleet.change(6000, 600)
+        fleet.timers.advance(120)
+        fleet.timers.advance(59 - fleet.timers.wall() % 60)
+        window = late.window()
+        self.assertEqual(early.window(), window)
+        early.grants.reserve(*POOL, 3000)
+        fleet.timers.advance(1)
+        self.assertEqual((early.window(), late.window()), (window + 1, window))
+        early.grants.return_all()
+        self.assertEqual(fleet.spend_all(late), 3000)
+
     def test_grants_last_through_a_long_outage(self):
         fleet = Fleet()
         fleet.timers.advance(120)
@@ -245,6 +302,9 @@
         late.lists.adopt = lambda candidate: False
         fleet.change(3000, 600)
         fleet.timers.advance(120)
+        fleet.mesh.lose_reply = lambda *_: True
+        fleet.spend_all(late)
+        fleet.mesh.lose_reply = lambda *_: False
         del late.lists.adopt
         late.lists.poll()
         fleet.next_window()
@@ -265,6 +325,19 @@
         fleet.timers.advance(120)
         self.assertEqual(fleet.spend_all(fleet.nodes[0]), 6000)
 
+    def test_a_grant_is_not_spent_while_its_write_is_not_confirmed(self):
+        fleet = Fleet(count=0, change=False)
+        fleet.table = DelayingTable()
+        fleet.nodes = [GrantNode(fleet, f"node-{n}") for n in range(2)]
+        texts = fleet.texts(6000, 600)
+        fleet.nodes[0].lists.apply(*texts, 0, "ana")
+        fleet.nodes[1].lists.poll()
+        fleet.table.delay = 4
+        self.assertEqual(fleet.spend_all(fleet.nodes[0]), 0)
+        self.assertEqual(fleet.spend_all(fleet.nodes[1]), 6000)
+        fleet.table.apply_late()
+        self.assertEqual(fleet.spend_all(fleet.nodes[0]), 0)
+
     def test_invalid_loan_messages_are_refused_and_change_nothing(self):
         fleet = Fleet()
         fleet.timers.advance(120)
