Answer a repeated booking with what the claim says

Cause: a settled claim came back in a form that the adapter did not know and took for another body, so the repeat in 'make demo' was refused with 422. Change: look_up reads the stored answer, the adapter refuses results that it does not know, tests of the adapter over the real claims; the test run patches the standard library first.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,9 +1,14 @@
 """Run all tests, pass over the entries of KNOWN-RED.txt, and print a summary."""
 
-import re
-import sys
-import unittest
-from pathlib import Path
+# The standard library must be patched before any module imports ssl or threading.
+from gevent import monkey
+
+monkey.patch_all()
+
+import re  # noqa: E402
+import sys  # noqa: E402
+import unittest  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
--- a/src/rattanwick/internal/adapters.py
+++ b/src/rattanwick/internal/adapters.py
@@ -106,4 +106,6 @@
         return requests.Replayed(result.outcome, result.answer, result.request_id)
     if isinstance(result, calls.InProgress):
         return requests.InProgress(result.retry_after)
-    return requests.BodyMismatch()
+    if isinstance(result, calls.BodyMismatch):
+        return requests.BodyMismatch()
+    raise TypeError(f"not a known key: {result!r}")
--- a/src/rattanwick/internal/state/claims.py
+++ b/src/rattanwick/internal/state/claims.py
@@ -84,7 +84,10 @@
     def look_up(self, call: ServiceCall) -> ClaimResult | None:
         """Return what is known of a call's key, None where it may be claimed."""
         row = self._table.get(call.row_key)
-        return None if row is None else self._judge(call, row)
+        known = None if row is None else self._judge(call, row)
+        if isinstance(known, _DoneRow):
+            return self._replay(known.values)
+        return known
 
     def may_dispatch(self, claimed: Claimed) -> bool:
         """Tell whether the call may still be sent; check right before sending.
--- /dev/null
+++ b/tests/failure/test_claim_adapter.py
@@ -0,0 +1,68 @@
+"""The request path learns exactly what the claims know of a key.
+
+Guards against a repeated booking that is told about another body, or run again,
+because the adapter mistook one result for another.
+"""
+
+import unittest
+
+from fakes.memory import MemoryObjects, MemoryTable
+from rattanwick.internal.adapters import TableClaims
+from rattanwick.internal.base.outcomes import Answered, NotRun, Unknown
+from rattanwick.internal.base.settings import ClaimSettings
+from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.model.transcripts import StoredAnswer
+from rattanwick.internal.requests import interfaces as requests
+from rattanwick.internal.state.claims import Claims
+
+ANSWER = StoredAnswer(200, {"content-type": "text/plain"}, b"booked")
+
+
+class TableClaimsTests(unittest.TestCase):
+    def setUp(self):
+        self.timers = ManualTimerService()
+        self.table = MemoryTable()
+        objects = MemoryObjects()
+        claims = Claims(
+            self.table, objects, self.timers, ClaimSettings(), "n1.1", self.timers.now
+        )
+        self.claims = TableClaims(claims)
+
+    def call(self, digest: str = "d1") -> requests.ServiceCall:
+        deadline = self.timers.wall() + 30
+        return requests.ServiceCall("req_1", "org", "svc", "key", digest, deadline)
+
+    def test_a_key_that_was_never_used_may_be_claimed(self):
+        self.assertIsNone(self.claims.look_up(self.call()))
+        claimed = self.claims.claim(self.call())
+        self.assertIsInstance(claimed, requests.Claimed)
+        self.assertTrue(self.claims.may_dispatch(claimed))
+
+    def test_a_repeat_gets_the_stored_answer_before_and_at_its_claim(self):
+        self.claims.settle(self.claims.claim(self.call()), Answered(), ANSWER)
+        for result in (
+            self.claims.look_up(self.call()),
+            self.claims.claim(self.call()),
+        ):
+            self.assertIsInstance(result, requests.Replayed)
+            self.assertEqual((result.outcome, result.answer), (Answered(), ANSWER))
+
+    def test_a_repeat_with_another_body_is_a_mismatch(self):
+        self.claims.settle(self.claims.claim(self.call()), Answered(), ANSWER)
+        self.assertEqual(self.claims.look_up(self.call("d2")), requests.BodyMismatch())
+
+    def test_a_repeat_during_the_call_is_in_progress(self):
+        self.claims.claim(self.call())
+        self.assertIsInstance(self.claims.look_up(self.call()), requests.InProgress)
+
+    def test_an_unknown_call_stays_unknown_and_an_unrun_one_is_free(self):
+        self.claims.settle(self.claims.claim(self.call()), Unknown("lost"), None)
+        self.assertIsInstance(self.claims.look_up(self.call()).outcome, Unknown)
+        self.table.rows.clear()
+        self.claims.settle(self.claims.claim(self.call()), NotRun("refused"), None)
+        self.assertIsNone(self.claims.look_up(self.call()))
+
+    def test_a_paused_claimant_may_not_dispatch_after_the_deadline(self):
+        claimed = self.claims.claim(self.call())
+        self.timers.advance(60)
+        self.assertFalse(self.claims.may_dispatch(claimed))
