Notice changed keys by their contents

Cause: reloads of certificates and credentials compared file times. Conclusion: three copies of the time check are gone.

--- a/src/rattanwick/internal/peers/tls.py
+++ b/src/rattanwick/internal/peers/tls.py
@@ -1,7 +1,6 @@
 """TLS contexts for connections between nodes, with reload of the key."""
 
 import hashlib
-import os
 
 from gevent.ssl import (
     CERT_NONE,
@@ -14,6 +13,7 @@
     TLSVersion,
 )
 
+from rattanwick.internal.base.files import digest_files
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import PeerSettings
 
@@ -59,9 +59,8 @@
         wrapped = self._client.wrap_socket(sock)
         return wrapped, hashlib.sha256(wrapped.getpeercert(True)).digest()
 
-    def _read_stamp(self) -> tuple[int, int]:
-        paths = (self._settings.tls_certificate, self._settings.tls_key)
-        return tuple(os.stat(path).st_mtime_ns for path in paths)
+    def _read_stamp(self) -> bytes:
+        return digest_files(self._settings.tls_certificate, self._settings.tls_key)
 
     def _load(self) -> None:
         # New contexts, because a failed load leaves a context without its key.
--- a/src/rattanwick/internal/platform/signing.py
+++ b/src/rattanwick/internal/platform/signing.py
@@ -1,12 +1,12 @@
 """Sign requests with Signature Version 4."""
 
-import os
 from dataclasses import dataclass, field
 
 from botocore.auth import S3SigV4Auth, SigV4Auth
 from botocore.awsrequest import AWSRequest
 
 from rattanwick.internal.base.fields import setting, text
+from rattanwick.internal.base.files import digest_files
 from rattanwick.internal.base.ini import Fault, SettingsError, parse_ini, read_section
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.timers import TimerService
@@ -54,7 +54,7 @@
         self._path = path
         self._timers = timers
         self._checked_at = timers.now()
-        self._changed_at = os.stat(path).st_mtime_ns
+        self._digest = digest_files(path)
         self._credentials = load_credentials(path)
 
     def current(self) -> Credentials:
@@ -67,11 +67,11 @@
 
     def _reload(self) -> None:
         try:
-            changed_at = os.stat(self._path).st_mtime_ns
-            if changed_at == self._changed_at:
+            digest = digest_files(self._path)
+            if digest == self._digest:
                 return
             self._credentials = load_credentials(self._path)
-            self._changed_at = changed_at
+            self._digest = digest
         except (OSError, SettingsError) as exc:
             log.error("credentials were not read again: %s", exc)
 
--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -1,7 +1,6 @@
 """HTTP server for callers: bounded, with TLS and a graceful stop."""
 
 import json
-import os
 import ssl as std_ssl
 from socket import IPPROTO_TCP, TCP_NODELAY
 
@@ -11,6 +10,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from gevent.ssl import SSLContext
 
+from rattanwick.internal.base.files import digest_files
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import CallerSettings
 from rattanwick.internal.base.timers import TimerService
@@ -280,16 +280,13 @@
         self.context = SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
         self.context.minimum_version = std_ssl.TLSVersion.TLSv1_2
         self.context.load_cert_chain(*self._files)
-        self._loaded = self._times()
-
-    def _times(self) -> tuple[int, ...]:
-        return tuple(os.stat(name).st_mtime_ns for name in self._files)
+        self._loaded = digest_files(*self._files)
 
     def reload(self) -> bool:
         """Load changed files; new connections use them. Tell whether it did."""
         try:
-            times = self._times()
-            if times == self._loaded:
+            digest = digest_files(*self._files)
+            if digest == self._loaded:
                 return False
             # A wrong pair must not disturb the one in use.
             trial = SSLContext(std_ssl.PROTOCOL_TLS_SERVER)
@@ -298,7 +295,7 @@
         except (OSError, ValueError) as exc:
             log.warning("new TLS key cannot be loaded: %s", exc)
             return False
-        self._loaded = times
+        self._loaded = digest
         log.info("TLS key loaded again")
         return True
 
