Check the built file from the outside

Cause: nothing showed that the one file serves as one process. Change: make check-dist builds the file, runs help, checks a shipped settings file with five faults put in, and serves with it in a deployment.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment format lint test ci dist demo prove clean
+.PHONY: check-dist environment format lint test ci dist demo prove clean
 
 environment: $(STAMP)
 
@@ -35,6 +35,9 @@
 		-p "/usr/bin/env python3" --no-deps --no-build-isolation \
 		-r requirements.lock .
 
+check-dist: dist
+	$(BIN)/python scripts/check_dist.py
+
 demo: $(STAMP)
 	$(BIN)/python scripts/demo.py
 
