Declare nodes dead that are killed while they leave

Cause: only nodes in the state alive could be suspected. A node killed after it had announced that it leaves stayed leaving for ever, and the requests it had not handed over were never run again. Found by review; the new test failed before the change. Change: a state for suspects that leave, so that they are refuted or dead like others. A served copy whose end was not reported is dropped; a call of a node to itself raises Refused like any other.

--- a/src/rattanwick/internal/peers/keepers.py
+++ b/src/rattanwick/internal/peers/keepers.py
@@ -179,7 +179,11 @@
         changed, self._changed = self._changed, False
         try:
             for served in list(self._served.values()):
-                if changed or not served.copied:
+                record = self._table.get(served.request_id)
+                if record is not None and record.finished_at is not None:
+                    # Its end was not reported here.
+                    self.drop(served.request_id)
+                elif changed or not served.copied:
                     self._renew(served)
         finally:
             self._checking = False
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -2,10 +2,7 @@
 
 from collections.abc import Callable
 
-import gevent
-from gevent.pool import Pool
-
-from rattanwick.internal.base.errors import ProtocolError, StepError
+from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import PeerSettings
 from rattanwick.internal.base.timers import TimerService
@@ -18,6 +15,8 @@
 from rattanwick.internal.peers.probes import Probes
 from rattanwick.internal.peers.records import (
     STATES,
+    SUSPECTED,
+    SUSPECTS,
     Heartbeat,
     MemberRecord,
     MemberState,
@@ -35,7 +34,6 @@
 # A region may be cut off for an hour; its dead must not come back after it.
 DEAD_KEPT_SECONDS = 7200
 FORGET_SECONDS = 60.0
-VERSION_PINGS = 16  # at once
 
 
 class HeartbeatMembers(Members):
@@ -174,12 +172,8 @@
     def refresh_versions(self, timeout: float) -> None:
         """Ask live nodes without a heartbeat link for their list version."""
         linked = {*self.links.ids(), self._self_node.id}
-        pool = Pool(VERSION_PINGS)
-        for node in self.live():
-            if node.id not in linked:
-                pool.spawn(self._ping_for_version, node.id, timeout)
-        pool.join(timeout)
-        pool.kill(block=False)
+        unlinked = [node.id for node in self.live() if node.id not in linked]
+        self._probes.ping_all(unlinked, timeout)
 
     def ping(self, node_id: str, timeout: float) -> None:
         """Exchange heartbeats with any node; raise StepError."""
@@ -190,9 +184,10 @@
     def suspect(self, node_id: str) -> None:
         """Spread the suspicion that a node has gone."""
         record = self._records.get(node_id)
-        if record is not None and record.state is MemberState.ALIVE:
+        if record is not None and record.state in SUSPECTED:
             log.warning("%s suspected, not heard of", node_id)
-            self._publish(record.node, record.incarnation, MemberState.SUSPECT)
+            state = SUSPECTED[record.state]
+            self._publish(record.node, record.incarnation, state)
 
     def _find_live(self) -> tuple[Node, ...]:
         now = self._timers.now()
@@ -221,9 +216,9 @@
         """Raise ProtocolError for an item that no node can have published."""
         node_from_body(node_id, body)
         latest = 1000 * (self._timers.wall() + MAX_KEPT_SECONDS)
-        if version // STATES > latest:
-            # It could never be refuted.
-            raise ProtocolError("read member", node_id, "version is too high")
+        # A version from the future could never be refuted.
+        if version // STATES > latest or version % STATES > MemberState.DEAD:
+            raise ProtocolError("read member", node_id, "version is out of range")
 
     def _on_news(self, node_id: str, version: int, body: dict) -> None:
         incarnation, state = version // STATES, MemberState(version % STATES)
@@ -235,7 +230,7 @@
         now = self._timers.now()
         record = MemberRecord(node, incarnation, state, now)
         self._suspects.discard(node_id)
-        if state is MemberState.SUSPECT:
+        if state in SUSPECTS:
             record.dead_at = now + self._suspicion_seconds(node_id)
             self._suspects.add(node_id)
         self._records[node_id] = record
@@ -248,7 +243,7 @@
             if self._network.is_connected(node_id):
                 # Tells a node that was cut off or paused that it must refute.
                 self._tell_item(node_id)
-        elif old is not None and old.state is MemberState.SUSPECT:
+        elif old is not None and old.state in SUSPECTS:
             # Another node hears the refuted one, although this one may not.
             self.links.unwatch(node_id)
         self._changed()
@@ -387,10 +382,3 @@
         for node_id, record in list(self._records.items()):
             if record.state is MemberState.DEAD and record.changed < limit:
                 del self._records[node_id]
-
-    def _ping_for_version(self, node_id: str, timeout: float) -> None:
-        with gevent.Timeout(timeout, False):
-            try:
-                self.ping(node_id, timeout)
-            except StepError as exc:
-                log.debug("version of %s not read: %s", node_id, exc.reason)
--- a/src/rattanwick/internal/peers/network.py
+++ b/src/rattanwick/internal/peers/network.py
@@ -11,6 +11,7 @@
 
 from rattanwick.internal.base.errors import (
     ProtocolError,
+    Refused,
     StepError,
     TimedOut,
     Unavailable,
@@ -106,7 +107,7 @@
     def call(self, node_id: str, kind: str, body: dict, timeout: float) -> dict:
         """Return the reply; raise StepError."""
         if node_id == self.node.id:
-            return self._serve(kind, node_id, body)
+            return self._call_self(kind, body)
         due = self._timers.now() + timeout
         conn = self._connect(node_id, kind, timeout)
         remaining = due - self._timers.now()
@@ -319,6 +320,12 @@
             conn.serving += 1
             gevent.spawn(self._answer, conn, frame)
 
+    def _call_self(self, kind: str, body: dict) -> dict:
+        try:
+            return self._serve(kind, self.node.id, body)
+        except StepError as exc:
+            raise Refused(kind, self.node.id, exc.reason)
+
     def _receive(self, node_id: str, frame: Frame) -> None:
         try:
             self._serve(frame.kind, node_id, frame.body)
--- a/src/rattanwick/internal/peers/probes.py
+++ b/src/rattanwick/internal/peers/probes.py
@@ -1,14 +1,16 @@
 """Probes of nodes without a heartbeat link: find the lost and the returned."""
 
 import random
+import time
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.pool import Pool
 
 from rattanwick.internal.base.errors import StepError
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.peers.network import StreamPeerNetwork
-from rattanwick.internal.peers.records import MemberState
+from rattanwick.internal.peers.records import SUSPECTED, MemberState
 
 if TYPE_CHECKING:
     from rattanwick.internal.peers.members import HeartbeatMembers
@@ -16,6 +18,7 @@
 log = get_logger("peers")
 
 LIVE_EVERY = 15  # heartbeats between probes of a live node
+PINGS_AT_ONCE = 16
 LOST_EVERY = 3  # heartbeats between probes of a listed node that is not live
 
 
@@ -43,6 +46,24 @@
         if self._beats % LOST_EVERY == 0:
             self._start(self._lost_ids(), self._probe_lost)
 
+    def ping_all(self, node_ids: list[str], timeout: float) -> None:
+        """Ping these nodes, some at a time, for at most ``timeout`` seconds."""
+        pool = Pool(PINGS_AT_ONCE)
+        due = time.monotonic() + timeout
+        for node_id in node_ids:
+            remaining = due - time.monotonic()
+            if remaining <= 0:
+                break
+            pool.spawn(self._ping, node_id, remaining)
+        pool.join(max(due - time.monotonic(), 0.0))
+        pool.kill(block=False)
+
+    def _ping(self, node_id: str, timeout: float) -> None:
+        try:
+            self._members.ping(node_id, timeout)
+        except StepError as exc:
+            log.debug("ping of %s: %s", node_id, exc.reason)
+
     def _start(self, ids: list[str], probe) -> None:
         if ids:
             gevent.spawn(probe, self._random.choice(ids))
@@ -51,8 +72,7 @@
         return [
             node_id
             for node_id, record in self._members.records().items()
-            if record.state is MemberState.ALIVE
-            and self._members.links.get(node_id) is None
+            if record.state in SUSPECTED and self._members.links.get(node_id) is None
         ]
 
     def _lost_ids(self) -> list[str]:
--- a/src/rattanwick/internal/peers/records.py
+++ b/src/rattanwick/internal/peers/records.py
@@ -6,7 +6,7 @@
 from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.model.instances import Node
 
-STATES = 4
+STATES = 8  # room for states of later releases
 STEP = "read member"
 
 
@@ -16,7 +16,15 @@
     ALIVE = 0
     SUSPECT = 1
     LEAVING = 2
-    DEAD = 3
+    LEAVING_SUSPECT = 3
+    DEAD = 4
+
+
+SUSPECTED = {
+    MemberState.ALIVE: MemberState.SUSPECT,
+    MemberState.LEAVING: MemberState.LEAVING_SUSPECT,
+}
+SUSPECTS = frozenset(SUSPECTED.values())
 
 
 def news_version(incarnation: int, state: MemberState) -> int:
@@ -102,7 +110,7 @@
         for name in ("i", "s", "v", "n", "d"):
             if type(body.get(name)) is not int or body[name] < 0:
                 raise ProtocolError("heartbeat", peer, f"field {name} is wrong")
-        if body["s"] >= STATES or body["i"] >= 1 << 59:
+        if body["s"] > MemberState.DEAD or body["i"] >= 1 << 59:
             raise ProtocolError("heartbeat", peer, "field s or i is out of range")
         return cls(
             body["i"],
--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -143,7 +143,8 @@
             return True
         # The first holder that is leaving hands over itself, or says that it has
         # nothing; _claim asks it.
-        return state is MemberState.LEAVING and kept.has_text
+        leaving = state in (MemberState.LEAVING, MemberState.LEAVING_SUSPECT)
+        return leaving and kept.has_text
 
     def _claim(self, kept: KeptRequest) -> None:
         try:
--- a/tests/failure/test_drain.py
+++ b/tests/failure/test_drain.py
@@ -6,6 +6,7 @@
 import gevent
 
 from rattanwick.internal.peers import drain, handover
+from rattanwick.internal.peers.records import MemberState
 from tests.networks import wait_until
 from tests.serving import WHOLE, WORDS, ServingCluster
 
@@ -77,7 +78,7 @@
         record = self.server.serve("req-1")
         keeper = self.cluster.holding("req-1")[0]
         # The keeper leaves, and its news has not reached the server yet.
-        keeper.parts.members._state = 2
+        keeper.parts.members._state = MemberState.LEAVING
         self._reclaim(self.server, 2.0)
         self.assertEqual(record.transcript.text(), WHOLE)
         self.assertNotEqual(record.moved_to, keeper.node.id)
--- a/tests/failure/test_keepers.py
+++ b/tests/failure/test_keepers.py
@@ -49,6 +49,15 @@
             self.assertEqual((text, reply.restarted), (WHOLE, True))
         self.assertEqual(len(self.cluster.runs("req-1")), 2)
 
+    def test_a_node_that_is_killed_while_it_leaves_is_replaced(self):
+        self.server.serve("req-1")
+        self.server.parts.members.leave()
+        gevent.sleep(0.1)
+        self.server.crash()
+        text, reply = self.peers["n1"].fetch_all("req-1")
+        self.assertEqual((text, reply.restarted), (WHOLE, True))
+        self.assertEqual(len(self.cluster.runs("req-1")), 2)
+
     def test_a_call_that_must_not_run_again_is_unknown(self):
         self.server.serve("req-1", idempotent=False)
         gevent.sleep(0.05)
