Never join the texts of two runs in one answer

Cause: a backup continues from the text of the handover. The first holder may have given out more, and its text may differ; a relay then joined both, and the answer did not tell. Change: a backup's answer is marked as restarted, a relay ends when it sees the mark, and callers start again at the successor.

--- a/src/rattanwick/internal/peers/handover.py
+++ b/src/rattanwick/internal/peers/handover.py
@@ -96,6 +96,11 @@
         req, transcript = record.req, record.transcript
         while transcript.outcome is None and not is_over():
             reply = self._fetch_from_holder(record)
+            if reply.restarted and not transcript.restarted:
+                # The holder was lost, and its successor's text may differ from what
+                # callers here have read; they start again at the successor.
+                log.warning("%s was restarted; its relay ends", req.id)
+                return
             if reply.state is FetchState.HERE:
                 record.moved_to = reply.nodes[0]
                 self._take(record, reply)
@@ -177,7 +182,7 @@
             # The reply to the first message was lost.
             return {}
         if kept.header.holders[0] == own:
-            self._takeover.run(kept)
+            self._takeover.run(kept, exact=True)
         else:
             self._kept.put(kept)
         return {}
--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -107,8 +107,12 @@
                 kept.claiming = True
                 gevent.spawn(self._claim, kept)
 
-    def run(self, kept: KeptRequest) -> None:
-        """Run a request here from the copy's text, or from the start."""
+    def run(self, kept: KeptRequest, exact: bool) -> None:
+        """Run a request here from the copy's text, or from the start.
+
+        ``exact`` tells that no node can have given out more text than the copy has;
+        otherwise the answer counts as restarted.
+        """
         content = kept.content()
         req = ServingRequest.from_message(content["request"])
         own = self._members.self_node
@@ -127,7 +131,7 @@
         transcript = Transcript()
         transcript.append(content["text"])
         transcript.tokens = content["tokens"]
-        transcript.restarted = content["restarted"]
+        transcript.restarted = content["restarted"] or not exact
         self._table.put(RequestRecord(req, transcript))
         RESTARTS.labels("resumed").inc()
         log.info("resuming %s at %d characters", req.id, transcript.length)
@@ -195,7 +199,7 @@
             kept.lost = True
             RESTARTS.labels("not_restarted").inc()
             return
-        self.run(kept)
+        self.run(kept, exact=False)
 
     def _follow(self, kept: KeptRequest, node_id: str) -> None:
         node = self._members.get(node_id)
