Keep fresh placements and place alone when an owner's list lags

Cause: a comparison of placements could free one whose answer was still on its way, and an owner with an older instance list refused requests that the asking node could place.

Change: placements younger than 1 s are not freed; a remote refusal for want of an endpoint makes the node place the request alone. The cost bench loses one data centre for an hour.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -34,6 +34,7 @@
     Usage,
 )
 from rattanwick.internal.recording.decisions import Decision, Recorder
+from rattanwick.internal.routing.endpoints import LEAVING_TOPIC
 from rattanwick.internal.routing.router import CellRouter
 
 NODES = 6
@@ -110,9 +111,11 @@
         settings: RoutingSettings,
         link_seconds: float,
         slowings: tuple[Slowing, ...] = (),
+        lost_at: float | None = None,
     ):
         self._link_seconds = link_seconds
         self._slowings = slowings
+        self._lost_at = lost_at  # seconds; the first data centre leaves then
         self._start = 0.0
         self.timers = GeventTimerService()
         self.recorder = CountingRecorder()
@@ -143,6 +146,8 @@
         """Send each arrival at its intended time and wait for all outcomes."""
         self._start = time.monotonic()
         reporter = gevent.spawn(self._report_loads)
+        if self._lost_at is not None:
+            gevent.spawn_later(self._lost_at, self._lose_data_centre)
         tasks = []
         for arrival in trace:
             delay = self._start + arrival.at - time.monotonic()
@@ -154,6 +159,12 @@
         self.timers.stop()
         return [task.value for task in tasks]
 
+    def _lose_data_centre(self) -> None:
+        """Announce that all endpoints of a data centre are leaving."""
+        for item in self.listed:
+            if item.data_centre == DATA_CENTRES[0]:
+                self.news.publish(LEAVING_TOPIC, item.id, 1, {})
+
     def _serve(self, arrival: Arrival) -> Outcome:
         outcome = Outcome(arrival)
         router = self.routers[arrival.node]
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -1,8 +1,8 @@
 """Cost of the instances that a plan holds, over a day: ``python -m bench.cost``.
 
-Prices, refusals and reclaims come from a seeded trace. Both arms hold the slots
-that the load needs through the loss of any one data centre; one may use
-reclaimable instances and one may not.
+Prices, refusals, reclaims and the loss of one data centre for an hour come from
+a seeded trace. Both arms plan for the slots that the load needs through the loss
+of any one data centre; one may use reclaimable instances and one may not.
 """
 
 import argparse
@@ -27,6 +27,7 @@
 PEAK_SLOTS = 40
 RECLAIMABLE_PRICE_SHARES = (0.3, 0.5)  # of the on-demand price, by data centre
 REFUSAL_CHANCE = 0.1  # of a data centre's reclaimable starts in an hour
+LOSS_STEPS = 60  # time that the lost data centre is away
 WAVE_CHANCE = 0.002  # of a reclaim of a data centre's reclaimable ones in a step
 
 
@@ -36,6 +37,8 @@
 
     rng: Random
     prices: dict[str, float]
+    lost_centre: str
+    lost_from: int  # step
     refusing: set[str] = field(default_factory=set)
 
     @classmethod
@@ -44,7 +47,13 @@
         rng = Random(seed)
         shares = {name: rng.uniform(*RECLAIMABLE_PRICE_SHARES) for name in DATA_CENTRES}
         prices = {name: ON_DEMAND_PRICE * share for name, share in shares.items()}
-        return cls(rng, prices)
+        lost_from = rng.randrange(DAY_STEPS // 4, DAY_STEPS - LOSS_STEPS)
+        return cls(rng, prices, rng.choice(DATA_CENTRES), lost_from)
+
+    def is_lost(self, name: str, step: int) -> bool:
+        """Tell whether a data centre is away."""
+        away = self.lost_from <= step < self.lost_from + LOSS_STEPS
+        return away and name == self.lost_centre
 
     def advance(self, step: int) -> set[str]:
         """Draw refusals each hour; return the data centres that reclaim now."""
@@ -82,9 +91,12 @@
 def run_step(fleet: Fleet, market: Market, reclaimed: set[str], step: int) -> None:
     """Plan, start, stop and pay for one step."""
     for key in fleet.offer_keys():
-        if key[1] and key[0] in reclaimed:
+        lost = market.is_lost(key[0], step)
+        if lost or (key[1] and key[0] in reclaimed):
             fleet.serving[key] = 0
             fleet.refused_at[key] = step
+        if lost:
+            fleet.starting = [item for item in fleet.starting if item[1] != key]
     ready = [item for item in fleet.starting if item[0] <= step]
     fleet.starting = [item for item in fleet.starting if item[0] > step]
     for _, key in ready:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -42,6 +42,7 @@
     policy: str
     slowings: tuple[Slowing, ...] = ()
     flood: bool = False
+    lost_at: float | None = None  # seconds; a data centre leaves then
 
 
 def slow_throughout(seconds: float) -> tuple[Slowing, ...]:
@@ -119,7 +120,8 @@
     gc.collect()
     if arm.policy != "owner":
         settings = replace(settings, hedge_share=0.0)
-    cluster = BenchCluster(replace(settings, policy=arm.policy), link, arm.slowings)
+    settings = replace(settings, policy=arm.policy)
+    cluster = BenchCluster(settings, link, arm.slowings, arm.lost_at)
     cpu = time.process_time()
     started = time.monotonic()
     outcomes = cluster.run(trace)
@@ -267,6 +269,20 @@
     return pairs, ratios
 
 
+def bench_loss(options: argparse.Namespace) -> tuple[list[dict], dict]:
+    """Compare the waits when one of three data centres leaves and without."""
+    lost_at = WARM_UP_SECONDS + 1.0
+    arms = [Arm("owner", "owner"), Arm("owner lost", "owner", lost_at=lost_at)]
+    pairs = run_pairs(arms, options)
+    ratios = {
+        f"{path}, one data centre lost over none": ratio(
+            pairs, path, "owner lost", "owner"
+        )
+        for path in ("short_wait.p99", "short_total.p99", "all_total.p99")
+    }
+    return pairs, ratios
+
+
 def _others_p99(pair: dict, arm: str) -> float:
     return pair["arms"][arm]["others"]["short_wait"]["p99"]
 
@@ -276,6 +292,7 @@
     "slow": bench_slow,
     "overload": bench_overload,
     "flood": bench_flood,
+    "loss": bench_loss,
 }
 
 
--- a/src/rattanwick/internal/routing/owner.py
+++ b/src/rattanwick/internal/routing/owner.py
@@ -40,6 +40,8 @@
 
 log = get_logger("routing")
 
+ARRIVAL_SECONDS = 1.0  # a younger placement may not have reached its node yet
+
 Deliver = Callable[[str, PlaceReply], None]  # (node id, reply)
 
 
@@ -135,10 +137,11 @@
     def reconcile(self, node: str, holdings: list[Holding], asked_at: float) -> None:
         """Free placements that a node no longer holds."""
         held = {item.ticket for item in holdings}
+        before = asked_at - ARRIVAL_SECONDS
         stale = [
             item.ticket
             for item in self.state.running.values()
-            if item.node == node and item.ticket not in held and item.placed < asked_at
+            if item.node == node and item.ticket not in held and item.placed < before
         ]
         for ticket in stale:
             self._drop(ticket)
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -78,7 +78,6 @@
         self._ownership = ownership
         self._network = network
         self._timers = timers
-        self._recorder = recorder
         self._self_id = members.self_node.id
         self._region = members.self_node.region
         self._tickets = itertools.count()
@@ -126,6 +125,8 @@
             reply = self._client.ask(owner, ask, deadline)
             if reply is None:
                 continue
+            if self._sees_more_than(owner, reply):
+                return self._place_alone(cell, ask)
             if reply.state == PlaceState.REFUSED:
                 raise Refused("place", req.pool, reply.reason)
             return self._hold(cell, ask, reply, owner)
@@ -286,6 +287,10 @@
             return None
         return self._client.find_owner(cell.key)
 
+    def _sees_more_than(self, owner: str, reply: PlaceReply) -> bool:
+        """Tell whether another node knows no endpoint although this one does."""
+        return owner != self._self_id and reply.reason == RefuseReason.NO_ENDPOINT
+
     def _place_alone(self, cell: Cell, ask: PlaceAsk) -> Placement:
         reply = self._alone.place(cell, ask)
         if reply.state == PlaceState.REFUSED:
--- a/src/rattanwick/internal/routing/work.py
+++ b/src/rattanwick/internal/routing/work.py
@@ -107,6 +107,8 @@
 
     def add(self, seen: float) -> None:
         """Move towards a value, by less the more were seen."""
+        if seen <= 0:
+            return
         self.samples += 1
         if self.samples == 1:
             self.value = seen
--- a/tests/failure/test_routing_failures.py
+++ b/tests/failure/test_routing_failures.py
@@ -82,6 +82,28 @@
             cluster.place("node-0", deadline=cluster.timers.wall() + 1.0)
         self.assertEqual(caught.exception.reason, "deadline")
 
+    def test_an_owner_with_an_older_list_does_not_refuse_for_others(self):
+        # Guards against refusals while the owner's instance list lags.
+        cluster = RoutingCluster(nodes=2, endpoints=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        lagging = cluster.routers[owner]._directory
+        lagging._usable = set()
+        self.assertEqual(cluster.place(other).owner, "")
+
+    def test_a_fresh_placement_survives_a_comparison(self):
+        # Guards against a slot freed while the answer is on its way to the node.
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        first = cluster.place(owner)
+        waiting = cluster.start(other)
+        cluster.advance(4.5)
+        cluster.hub.lose.append("cell.placed")
+        cluster.release(owner, first)
+        cluster.advance(0.5)
+        self.assertFalse(cluster.start(owner).ready())
+        cluster.advance(1.0)
+        self.assertTrue(waiting.ready())
+
     def test_retries_and_hedges_stay_within_their_shares(self):
         # Guards against retries that keep an overload going.
         cluster = RoutingCluster(nodes=1, endpoints=3, slots=100)
