Place on slow endpoints where no other is left

Cause: a request that excluded all healthy endpoints was refused when placed alone, and could wait for its deadline at the owner, although a slow endpoint could run it.

Change: a node that places alone opens endpoints that are set aside when no other is allowed; a trial that is overdue takes any request.

Conclusion: slow is better than refused.

--- a/src/rattanwick/internal/routing/alone.py
+++ b/src/rattanwick/internal/routing/alone.py
@@ -17,7 +17,11 @@
     ReleaseNote,
 )
 from rattanwick.internal.routing.owner import OwnerParts
-from rattanwick.internal.routing.snapshots import CellSnapshot, WaitingRequest
+from rattanwick.internal.routing.snapshots import (
+    CellSnapshot,
+    EndpointState,
+    WaitingRequest,
+)
 from rattanwick.internal.routing.work import Features, WorkEstimate, features_of
 
 
@@ -119,9 +123,7 @@
         estimate = self.estimate(cell, ask)
         now = self.parts.timers.now()
         endpoints = state.endpoint_states(self.parts.usable(), now)
-        for item in endpoints:
-            if not item.aside:
-                item.open_slots = UNLIMITED_SLOTS
+        _open_slots(endpoints, ask.excluded)
         waiting = WaitingRequest(
             ticket=ask.ticket,
             short=self.is_short(estimate),
@@ -147,3 +149,14 @@
             weights=self.parts.weights(),
             seed=self.seed,
         )
+
+
+def _open_slots(endpoints: list[EndpointState], excluded: list[str]) -> None:
+    """Open all endpoints that are not set aside, or all where no other is left."""
+    allowed = [item for item in endpoints if item.id not in excluded]
+    only_aside = all(item.aside for item in allowed)
+    for item in endpoints:
+        if only_aside:
+            item.aside = False
+        if not item.aside:
+            item.open_slots = UNLIMITED_SLOTS
--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -109,15 +109,16 @@
 def may_run(endpoint: EndpointState, req: WaitingRequest) -> bool:
     """Tell whether a request may be placed on an endpoint now.
 
-    Short idempotent requests try an endpoint that is set aside, at first only
-    those that can be hedged, since a hedge makes up for a trial that fails.
+    Short idempotent requests that can be hedged try an endpoint that is set
+    aside, since a hedge makes up for a trial that fails. A trial that is overdue
+    takes any request, so that one which excludes all others is not stuck.
     """
     if endpoint.id in req.excluded or endpoint.open_slots <= 0:
         return False
     if not endpoint.aside:
         return True
-    hedged = req.can_hedge or endpoint.trial_overdue
-    return req.short and req.idempotent and hedged
+    hedged = req.short and req.idempotent and req.can_hedge
+    return hedged or endpoint.trial_overdue
 
 
 def expected_finish(
--- a/tests/failure/test_routing_failures.py
+++ b/tests/failure/test_routing_failures.py
@@ -104,6 +104,25 @@
         cluster.advance(1.0)
         self.assertTrue(waiting.ready())
 
+    def test_places_alone_on_a_slow_endpoint_when_no_other_is_left(self):
+        # Guards against a refusal although an endpoint could run the request.
+        cluster = RoutingCluster(nodes=1, endpoints=3, slots=9, policy="alone")
+        router = cluster.routers["node-0"]
+        for _ in range(12):
+            placement = cluster.place("node-0")
+            cluster.release("node-0", placement, **cluster.rates(0.01))
+        held = [cluster.place("node-0") for _ in range(12)]
+        slow = held[0].endpoint_id
+        for _ in range(2):
+            for placement in held:
+                if placement.endpoint_id == slow:
+                    router.report_progress(placement, None, 0.05)
+            cluster.advance(0.2)
+        others = {item.endpoint_id for item in held} - {slow}
+        self.assertNotEqual(cluster.place("node-0").endpoint_id, slow)
+        chosen = cluster.place("node-0", excluded=frozenset(others))
+        self.assertEqual(chosen.endpoint_id, slow)
+
     def test_retries_and_hedges_stay_within_their_shares(self):
         # Guards against retries that keep an overload going.
         cluster = RoutingCluster(nodes=1, endpoints=3, slots=100)
