Bound the slots of long work past its age bound

With more than six plans, long work never reached the decision.

Change: long work past its bound comes first but may use only one slot in eight more than the limit; the heads of both classes are read.

Conclusion: an age bound must not undo the share of short work.

--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -19,6 +19,7 @@
 REORDER_SECONDS = 0.5  # arrivals that a cached prefix may overtake
 REORDER_WORK_SECONDS = 0.5  # of another plan's turns that it may take first
 REORDER_GAIN_SECONDS = 0.002
+AGED_SLOTS_DIVISOR = 8  # one slot in so many is added for long work past its bound
 UNLIMITED_SLOTS = 1 << 30
 TRIAL_RANK = -1.0  # a trial that is due comes first
 
@@ -157,16 +158,21 @@
     """Return the next placement of a cell's queue, or None.
 
     Long requests that waited past the bound come first, then short ones, then
-    long ones while fewer than the limit run. Plans take turns by virtual time.
+    long ones while fewer than the limit run. Those past the bound may use a few
+    slots more, but not all, or a flood of long work would stop short work. Plans
+    take turns by virtual time.
     """
     policy = POLICIES["owner"]
     active = [item for item in snapshot.endpoints if not item.aside]
     long_running = sum(item.long_running for item in active)
-    may_run_long = long_running < snapshot.long_limit
+    extra = max(sum(item.slots for item in active) // AGED_SLOTS_DIVISOR, 1)
     ranked = sorted(snapshot.waiting, key=lambda item: _queue_rank(snapshot, item))
     for index, req in enumerate(ranked):
         aged = is_aged(snapshot, req)
-        if not (req.short or aged or may_run_long) or req.seconds_left < req.work:
+        limit = snapshot.long_limit + (extra if aged else 0)
+        if not req.short and long_running >= limit:
+            continue
+        if req.seconds_left < req.work:
             continue
         endpoint_id = policy.choose(snapshot, req)
         if endpoint_id is None:
--- a/src/rattanwick/internal/routing/queues.py
+++ b/src/rattanwick/internal/routing/queues.py
@@ -9,7 +9,7 @@
 from rattanwick.internal.routing.work import WorkEstimate
 
 HEADS_PER_PLAN = 4
-MAX_HEADS = 24
+HEADS_PER_CLASS = 16
 
 
 @dataclass(slots=True)
@@ -93,12 +93,13 @@
 
     def heads(self) -> Iterator[tuple[QueuedAsk, float]]:
         """Yield the first asks of each plan and class with the plan's time."""
-        heads = []
+        heads: dict[bool, list[tuple[QueuedAsk, float]]] = {True: [], False: []}
         for key, queue in self._queues.items():
             time = self._times.get(key, 0.0)
-            heads.extend((item, time) for item in queue.asks[:HEADS_PER_PLAN])
-        heads.sort(key=lambda head: (not head[0].short, head[1], head[0].order))
-        yield from heads[:MAX_HEADS]
+            heads[key[0]].extend((item, time) for item in queue.asks[:HEADS_PER_PLAN])
+        for group in heads.values():
+            group.sort(key=lambda head: (head[1], head[0].order))
+            yield from group[:HEADS_PER_CLASS]
 
     def items(self) -> list[QueuedAsk]:
         """Return all waiting asks."""
--- a/tests/property/test_fair_queue.py
+++ b/tests/property/test_fair_queue.py
@@ -74,6 +74,14 @@
         self.assertEqual(sorted(order, key=int), [str(n) for n in range(len(asks))])
         self.assertEqual(queue.work_ahead(False, "plan-0"), 0.0)
 
+    def test_long_work_is_seen_however_many_plans_have_short_work(self):
+        # Guards against long work that never reaches the decision.
+        queue = FairQueue()
+        for number in range(40):
+            queue.add(make_queued(f"short-{number}", f"plan-{number}"))
+        queue.add(make_queued("long", "plan-0", 9.0, short=False))
+        self.assertIn("long", [item.ask.ticket for item, _ in queue.heads()])
+
 
 class PlanTests(unittest.TestCase):
     offers = st.builds(
--- a/tests/unit/test_placement_choice.py
+++ b/tests/unit/test_placement_choice.py
@@ -78,6 +78,12 @@
         waiting = [make_waiting("short"), make_waiting("long", False, waited=31.0)]
         self.assertEqual(choose_next(make_snapshot([busy], waiting)).ticket, "long")
 
+    def test_aged_long_work_does_not_take_all_slots(self):
+        # Guards against a flood of long work that stops short work of all plans.
+        busy = make_endpoint("a", slots=8, long_running=3, open_slots=5)
+        waiting = [make_waiting("short"), make_waiting("long", False, waited=31.0)]
+        self.assertEqual(choose_next(make_snapshot([busy], waiting)).ticket, "short")
+
     def test_plans_take_turns_by_virtual_time(self):
         waiting = [
             make_waiting("flood", plan="a", plan_time=9.0, waited=3.0),
