Mark an answer as restarted only where earlier text is void

Cause: a caller that continued within a restarted answer was told again that it was restarted, and would have dropped the text it had. Found by reading. Conclusion: resumption is exact also after a restart.

--- a/src/rattanwick/internal/requests/chat.py
+++ b/src/rattanwick/internal/requests/chat.py
@@ -205,12 +205,14 @@
         answer_whole(run.record, resp)
 
 
-def set_stream_headers(resp: falcon.Response, record: RequestRecord) -> None:
-    """Set the headers of a streamed answer."""
+def set_stream_headers(
+    resp: falcon.Response, record: RequestRecord, restarted: bool = False
+) -> None:
+    """Set the headers of a streamed answer; ``restarted`` voids earlier text."""
     resp.content_type = "text/event-stream"
     resp.set_header("Cache-Control", "no-store")
     resp.set_header(REQUEST_ID_HEADER, record.req.id)
-    if record.transcript.restarted:
+    if restarted:
         resp.set_header(RESTARTED_HEADER, "true")
 
 
--- a/src/rattanwick/internal/requests/stored.py
+++ b/src/rattanwick/internal/requests/stored.py
@@ -52,7 +52,9 @@
         source = self._source(request_id, caller)
         offset = self._offset_in(source.transcript, point)
         if self._is_streamed(req, source.req):
-            set_stream_headers(resp, source.record)
+            # A caller that continues keeps what it has.
+            restarted = source.transcript.restarted and offset == 0
+            set_stream_headers(resp, source.record, restarted)
             timers = self._services.timers
             resp.stream = relay_events(source, offset, timers.now, timers.wall)
             return
--- a/tests/failure/test_callers_and_drain.py
+++ b/tests/failure/test_callers_and_drain.py
@@ -150,6 +150,17 @@
         answer = self.call("GET", "/v1/requests/req_again?offset=9")
         self.assertEqual(text_of(answer.body), chat_text(prompt))
         self.assertEqual(answer.headers["rattanwick-restarted"], "true")
+        # A caller that continues within the new text must not drop what it has.
+        event = events_of(answer.body)[0]
+        seen = event["data"]["choices"][0]["delta"]["content"]
+        rest = self.call("GET", "/v1/requests/req_again", Last_Event_ID=event["id"])
+        self.assertEqual(seen + text_of(rest.body), chat_text(prompt))
+        self.assertNotIn("rattanwick-restarted", rest.headers)
+        # One that names another generation starts again.
+        other = "req_again:deadbeef:3"
+        again = self.call("GET", "/v1/requests/req_again", Last_Event_ID=other)
+        self.assertEqual(text_of(again.body), chat_text(prompt))
+        self.assertEqual(again.headers["rattanwick-restarted"], "true")
 
     def test_a_record_that_another_task_fills_is_followed_to_its_end(self):
         now = self.timers.wall()
