Ask nodes without a heartbeat link for their list version

Cause: heartbeats tell a node the versions of at most 8 to 18 linked peers, so with more nodes an edit would never have been called accepted. Change: while a change waits for confirmation, unlinked nodes are asked once a second; a test also holds that a node that peers know but the list does not show yet must confirm.

--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -116,6 +116,7 @@
             timers,
             cfg.lists,
             peers.members.confirmed_versions,
+            peers.members.refresh_versions,
         )
         self.grants = Grants(
             self.table,
--- a/src/rattanwick/internal/state/lists.py
+++ b/src/rattanwick/internal/state/lists.py
@@ -44,6 +44,7 @@
 WRITE_ATTEMPTS = 4
 RETRY_SECONDS = 0.5
 CONFIRM_POLL_SECONDS = 0.1
+REFRESH_SECONDS = 1.0  # between questions to nodes without a heartbeat link
 MAX_HISTORY = 100
 
 log = get_logger("lists")
@@ -63,6 +64,7 @@
         timers: TimerService,
         settings: ListSettings,
         confirmed_versions: Callable[[], dict[str, int]] = dict,
+        refresh_versions: Callable[[float], None] = lambda timeout: None,
     ):
         self._table = table
         self._objects = objects
@@ -73,6 +75,7 @@
         self._timers = timers
         self._settings = settings
         self._confirmed_versions = confirmed_versions
+        self._refresh_versions = refresh_versions
         self._current = EMPTY_VERSION
         self._callbacks: list[Callable[[ListsVersion], None]] = []
         self.adopted_at: float | None = None  # monotonic seconds
@@ -301,8 +304,13 @@
     def wait_confirmed(self, number: int) -> tuple[str, ...]:
         """Wait for all listed nodes; return those that have not confirmed."""
         limit = self._timers.now() + self._settings.confirm_seconds
+        refresh_at = self._timers.now() + REFRESH_SECONDS
         missing = self.unconfirmed(number)
         while missing and self._timers.now() < limit:
+            if self._timers.now() >= refresh_at:
+                # Heartbeats tell the versions of linked nodes only.
+                self._refresh_versions(REFRESH_SECONDS)
+                refresh_at = self._timers.now() + REFRESH_SECONDS
             self._timers.sleep(CONFIRM_POLL_SECONDS)
             missing = self.unconfirmed(number)
         return missing
--- a/tests/unit/test_lists.py
+++ b/tests/unit/test_lists.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import unittest
+from unittest import mock
 
 from fakes.memory import MemoryObjects, MemoryTable
 from fakes.memory_peers import (
@@ -42,6 +43,7 @@
     def __init__(self, count: int = 3):
         self.table = MemoryTable()
         self.mesh = MemoryMesh()
+        self.unlinked: set[str] = set()
         self.timers = ManualTimerService()
         self.stores = [self.add(f"node-{index}") for index in range(count)]
 
@@ -57,6 +59,7 @@
             self.timers,
             ListSettings(),
             self.confirmed,
+            self.refresh,
         )
         store.start()
         return store
@@ -65,8 +68,13 @@
         return {
             f"node-{index}": store.current().number
             for index, store in enumerate(self.stores)
+            if f"node-{index}" not in self.unlinked
         }
 
+    def refresh(self, timeout: float) -> None:
+        """Hear of the nodes without a heartbeat link."""
+        self.unlinked.clear()
+
     def apply(self, plans: str, allowances: str, from_version: int, author: str):
         """Apply at the first node and let the news arrive."""
         version = self.stores[0].apply(plans, allowances, from_version, author)
@@ -189,6 +197,21 @@
         self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.assertEqual(self.first.wait_confirmed(1), ("node-9",))
 
+    def test_asks_nodes_without_a_heartbeat_link_for_their_version(self):
+        # A node hears the versions of a few linked peers only.
+        self.cluster.unlinked.add("node-2")
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.assertEqual(self.first.unconfirmed(1), ("node-2",))
+        self.assertEqual(self.first.wait_confirmed(1), ())
+
+    def test_a_node_that_is_not_listed_yet_must_confirm(self):
+        # The instance list lags behind a node that its peers know already.
+        late = self.cluster.mesh.add("node-9")
+        self.assertIsNotNone(late)
+        self.first._instances = mock.Mock(nodes=lambda: ())
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
+        self.assertIn("node-9", self.first.unconfirmed(1))
+
     def test_a_new_node_loads_from_peers_while_the_table_is_down(self):
         self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.cluster.table.down = True
