Replay one decision in twenty in the policy bench

Cause: tests replay few decisions; a bench run makes thousands.

Change: the recorder of the bench runs one decision in twenty again from its stored inputs and counts differences.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+import msgpack
 from gevent.event import Event
 
 from bench.endpoint import (
@@ -33,13 +34,18 @@
     ServingRequest,
     Usage,
 )
-from rattanwick.internal.recording.decisions import Decision, Recorder
+from rattanwick.internal.recording.decisions import (
+    DECISION_FUNCTIONS,
+    Decision,
+    Recorder,
+)
 from rattanwick.internal.routing.endpoints import LEAVING_TOPIC
 from rattanwick.internal.routing.router import CellRouter
 
 NODES = 6
 ENDPOINTS = 9
 SLOTS = 4
+REPLAYED_OF = 20  # one decision in so many is replayed
 POOL = "pool"
 REGION = "region"
 CHARACTERS_PER_TOKEN = 4
@@ -48,15 +54,28 @@
 
 
 class CountingRecorder(Recorder):
-    """Count decisions by reason."""
+    """Count decisions by reason and replay some of them."""
 
     def __init__(self):
         self.reasons: dict[str, int] = {}
+        self.decisions = 0
+        self.replayed = 0
+        self.differences = 0
 
     def record(self, decision: Decision) -> None:
         """Count a decision."""
         name = f"{decision.kind}:{decision.reason}"
         self.reasons[name] = self.reasons.get(name, 0) + 1
+        self.decisions += 1
+        if self.decisions % REPLAYED_OF == 0:
+            self._replay(decision)
+
+    def _replay(self, decision: Decision) -> None:
+        """Run a decision again from its inputs as they would be stored."""
+        inputs = msgpack.unpackb(msgpack.packb(decision.inputs))
+        again = DECISION_FUNCTIONS[decision.kind](inputs)
+        self.replayed += 1
+        self.differences += again != (decision.choice, decision.reason)
 
 
 @dataclass(slots=True)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -133,6 +133,8 @@
     figures["messages_per_request"] = round(cluster.hub.messages / len(trace), 2)
     figures["bytes_per_request"] = round(cluster.hub.bytes / len(trace), 1)
     figures["reasons"] = cluster.recorder.reasons
+    figures["replayed"] = cluster.recorder.replayed
+    figures["replay_differences"] = cluster.recorder.differences
     return figures
 
 
