--- a/src/rattanwick/internal/peers/takeover.py
+++ b/src/rattanwick/internal/peers/takeover.py
@@ -108,8 +108,12 @@
                 kept.claiming = True
                 gevent.spawn(self._claim, kept)
 
-    def run(self, kept: KeptRequest) -> None:
-        """Run a request here from the copy's text, or from the start."""
+    def run(self, kept: KeptRequest, exact: bool) -> None:
+        """Run a request here from the copy's text, or from the start.
+
+        ``exact`` tells that no node can have given out more text than the copy has;
+        otherwise the answer counts as restarted.
+        """
         content = kept.content()
         req = ServingRequest.from_message(content["request"])
         own = self._members.self_node
@@ -128,7 +132,7 @@
         transcript = Transcript()
         transcript.append(content["text"])
         transcript.tokens = content["tokens"]
-        transcript.restarted = content["restarted"]
+        transcript.restarted = content["restarted"] or not exact
         transcript.lineage = unpack_lineage(content["lineage"])
         self._table.put(RequestRecord(req, transcript))
         RESTARTS.labels("resumed").inc()
@@ -145,7 +149,8 @@
             return True
         # The first holder that is leaving hands over itself, or says that it has
         # nothing; _claim asks it.
-        return state is MemberState.LEAVING and kept.has_text
+        leaving = state in (MemberState.LEAVING, MemberState.LEAVING_SUSPECT)
+        return leaving and kept.has_text
 
     def _claim(self, kept: KeptRequest) -> None:
         try:
@@ -196,7 +201,7 @@
             kept.lost = True
             RESTARTS.labels("not_restarted").inc()
             return
-        self.run(kept)
+        self.run(kept, exact=False)
 
     def _follow(self, kept: KeptRequest, node_id: str) -> None:
         node = self._members.get(node_id)
--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -14,10 +14,12 @@
 
 OTHER_DATA_CENTRE_SECONDS = 0.005  # one round trip between data centres
 LOAD_PENALTY = 0.25  # slowing of a stream in a full batch, as a part of its work
+SHORT_COUNT = 0.25  # of a short request, in the spread of long work
 PRICE_SECONDS = 0.002  # seconds of delay that one currency unit an hour is worth
 REORDER_SECONDS = 0.5  # arrivals that a cached prefix may overtake
 REORDER_WORK_SECONDS = 0.5  # of another plan's turns that it may take first
 REORDER_GAIN_SECONDS = 0.002
+AGED_SLOTS_DIVISOR = 8  # one slot in so many is added for long work past its bound
 UNLIMITED_SLOTS = 1 << 30
 TRIAL_RANK = -1.0  # a trial that is due comes first
 
@@ -108,15 +110,16 @@
 def may_run(endpoint: EndpointState, req: WaitingRequest) -> bool:
     """Tell whether a request may be placed on an endpoint now.
 
-    Short idempotent requests try an endpoint that is set aside, at first only
-    those that can be hedged, since a hedge makes up for a trial that fails.
+    Short idempotent requests that can be hedged try an endpoint that is set
+    aside, since a hedge makes up for a trial that fails. A trial that is overdue
+    takes any request, so that one which excludes all others is not stuck.
     """
     if endpoint.id in req.excluded or endpoint.open_slots <= 0:
         return False
     if not endpoint.aside:
         return True
-    hedged = req.can_hedge or endpoint.trial_overdue
-    return req.short and req.idempotent and hedged
+    hedged = req.short and req.idempotent and req.can_hedge
+    return hedged or endpoint.trial_overdue
 
 
 def expected_finish(
@@ -130,7 +133,7 @@
     over = max(endpoint.running + 1 - slots, 0.0)
     running = max(endpoint.running, 1.0)
     wait = over * endpoint.remaining_seconds / running / slots
-    load = min(endpoint.running / slots, 1.0)
+    load = min(_load_count(endpoint, req) / slots, 1.0)
     work = req.work * (1 + LOAD_PENALTY * load) - req.prefill * cached
     link = 0.0
     if req.data_centre and req.data_centre != endpoint.data_centre:
@@ -140,20 +143,36 @@
     return link + price + (wait + work) * slowness
 
 
+def _load_count(endpoint: EndpointState, req: WaitingRequest) -> float:
+    """Return the requests that matter for the spread.
+
+    Short work comes and goes, so long work is spread by the long work that runs;
+    an endpoint full of it would serve none of its cached prefixes.
+    """
+    if req.short:
+        return endpoint.running
+    return endpoint.long_running + SHORT_COUNT * endpoint.short_running
+
+
 def choose_next(snapshot: CellSnapshot) -> Choice | None:
     """Return the next placement of a cell's queue, or None.
 
     Long requests that waited past the bound come first, then short ones, then
-    long ones while fewer than the limit run. Plans take turns by virtual time.
+    long ones while fewer than the limit run. Those past the bound may use a few
+    slots more, but not all, or a flood of long work would stop short work. Plans
+    take turns by virtual time.
     """
     policy = POLICIES["owner"]
     active = [item for item in snapshot.endpoints if not item.aside]
     long_running = sum(item.long_running for item in active)
-    may_run_long = long_running < snapshot.long_limit
+    extra = max(sum(item.slots for item in active) // AGED_SLOTS_DIVISOR, 1)
     ranked = sorted(snapshot.waiting, key=lambda item: _queue_rank(snapshot, item))
     for index, req in enumerate(ranked):
         aged = is_aged(snapshot, req)
-        if not (req.short or aged or may_run_long) or req.seconds_left < req.work:
+        limit = snapshot.long_limit + (extra if aged else 0)
+        if not req.short and long_running >= limit:
+            continue
+        if req.seconds_left < req.work:
             continue
         endpoint_id = policy.choose(snapshot, req)
         if endpoint_id is None:
--- a/tests/failure/test_routing_failures.py
+++ b/tests/failure/test_routing_failures.py
@@ -82,6 +82,47 @@
             cluster.place("node-0", deadline=cluster.timers.wall() + 1.0)
         self.assertEqual(caught.exception.reason, "deadline")
 
+    def test_an_owner_with_an_older_list_does_not_refuse_for_others(self):
+        # Guards against refusals while the owner's instance list lags.
+        cluster = RoutingCluster(nodes=2, endpoints=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        lagging = cluster.routers[owner]._directory
+        lagging._usable = set()
+        self.assertEqual(cluster.place(other).owner, "")
+
+    def test_a_fresh_placement_survives_a_comparison(self):
+        # Guards against a slot freed while the answer is on its way to the node.
+        cluster = RoutingCluster(nodes=2, endpoints=1, slots=1)
+        owner, other = cluster.owner_id(), cluster.other_id()
+        first = cluster.place(owner)
+        waiting = cluster.start(other)
+        cluster.advance(4.5)
+        cluster.hub.lose.append("cell.placed")
+        cluster.release(owner, first)
+        cluster.advance(0.5)
+        self.assertFalse(cluster.start(owner).ready())
+        cluster.advance(1.0)
+        self.assertTrue(waiting.ready())
+
+    def test_places_alone_on_a_slow_endpoint_when_no_other_is_left(self):
+        # Guards against a refusal although an endpoint could run the request.
+        cluster = RoutingCluster(nodes=1, endpoints=3, slots=9, policy="alone")
+        router = cluster.routers["node-0"]
+        for _ in range(12):
+            placement = cluster.place("node-0")
+            cluster.release("node-0", placement, **cluster.rates(0.01))
+        held = [cluster.place("node-0") for _ in range(12)]
+        slow = held[0].endpoint_id
+        for _ in range(2):
+            for placement in held:
+                if placement.endpoint_id == slow:
+                    router.report_progress(placement, None, 0.05)
+            cluster.advance(0.2)
+        others = {item.endpoint_id for item in held} - {slow}
+        self.assertNotEqual(cluster.place("node-0").endpoint_id, slow)
+        chosen = cluster.place("node-0", excluded=frozenset(others))
+        self.assertEqual(chosen.endpoint_id, slow)
+
     def test_retries_and_hedges_stay_within_their_shares(self):
         # Guards against retries that keep an overload going.
         cluster = RoutingCluster(nodes=1, endpoints=3, slots=100)
