--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -14,9 +14,9 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import CallerSettings
 from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.requests.admission import BODY_READ_KEY
 from rattanwick.internal.requests.caller_errors import OUTCOME_HEADER, error_body
 from rattanwick.internal.requests.close_watch import CONNECTION_KEY
-from rattanwick.internal.requests.services import BODY_READ_KEY
 
 log = get_logger("requests")
 
