Send fewer bytes for each placement

Change: messages leave out fields that hold their default; a release no longer repeats what the owner knows; block hashes take 32 bits.

--- a/src/rattanwick/internal/routing/alone.py
+++ b/src/rattanwick/internal/routing/alone.py
@@ -22,7 +22,7 @@
     EndpointState,
     WaitingRequest,
 )
-from rattanwick.internal.routing.work import Features, WorkEstimate, features_of
+from rattanwick.internal.routing.work import WorkEstimate, features_of
 
 
 @dataclass(slots=True)
@@ -90,11 +90,11 @@
         state.add(item, now)
         return item
 
-    def release(self, note: ReleaseNote, features: Features, usage: Usage) -> None:
+    def release(self, note: ReleaseNote, usage: Usage) -> None:
         """Stop counting a request and learn from it."""
         state = self.states.get(note.cell)
         if state is not None:
-            state.finish(note.ticket, features, usage, self.parts.timers.now())
+            state.finish(note.ticket, usage, self.parts.timers.now())
 
     def report_load(self, endpoint_id: str, requests: int, age: float) -> None:
         """Take in an endpoint's own load report."""
--- a/src/rattanwick/internal/routing/asking.py
+++ b/src/rattanwick/internal/routing/asking.py
@@ -101,7 +101,7 @@
         if node_id == self._self_id:
             self._accept(self._self_id, reply)
         else:
-            self._network.notify(node_id, PLACED, reply.to_message())
+            self._network.notify(node_id, PLACED, reply.to_wire())
 
     def check_waiters(self) -> None:
         """Wake waiters whose deadline passed or whose owner changed."""
@@ -112,7 +112,7 @@
         if owner == self._self_id:
             return self._owned.place(ask, owner)
         try:
-            body = ask.to_message()
+            body = ask.to_wire()
             answer = self._network.call(owner, PLACE, body, ASK_TIMEOUT_SECONDS)
         except StepError as exc:
             log.info("owner %s of %s did not answer: %s", owner, ask.cell, exc)
--- a/src/rattanwick/internal/routing/cellstate.py
+++ b/src/rattanwick/internal/routing/cellstate.py
@@ -13,7 +13,11 @@
 from rattanwick.internal.routing.prefixes import PrefixView
 from rattanwick.internal.routing.reports import LoadReports
 from rattanwick.internal.routing.snapshots import EndpointState
-from rattanwick.internal.routing.work import Features, WorkHistory
+from rattanwick.internal.routing.work import (
+    Features,
+    WorkHistory,
+    features_of,
+)
 
 OVERDUE_RATIO = 2.0  # over the longest short work, at which a request is long
 LATEST_MEAN_SECONDS = 2.0  # longest stream whose mean still tells of the present
@@ -86,23 +90,30 @@
         self.reports.note_count(item.endpoint_id, counts.short + counts.long, now)
         return item
 
-    def finish(
-        self, ticket: str, features: Features, usage: Usage, now: float
-    ) -> Running | None:
-        """Stop counting a placement and learn from what was observed."""
+    def finish(self, ticket: str, usage: Usage, now: float) -> Running | None:
+        """Stop counting a placement and learn from what was observed.
+
+        Of a placement taken over from another owner the ask is not known, so
+        nothing is learned from it.
+        """
         item = self.remove(ticket, now)
-        ratio = self._ratio(features, usage, now - item.placed if item else 0.0)
-        self.history.observe(features, usage)
         if item is None:
             return None
+        if item.ask is not None:
+            self._learn(item, item.ask, usage, now)
+        self.health.note_dropped(item.endpoint_id, ticket, now)
+        return item
+
+    def _learn(self, item: Running, ask: PlaceAsk, usage: Usage, now: float) -> None:
+        features = features_of(ask, self.cell.pool)
+        ratio = self._ratio(features, usage, now - item.placed)
         if ratio is not None:
-            evidence = Evidence(ticket, now, ratio)
+            evidence = Evidence(item.ticket, now, ratio)
             self.health.observe(item.endpoint_id, evidence, now)
-        self.health.note_dropped(item.endpoint_id, ticket, now)
-        if usage.ok and item.ask is not None:
+        self.history.observe(features, usage)
+        if usage.ok:
             cached = usage.cached_tokens
             self.prefixes.learn(item.endpoint_id, item.cached, cached)
-        return item
 
     def reclassify(self, short_seconds: float, now: float) -> None:
         """Count requests that ran longer than short work may as long."""
--- a/src/rattanwick/internal/routing/hosting.py
+++ b/src/rattanwick/internal/routing/hosting.py
@@ -154,7 +154,7 @@
         owner.reconcile(node_id, holdings, asked)
 
     def _handle_place(self, peer: str, body: dict) -> dict:
-        return self.place(PlaceAsk.from_message(body), peer).to_message()
+        return self.place(PlaceAsk.from_message(body), peer).to_wire()
 
     def _handle_release(self, peer: str, body: dict) -> None:
         self.release(ReleaseNote.from_message(body))
@@ -166,7 +166,7 @@
         self.cancel(body["cell"], body["ticket"])
 
     def _handle_holdings(self, peer: str, body: dict) -> dict:
-        holdings = [item.to_message() for item in self._list_held(body["cell"])]
+        holdings = [item.to_wire() for item in self._list_held(body["cell"])]
         return {"holdings": holdings}
 
     def _free_dead_nodes(self) -> None:
--- a/src/rattanwick/internal/routing/messages.py
+++ b/src/rattanwick/internal/routing/messages.py
@@ -1,7 +1,8 @@
 """Messages between a node and the soft owner of a cell."""
 
-from dataclasses import dataclass, field
+from dataclasses import MISSING, dataclass, field, fields
 from enum import StrEnum
+from functools import cache
 
 from rattanwick.internal.model.requests import Usage
 
@@ -31,6 +32,18 @@
     CANCELLED = "cancelled"
 
 
+@cache
+def _default_values(kind: type) -> dict:
+    """Return the defaults of a message's fields."""
+    values = {}
+    for item in fields(kind):
+        if item.default is not MISSING:
+            values[item.name] = item.default
+        elif item.default_factory is not MISSING:
+            values[item.name] = item.default_factory()
+    return values
+
+
 class Message:
     """Turn a dataclass with slots into a map and back."""
 
@@ -40,6 +53,15 @@
         """Return a map for msgpack."""
         return {name: getattr(self, name) for name in self.__slots__}
 
+    def to_wire(self) -> dict:
+        """Return a map without the fields that hold their default."""
+        defaults = _default_values(type(self))
+        return {
+            name: value
+            for name in self.__slots__
+            if (value := getattr(self, name)) != defaults.get(name, MISSING)
+        }
+
     @classmethod
     def from_message(cls, message: dict):
         """Return the message of a map; unknown fields are ignored."""
@@ -111,9 +133,15 @@
 
     cell: str
     ticket: str
-    endpoint_id: str
     usage: dict
-    features: dict
+
+    @classmethod
+    def make(cls, cell: str, ticket: str, usage: Usage) -> "ReleaseNote":
+        """Return a note that leaves out the unset fields of the usage."""
+        values = {name: getattr(usage, name) for name in Usage.__slots__}
+        return cls(
+            cell, ticket, {name: value for name, value in values.items() if value}
+        )
 
     def read_usage(self) -> Usage:
         """Return the usage; unknown fields are ignored."""
--- a/src/rattanwick/internal/routing/owner.py
+++ b/src/rattanwick/internal/routing/owner.py
@@ -32,7 +32,6 @@
     Weights,
 )
 from rattanwick.internal.routing.work import (
-    Features,
     WorkEstimate,
     WorkHistory,
     features_of,
@@ -104,10 +103,9 @@
 
     def release(self, note: ReleaseNote) -> None:
         """Free the slot of a placement and learn from it."""
-        features = Features.from_message(note.features)
         usage = note.read_usage()
         now = self.parts.timers.now()
-        placed = self.state.finish(note.ticket, features, usage, now)
+        placed = self.state.finish(note.ticket, usage, now)
         if placed is not None and usage.ok and placed.ask is not None:
             self.mix.learn_held(placed.short, placed.work, now - placed.placed)
         self.pump()
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
 from rattanwick.internal.base.errors import Refused
 from rattanwick.internal.base.log import get_logger
@@ -138,20 +138,13 @@
             return
         self._forget_request(placement.request_id)
         self._progress.streams.pop(placement.id, None)
-        features = features_of(held.ask, held.cell.pool)
-        note = ReleaseNote(
-            held.cell.key,
-            placement.id,
-            placement.endpoint_id,
-            asdict(usage),
-            features.to_message(),
-        )
-        self._alone.release(note, features, usage)
+        note = ReleaseNote.make(held.cell.key, placement.id, usage)
+        self._alone.release(note, usage)
         for node_id in self._release_targets(held):
             if node_id == self._self_id:
                 self._owned.release(note)
             else:
-                self._network.notify(node_id, RELEASE, note.to_message())
+                self._network.notify(node_id, RELEASE, note.to_wire())
 
     def may_retry(self, req: ServingRequest) -> bool:
         """Spend one retry of the budget; tell whether there was one."""
@@ -217,7 +210,7 @@
         if owner.id == self._self_id:
             self._owned.observe(note)
         else:
-            self._network.notify(owner.id, PROGRESS, note.to_message())
+            self._network.notify(owner.id, PROGRESS, note.to_wire())
 
     def _forget_request(self, request_id: str) -> None:
         self._held_requests[request_id] -= 1
--- a/src/rattanwick/internal/routing/work.py
+++ b/src/rattanwick/internal/routing/work.py
@@ -10,6 +10,7 @@
 
 BLOCK_CHARACTERS = 512
 MAX_BLOCKS = 16
+BLOCK_HASH_MASK = 0xFFFFFFFF  # enough to tell cached blocks apart, half the bytes
 CHARACTERS_PER_TOKEN = 4
 BUCKETS_PER_OCTAVE = 4
 MAX_BUCKETS = 160
@@ -156,7 +157,7 @@
     hashes = []
     for start in range(0, len(text), BLOCK_CHARACTERS):
         digest.update(text[start : start + BLOCK_CHARACTERS].encode())
-        hashes.append(digest.intdigest())
+        hashes.append(digest.intdigest() & BLOCK_HASH_MASK)
     return hashes
 
 
