--- a/src/rattanwick/internal/routing/queues.py
+++ b/src/rattanwick/internal/routing/queues.py
@@ -9,7 +9,8 @@
 from rattanwick.internal.routing.work import WorkEstimate
 
 HEADS_PER_PLAN = 4
-HEADS_PER_CLASS = 16
+MAX_SHORT_HEADS = 12  # bounds the time and the recording of a decision
+MAX_LONG_HEADS = 4
 
 
 @dataclass(slots=True)
@@ -97,9 +98,9 @@
         for key, queue in self._queues.items():
             time = self._times.get(key, 0.0)
             heads[key[0]].extend((item, time) for item in queue.asks[:HEADS_PER_PLAN])
-        for group in heads.values():
-            group.sort(key=lambda head: (head[1], head[0].order))
-            yield from group[:HEADS_PER_CLASS]
+        for short, limit in ((True, MAX_SHORT_HEADS), (False, MAX_LONG_HEADS)):
+            ranked = sorted(heads[short], key=lambda head: (head[1], head[0].order))
+            yield from ranked[:limit]
 
     def items(self) -> list[QueuedAsk]:
         """Return all waiting asks."""
