Use one rank function and one topic name

Cause: the hash rank of rendezvous hashing and the topic of leaving endpoints stood twice. Change: routing uses the base function and the topic of the news module.

--- a/bench/inprocess.py
+++ b/bench/inprocess.py
@@ -7,6 +7,7 @@
 from gevent.event import AsyncResult
 
 from rattanwick.internal.base.errors import Refused, TimedOut, Unavailable
+from rattanwick.internal.base.ids import rendezvous_rank
 from rattanwick.internal.model.instances import Endpoint, Node
 from rattanwick.internal.peers.interfaces import (
     Handler,
@@ -17,7 +18,6 @@
     PeerNetwork,
 )
 from rattanwick.internal.platform.interfaces import InstanceList
-from rattanwick.internal.routing.ranks import hash_rank
 
 Latency = Callable[[Node, Node], float]  # one way, in seconds
 
@@ -165,7 +165,7 @@
         live = [
             node for node in self._hub.live() if data_centre in (None, node.data_centre)
         ]
-        return max(live, key=lambda node: hash_rank(key, node.id), default=None)
+        return max(live, key=lambda node: rendezvous_rank(key, node.id), default=None)
 
 
 class LocalNews(News):
--- a/src/rattanwick/internal/routing/choice.py
+++ b/src/rattanwick/internal/routing/choice.py
@@ -3,8 +3,8 @@
 from abc import ABC, abstractmethod
 from enum import StrEnum
 
+from rattanwick.internal.base.ids import rendezvous_rank
 from rattanwick.internal.recording.decisions import DecisionKind, decides
-from rattanwick.internal.routing.ranks import hash_rank
 from rattanwick.internal.routing.snapshots import (
     CellSnapshot,
     Choice,
@@ -62,7 +62,7 @@
             finish = expected_finish(snapshot, endpoint, req, cached)
             if endpoint.aside:
                 finish = TRIAL_RANK
-            rank = (finish, hash_rank(str(snapshot.seed), endpoint.id))
+            rank = (finish, rendezvous_rank(str(snapshot.seed), endpoint.id))
             if best_rank is None or rank < best_rank:
                 best, best_rank = endpoint.id, rank
         return best
@@ -104,7 +104,7 @@
 
 def _in_flight_rank(snapshot: CellSnapshot, item: EndpointState) -> tuple:
     running = item.short_running + item.long_running
-    return running, hash_rank(str(snapshot.seed), item.id)
+    return running, rendezvous_rank(str(snapshot.seed), item.id)
 
 
 def may_run(endpoint: EndpointState, req: WaitingRequest) -> bool:
--- a/src/rattanwick/internal/routing/endpoints.py
+++ b/src/rattanwick/internal/routing/endpoints.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable
 
 from rattanwick.internal.peers.interfaces import News
+from rattanwick.internal.peers.news import ENDPOINT_LEAVING
 from rattanwick.internal.platform.interfaces import InstanceList
 from rattanwick.internal.routing.cells import Cell, group_cells
 
-LEAVING_TOPIC = "endpoint.leaving"
-
 
 class EndpointDirectory:
     """Combine the instance list with news; whichever says leaving applies."""
@@ -21,7 +20,7 @@
         self._cells: dict[str, Cell] = {}
         self._read()
         instances.subscribe(self._refresh)
-        news.subscribe(LEAVING_TOPIC, self._hear_leaving)
+        news.subscribe(ENDPOINT_LEAVING, self._hear_leaving)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the endpoints."""
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from rattanwick.internal.base.errors import Refused
+from rattanwick.internal.base.ids import rendezvous_rank
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import RoutingSettings
 from rattanwick.internal.base.timers import TimerService
@@ -33,7 +34,6 @@
 )
 from rattanwick.internal.routing.owner import OwnerParts
 from rattanwick.internal.routing.progress import ProgressWatch, StreamProgress
-from rattanwick.internal.routing.ranks import hash_rank
 from rattanwick.internal.routing.work import (
     features_of,
     features_of_request,
@@ -239,7 +239,7 @@
             raise Refused("place", req.pool, RefuseReason.NO_ENDPOINT)
         near = [item for item in cells if item.region == self._region] or cells
         text = str(prefix[0]) if prefix else req.id
-        ranked = sorted(near, key=lambda item: -hash_rank(text, item.key))
+        ranked = sorted(near, key=lambda item: -rendezvous_rank(text, item.key))
         return min(ranked[:CELL_CANDIDATES], key=self._own_load)
 
     def _own_load(self, cell: Cell) -> float:
--- a/tests/unit/test_replay_of_parts.py
+++ b/tests/unit/test_replay_of_parts.py
@@ -67,9 +67,7 @@
         offers = [Offer(f"dc-{index}", "small", True, 1.0, 8) for index in range(3)]
         decide_plan(PlanInputs(20, offers), self.recorder)
         streams = [StreamState(f"r{index}", 90, 9, 400.0 * index) for index in range(3)]
-        decide_reclaim(
-            LeavingEndpoint("e1", 6.0, 0.02, True, streams), self.recorder
-        )
+        decide_reclaim(LeavingEndpoint("e1", 6.0, 0.02, True, streams), self.recorder)
         decided = self.replay()
         kinds = [item.record.kind for item in decided]
         self.assertEqual(kinds, [DecisionKind.PLAN, DecisionKind.RECLAIM])
