--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: check-dist environment format lint test ci dist demo prove clean
+.PHONY: check-dist environment format lint test ci dist demo prove incident clean
 
 environment: $(STAMP)
 
@@ -44,5 +44,8 @@
 prove: $(STAMP)
 	$(BIN)/python -m spec
 
+incident: $(STAMP)
+	$(BIN)/python -m bench.incident
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/bench/incident.py
@@ -0,0 +1,99 @@
+"""Replay an incident on real processes: ``python -m bench.incident``.
+
+Six nodes serve chats and bookings. The table is down for some seconds while a data
+centre is reclaimed, after an outage of the object store that the recorders' memory
+does not bridge. The recording is then replayed by time, request and node, altered,
+and weighed.
+"""
+
+# The standard library must be patched before any module imports ssl or threading.
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+from dataclasses import asdict  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from bench.incidents import Findings, IncidentRun, faults_of  # noqa: E402
+from scenarios.language import parse_scenario  # noqa: E402
+
+SCENARIO = """
+deployment guayas
+seed {seed}
+setting recording.batch_seconds = 1
+setting recording.buffer_bytes = 65536
+setting drain.notice_seconds = 4
+engines token_seconds = 0.02
+start
+chats 150 of 40 tokens over 14 s
+chats 100 of 250 tokens over 14 s
+completions 20 of 60 tokens over 14 s
+bookings 60 over 14 s
+wait 2 s
+fault platform object_down = true
+fault platform table_down = true
+wait 5 s
+fault platform object_down = false
+reclaim data_centre gye-norte in 4 s
+wait 3 s
+fault platform table_down = false
+"""
+
+
+def report(found: Findings) -> dict:
+    """Return the figures of a run."""
+    requests = max(found.requests_recorded, 1)
+    commands = {
+        name: {
+            "exit": result.status,
+            "decisions": result.decisions,
+            "differences": result.differences,
+            "gaps": result.gaps,
+            "changed": result.changed,
+        }
+        for name in ("by_time", "by_request", "by_node", "altered", "forged")
+        for result in [getattr(found, name)]
+    }
+    return {
+        "commands": commands,
+        "kinds": dict(found.kinds),
+        "answered": found.answered,
+        "admissions_dropped": found.admissions_dropped,
+        "answered_and_explained": found.answered - len(found.unexplained),
+        "gaps": found.gaps,
+        "requests_recorded": found.requests_recorded,
+        "decisions_per_request": sum(found.kinds.values()) / requests,
+        "stored_bytes_per_request": found.stored_bytes / requests,
+        "recording_cpu_seconds": found.recording_seconds,
+        "node_cpu_seconds": found.node_seconds,
+        "recording_cpu_share": found.recording_seconds / max(found.node_seconds, 1e-9),
+    }
+
+
+def main() -> int:
+    """Run the incident, print its figures and return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=41)
+    parser.add_argument("--output", default="")
+    args = parser.parse_args()
+    scenario = parse_scenario("incident", SCENARIO.format(seed=args.seed))
+    with tempfile.TemporaryDirectory(prefix="rattanwick-incident-") as folder:
+        run = IncidentRun(scenario, Path(folder))
+        result = run.run()
+    figures = {"seed": args.seed, "seconds": result.seconds}
+    figures |= {"tally": asdict(result.tally), **report(run.findings)}
+    print(json.dumps(figures, indent=1))
+    faults = result.failures + faults_of(run.findings)
+    for fault in faults:
+        print(f"FAULT: {fault}")
+    if args.output:
+        Path(args.output).write_text(json.dumps(figures, indent=1), encoding="utf-8")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/incidents.py
@@ -0,0 +1,280 @@
+"""A scenario whose recording is replayed, altered and weighed before it ends."""
+
+import os
+import re
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from fakes.deployment import ROOT, LocalNode, http_json
+from fakes.memory import MemoryObjects
+from rattanwick.internal.base.settings import RecordingSettings, load_settings
+from rattanwick.internal.base.timers import GeventTimerService, ManualTimerService
+from rattanwick.internal.model.instances import Node
+from rattanwick.internal.platform.objects import S3Objects
+from rattanwick.internal.recording.decisions import Decision
+from rattanwick.internal.recording.recorder import ObjectRecorder
+from rattanwick.internal.recording.records import PREFIX, Batch, Record, chain_digest
+from rattanwick.internal.recording.replay import (
+    Decided,
+    Finding,
+    Missing,
+    Query,
+    Replay,
+    load_decision_functions,
+)
+from scenarios.caller import ANSWERED
+from scenarios.language import Scenario, Step
+from scenarios.runner import ScenarioRun
+
+MAX_NAMES = 1000
+TOTALS = re.compile(
+    r"^(\d+) decisions, (\d+) differences, (\d+) gaps, (\d+) changed$", re.MULTILINE
+)
+DROPPED = re.compile(r"^rattanwick_dropped_decisions_total\{.*\} (\S+)$", re.MULTILINE)
+RECORDED = re.compile(r"^rattanwick_recorded_decisions_total (\S+)$", re.MULTILINE)
+DROPPED_ADMISSIONS = re.compile(r"'admit': (\d+)")
+GAP = re.compile(r"records (\d+) to (\d+) were dropped")
+
+
+@dataclass(slots=True)
+class CommandResult:
+    """Hold what ``rattanwick replay`` printed in its last line."""
+
+    status: int
+    decisions: int
+    differences: int
+    gaps: int
+    changed: int
+    output: str
+
+
+@dataclass(slots=True)
+class Findings:
+    """Hold what the recording of an incident shows."""
+
+    by_time: CommandResult | None = None
+    by_request: CommandResult | None = None
+    by_node: CommandResult | None = None
+    altered: CommandResult | None = None  # one decision was changed
+    forged: CommandResult | None = None  # and the digests of its batch with it
+    kinds: Counter = field(default_factory=Counter)
+    answered: int = 0
+    unexplained: list[str] = field(default_factory=list)  # answered, not admitted
+    admissions_dropped: int = 0  # as the gaps state
+    gaps: list[str] = field(default_factory=list)
+    miscounted: list[str] = field(default_factory=list)  # nodes against their metrics
+    stored_bytes: int = 0
+    recording_seconds: float = 0.0  # CPU, of the nodes that live
+    node_seconds: float = 0.0  # CPU, of the nodes that live
+    requests_recorded: int = 0  # with at least one decision
+    leaked: list[str] = field(default_factory=list)  # secrets or text of callers
+
+
+class IncidentRun(ScenarioRun):
+    """Run a scenario and examine its recording while the nodes still serve."""
+
+    def __init__(self, scenario: Scenario, folder: Path, octet: int | None = None):
+        super().__init__(scenario, folder, octet)
+        self.findings = Findings()
+        self._started = 0.0  # Unix seconds
+        self._processor_before: dict[str, float] = {}
+
+    def _do_start_all(self, step: Step) -> None:
+        super()._do_start_all(step)
+        self._started = time.time()
+        self._processor_before = {
+            node.id: processor_seconds(node) for node in self._deployment.nodes.values()
+        }
+
+    def _examine(self) -> None:
+        live = [n for n in self._deployment.nodes.values() if n.process.poll() is None]
+        for node in live:
+            spent = processor_seconds(node) - self._processor_before[node.id]
+            self.findings.node_seconds += spent
+        batch_seconds = float(self._scenario.settings["recording"]["batch_seconds"])
+        time.sleep(3 * batch_seconds)
+        load_decision_functions()
+        timers = GeventTimerService()
+        settings = load_settings(str(live[0].settings_path)).platform
+        objects = S3Objects(settings, timers, "bench")
+        try:
+            findings = list(Replay(objects, Query()).run())
+            self._check_findings(findings, live)
+            self._weigh(findings, objects, {node.id for node in live})
+            self._replay_commands(live[0], live[-1].id)
+            self._alter(objects, live[0])
+        finally:
+            timers.stop()
+
+    def _check_findings(self, findings: list[Finding], live: list[LocalNode]) -> None:
+        """Compare the recording with what callers and metrics tell."""
+        result = self.findings
+        decided = [item for item in findings if isinstance(item, Decided)]
+        admitted = set()
+        for item in decided:
+            result.kinds[item.record.kind] += 1
+            if item.record.kind == "admit" and item.record.choice:
+                admitted.add(item.record.request_id)
+            text = repr(item.record)
+            if "demo-key" in text or "steel?" in text or self._secret() in text:
+                result.leaked.append(f"{item.node} {item.record.sequence}")
+        result.gaps = [
+            f"{item.node}: {item.what}"
+            for item in findings
+            if isinstance(item, Missing)
+        ]
+        for record in self._records:
+            if record.outcome == ANSWERED:
+                result.answered += 1
+                if not admitted.intersection(record.request_ids):
+                    result.unexplained.append(str(record.number))
+        recorded = Counter(item.node for item in decided)
+        for node in live:
+            self._compare_with_metrics(node, recorded[node.id])
+
+    def _secret(self) -> str:
+        return (self._folder / "peers.secret").read_text()
+
+    def _compare_with_metrics(self, node: LocalNode, recorded: int) -> None:
+        """Note a node whose records and gaps do not add up to its own counts."""
+        _, text = http_json("GET", node.host, node.operator_port, "/metrics")
+        told = sum(float(value) for value in RECORDED.findall(text))
+        told_dropped = sum(float(value) for value in DROPPED.findall(text))
+        spans = [
+            GAP.search(gap)
+            for gap in self.findings.gaps
+            if gap.startswith(f"{node.id}:")
+        ]
+        dropped = sum(int(span[2]) - int(span[1]) + 1 for span in spans if span)
+        if told > recorded or told_dropped != dropped:
+            self.findings.miscounted.append(
+                f"{node.id}: {told:g} recorded, {recorded} read; "
+                f"{told_dropped:g} dropped, {dropped} stated"
+            )
+
+    def _weigh(
+        self, findings: list[Finding], objects: S3Objects, live: set[str]
+    ) -> None:
+        """Measure bytes, and the CPU time of recording the same decisions again."""
+        result = self.findings
+        for name in objects.list(PREFIX, "", MAX_NAMES):
+            result.stored_bytes += len(objects.get(name))
+        decided = [item for item in findings if isinstance(item, Decided)]
+        result.requests_recorded = len(
+            {item.record.request_id for item in decided if item.record.request_id}
+        )
+        node = Node("bench", "dc", "region", "127.0.0.1", 1, 2, 3)
+        settings = RecordingSettings(buffer_bytes=1 << 28)
+        recorder = ObjectRecorder(MemoryObjects(), node, ManualTimerService(), settings)
+        decisions = [_as_decision(item.record) for item in decided if item.node in live]
+        before = time.process_time()
+        for decision in decisions:
+            recorder.record(decision)
+        recorder.flush()
+        result.recording_seconds = time.process_time() - before
+
+    def _replay_commands(self, through: LocalNode, by_node: str) -> None:
+        """Run the command by time, by request and by node."""
+        result = self.findings
+        moved = [item for item in self._records if item.moves or item.resumes]
+        record = (moved or self._records)[0]
+        # A UTC time as an operator writes it.
+        since = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(self._started))
+        until = str(time.time())
+        result.by_time = self._replay(through, "--since", since, "--until", until)
+        request_id = record.request_ids[-1]
+        result.by_request = self._replay(through, "--request", request_id)
+        result.by_node = self._replay(through, "--by-node", by_node)
+
+    def _replay(self, through: LocalNode, *options: str) -> CommandResult:
+        command = [sys.executable, "-m", "rattanwick", "replay", "--no-inputs"]
+        command += ["--node", f"http://{through.host}:{through.operator_port}"]
+        environment = {
+            **os.environ,
+            "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+            "RATTANWICK_OPERATOR_KEY": self._deployment.operator_key,
+        }
+        done = subprocess.run(
+            [*command, *options],
+            env=environment,
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            timeout=120,
+        )
+        output = done.stdout + done.stderr
+        found = TOTALS.search(output)
+        counts = [int(value) for value in found.groups()] if found else [-1] * 4
+        return CommandResult(done.returncode, *counts, output)
+
+    def _alter(self, objects: S3Objects, through: LocalNode) -> None:
+        """Change one admission in the store, then also the digests of its batch."""
+        for name in objects.list(PREFIX, "", MAX_NAMES):
+            original = objects.get(name)
+            batch = Batch.unpack(name, original)
+            index = _first_admission(batch)
+            if index is not None:
+                break
+        packed, mark = batch.entries[index]
+        changed = _with_other_choice(packed)
+        batch.entries[index] = (changed, mark)
+        objects.put(name, batch.pack())
+        self.findings.altered = self._replay(through, "--no-rerun")
+        digest = batch.previous
+        for position, (item, _) in enumerate(batch.entries):
+            digest = chain_digest(digest, item)
+            batch.entries[position] = (item, digest)
+        objects.put(name, batch.pack())
+        self.findings.forged = self._replay(through)
+        objects.put(name, original)
+
+
+def processor_seconds(node: LocalNode) -> float:
+    """Return the CPU time that a node's process has used."""
+    text = Path(f"/proc/{node.process.pid}/stat").read_text(encoding="utf-8")
+    values = text.rpartition(")")[2].split()
+    return (int(values[11]) + int(values[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _as_decision(record: Record) -> Decision:
+    return Decision(
+        record.kind, record.inputs, record.choice, record.reason, record.request_id
+    )
+
+
+def _first_admission(batch: Batch) -> int | None:
+    for index, (packed, _) in enumerate(batch.entries):
+        if Record.unpack(packed).kind == "admit":
+            return index
+    return None
+
+
+def _with_other_choice(packed: bytes) -> bytes:
+    record = Record.unpack(packed)
+    values = {name: getattr(record, name) for name in Record.__slots__}
+    return Record(**{**values, "choice": not record.choice}).pack()
+
+
+def faults_of(found: Findings) -> list[str]:
+    """Return what keeps a recording from explaining its incident."""
+    faults = []
+    for name in ("by_time", "by_request", "by_node"):
+        result = getattr(found, name)
+        if result.status or result.decisions < 1 or result.differences:
+            faults.append(f"replay {name}: {result.output[-2000:]}")
+    for name in ("altered", "forged"):
+        result = getattr(found, name)
+        if result.status != 1 or result.changed + result.differences < 1:
+            faults.append(f"the {name} recording passed: {result.output[-500:]}")
+    if found.by_time.gaps < len(found.gaps):
+        faults.append(f"replay by_time stated {found.by_time.gaps} of {found.gaps}")
+    if len(found.unexplained) > found.admissions_dropped:
+        faults.append(f"no admission and no gap explains {found.unexplained}")
+    for name in ("miscounted", "leaked"):
+        if getattr(found, name):
+            faults.append(f"{name}: {getattr(found, name)}")
+    return faults
--- a/src/rattanwick/internal/state/leases.py
+++ b/src/rattanwick/internal/state/leases.py
@@ -142,6 +142,7 @@
             log.info("lease %s was not held any more: %s", lease.name, exc)
             return
         LEASE_EVENTS.labels(lease.name, "released").inc()
+        log.info("released %s", lease.name)
 
     def holds(self, lease: Lease) -> bool:
         """Tell whether the lease is valid now; read the clock at each use."""
