Hand settlements over first, to nodes that stay, until the drain ends

Settlements were handed over once, after leases and grants had each used up 2 s on a table that is down; the node that took one tried the table before it answered, so each took its whole second; a node that leaves was still in its own list of live nodes and could hand settlements to itself; and two nodes of one data centre could hand them to each other.

Change: a task of its own hands over what is pending until the drain ends; the taker writes later; a node that drains refuses; leave() renews the live list.

--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -5,7 +5,7 @@
 from gevent.pywsgi import WSGIServer
 
 from rattanwick.internal.adapters import GrantSpending, ListDirectory, TableClaims
-from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.errors import Refused, StepError
 from rattanwick.internal.base.ids import new_incarnation
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import Settings
@@ -345,7 +345,10 @@
         self.application.take_over(req, transcript)
 
     def _adopt_settlement(self, peer: str, body: dict) -> dict:
-        self.claims.adopt_settlement(body)
+        if self.drain.started:
+            # Both nodes of a reclaimed data centre may choose each other.
+            raise Refused("adopt settlement", self.node.id, "the node is draining")
+        self.claims.adopt_settlement(body, wait=False)
         return {}
 
     def _close_limit(self) -> float | None:
--- a/src/rattanwick/internal/peers/drain.py
+++ b/src/rattanwick/internal/peers/drain.py
@@ -30,6 +30,7 @@
 HAND_OFF_SHARE = 0.25  # of a notice that is shorter than that
 SETTLEMENT_SECONDS = 1.0
 SETTLEMENT_NODES = 3
+SETTLEMENT_PAUSE_SECONDS = 0.2
 
 
 @dataclass(slots=True)
@@ -69,6 +70,7 @@
         self._timers = timers
         self._end: float | None = None  # Unix seconds at which the instance is gone
         self._time_up = False
+        self._drained = False
         self._started = False
 
     @property
@@ -88,11 +90,13 @@
         self._attempt("withdraw", self._steps.withdraw)
         self._members.leave()
         giving_back = gevent.spawn(self._give_back)
+        settling = gevent.spawn(self._hand_over_settlements)
         if self._end is None:
             self._wait_for_requests()
         if self._table.in_flight():
             self._move()
-        giving_back.join(timeout=2 * STEP_SECONDS)
+        self._drained = True
+        gevent.joinall([giving_back, settling], timeout=2 * STEP_SECONDS)
         self._keepers.flush()
         log.info("drained, %d requests left", len(self._table.in_flight()))
 
@@ -100,7 +104,6 @@
         """Release what others may use; an outage of the table delays nothing."""
         self._attempt("release leases", self._steps.release_leases)
         self._attempt("return grants", self._steps.return_grants)
-        self._attempt("hand over settlements", self._hand_over_settlements)
 
     def _attempt(self, name: str, step: Callable[[], None]) -> None:
         try:
@@ -112,9 +115,26 @@
             log.warning("%s: %s", name, exc)
 
     def _hand_over_settlements(self) -> None:
+        """Hand over settlements until the drain ends, those of late calls too.
+
+        It waits for no other step: in an outage of the table, when settlements are
+        pending, the steps that need the table use up their whole time.
+        """
+        handed: list[dict] = []
+        while True:
+            last_round = self._drained
+            self._attempt(
+                "hand over settlements", lambda: self._hand_over_pending(handed)
+            )
+            if last_round:
+                return
+            self._timers.sleep(SETTLEMENT_PAUSE_SECONDS)
+
+    def _hand_over_pending(self, handed: list[dict]) -> None:
+        """Hand over what was not yet; add to ``handed`` what a node took."""
         for body in self._steps.pending_settlements():
-            if not self._send_settlement(body):
-                log.error("a settlement was not handed over")
+            if body not in handed and self._send_settlement(body):
+                handed.append(body)
 
     def _send_settlement(self, body: dict) -> bool:
         for node in self._members.live()[:SETTLEMENT_NODES]:
@@ -123,6 +143,7 @@
                 return True
             except StepError as exc:
                 log.warning("%s", exc)
+        log.error("a settlement was not handed over")
         return False
 
     def _wait_for_requests(self) -> None:
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -123,6 +123,8 @@
             return
         self._state = MemberState.LEAVING
         self._publish(self._self_node, self._incarnation, self._state)
+        # Otherwise this node could hand its work to itself.
+        self._changed()
         self._news.flush()
 
     def live(self, data_centre: str | None = None) -> tuple[Node, ...]:
--- a/src/rattanwick/internal/state/claims.py
+++ b/src/rattanwick/internal/state/claims.py
@@ -115,9 +115,12 @@
         """Return settlements that the table does not have yet, as messages."""
         return self._settlements.pending()
 
-    def adopt_settlement(self, message: dict) -> None:
-        """Take over a settlement of a node that stops; ValueError for a bad one."""
-        self._settlements.add(Settlement.from_message(message))
+    def adopt_settlement(self, message: dict, wait: bool = True) -> None:
+        """Take over a settlement of a node that stops; ValueError for a bad one.
+
+        Without ``wait`` it is written later, so that the sender gets its answer.
+        """
+        self._settlements.add(Settlement.from_message(message), wait)
 
     def _claim(self, call: ServiceCall) -> ClaimResult:
         left = call.deadline - self._timers.wall()
--- a/tests/failure/test_drain.py
+++ b/tests/failure/test_drain.py
@@ -143,6 +143,23 @@
         settled = [body for peer in self.peers.values() for body in peer.settled]
         self.assertEqual(settled, [{"claim": "c1"}])
 
+    def test_late_settlements_reach_a_node_that_stays_while_the_table_hangs(self):
+        # A booking that ends during the drain must not become unknown.
+        self.server.leases_hang = True
+        others = [peer for peer in self.peers.values() if peer is not self.server]
+        for peer in others[:2]:
+            peer.refuses_settlements = True
+        self.server.serve("req-1")
+        task = gevent.spawn(self._reclaim, self.server, 1.5)
+
+        def settled() -> list[str]:
+            return [body["claim"] for peer in others for body in peer.settled]
+
+        self.assertTrue(wait_until(lambda: settled() == ["c1"], 0.8))
+        self.server.pending.append({"claim": "c2"})
+        self.assertTrue(wait_until(lambda: settled() == ["c1", "c2"], 0.6))
+        task.kill()
+
     def test_a_request_that_appears_during_the_drain_is_moved_too(self):
         first = self.server.serve("req-1")
         task = gevent.spawn(self._reclaim, self.server, 2.0)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from rattanwick.internal.base.errors import Refused
 from rattanwick.internal.base.outcomes import Answered
 from rattanwick.internal.base.settings import DrainSettings
 from rattanwick.internal.model.instances import Node
@@ -54,6 +55,8 @@
         self.moved: list[tuple[str, str]] = []
         self.settled: list[dict] = []
         self.leases_hang = False
+        self.refuses_settlements = False
+        self.pending = [{"claim": "c1"}]
         self._running: dict[str, gevent.Greenlet] = {}
         self.parts = build_peers(
             make_settings(node),
@@ -102,7 +105,7 @@
             withdraw=lambda: None,
             release_leases=lambda: gevent.sleep(60) if self.leases_hang else None,
             return_grants=lambda: None,
-            pending_settlements=lambda: [{"claim": "c1"}],
+            pending_settlements=lambda: list(self.pending),
             freeze=self.freeze,
             resume=self.generate,
             hand_off_callers=lambda *moved: self.moved.append(moved),
@@ -145,6 +148,8 @@
         self.parts.keepers.drop(req.id)
 
     def _on_settle(self, node_id: str, body: dict) -> None:
+        if self.refuses_settlements:
+            raise Refused("settle", self.node.id, "draining")
         self.settled.append(body)
 
 
