Send no booking that may not end before a reclaimed node is gone

Change: from a notice on, claims that wait end 2 s before the instance goes, as not run, and no call is sent later; the caller repeats its key elsewhere.

--- a/bench/incidents.py
+++ b/bench/incidents.py
@@ -131,7 +131,8 @@
             if record.outcome == ANSWERED:
                 result.answered += 1
                 if not admitted.intersection(record.request_ids):
-                    result.unexplained.append(str(record.number))
+                    ids = ", ".join(record.request_ids)
+                    result.unexplained.append(f"{record.kind} {record.number}: {ids}")
         recorded = Counter(item.node for item in decided)
         for node in live:
             self._compare_with_metrics(node, recorded[node.id])
--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -316,6 +316,7 @@
         if notice is not None:
             self._notice_timer.cancel()
             log.info("instance is reclaimed at %.1f", notice.not_before)
+            self.claims.leave_at(notice.not_before)
             self.drain.notice(notice.not_before)
             self._stop.set()
 
--- a/src/rattanwick/internal/requests/decisions.py
+++ b/src/rattanwick/internal/requests/decisions.py
@@ -62,6 +62,7 @@
 
     MAY_HAVE_RUN = "may_have_run"
     DEADLINE = "deadline"
+    CLAIM_OVER = "claim_over"
     NO_ENDPOINT = "no_endpoint"
     NOT_SENT = "not_sent"
 
@@ -150,12 +151,15 @@
 def decide_call(inputs: dict) -> tuple[str, str]:
     """Return what follows a failed sending of a service call, and the reason.
 
-    Inputs: ``not_run`` (provably), ``seconds_left``, ``placements_left``.
+    Inputs: ``not_run`` (provably), ``seconds_left``, ``may_dispatch`` (the claim),
+    ``placements_left``.
     """
     if not inputs["not_run"]:
         return CallChoice.UNKNOWN, CallReason.MAY_HAVE_RUN
     if inputs["seconds_left"] <= 0:
         return CallChoice.NOT_RUN, CallReason.DEADLINE
+    if not inputs["may_dispatch"]:
+        return CallChoice.NOT_RUN, CallReason.CLAIM_OVER
     if inputs["placements_left"] <= 0:
         return CallChoice.NOT_RUN, CallReason.NO_ENDPOINT
     return CallChoice.AGAIN, CallReason.NOT_SENT
--- a/src/rattanwick/internal/requests/service_dispatch.py
+++ b/src/rattanwick/internal/requests/service_dispatch.py
@@ -136,7 +136,7 @@
             except StepError as exc:
                 reason = exc.reason
                 self._log_failure(req, exc)
-                choice, why = self._decide(req, exc, placements_left)
+                choice, why = self._decide(claimed, req, exc, placements_left)
             finally:
                 seconds = self._timers.now() - started
                 usage = Usage(total_seconds=seconds, ok=not reason, reason=reason)
@@ -153,7 +153,11 @@
         return NotRun(str(CallReason.NO_ENDPOINT), retry_after=1.0), None
 
     def _decide(
-        self, req: ServingRequest, error: StepError, placements_left: int
+        self,
+        claimed: Claimed,
+        req: ServingRequest,
+        error: StepError,
+        placements_left: int,
     ) -> tuple[str, str]:
         """Return what follows a failed sending, and the reason."""
         inputs = {
@@ -161,6 +165,7 @@
             "error": type(error).__name__,
             "not_run": provably_not_run(error),
             "seconds_left": req.deadline - self._timers.wall(),
+            "may_dispatch": self._claims.may_dispatch(claimed),
             "placements_left": placements_left,
         }
         decided = decide_call(inputs)
--- a/src/rattanwick/internal/state/claims.py
+++ b/src/rattanwick/internal/state/claims.py
@@ -4,6 +4,7 @@
 wrote it may send the call, and no other node ever takes it over.
 """
 
+import math
 from collections.abc import Callable
 
 import gevent
@@ -39,6 +40,7 @@
 log = get_logger("claims")
 
 DAY_SECONDS = 86_400.0
+CALL_SECONDS = 2.0  # kept for a call before this process is gone
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 5.0
@@ -71,6 +73,15 @@
         self._claimant = claimant  # node id and incarnation
         self._clock = clock
         self._settlements = Settlements(table, objects, timers)
+        self._last_dispatch = math.inf  # Unix seconds
+
+    def leave_at(self, end: float) -> None:
+        """Send no call that may not end before this process is gone.
+
+        ``end`` is in Unix seconds. A claim that still waits for the table then ends
+        as not run, and the caller may repeat the key at another node.
+        """
+        self._last_dispatch = min(self._last_dispatch, end - CALL_SECONDS)
 
     def claim(self, call: ServiceCall) -> ClaimResult:
         """Claim a call, or tell what became of it.
@@ -93,9 +104,11 @@
         """Tell whether the call may still be sent; check right before sending.
 
         A task that was paused after its claim learns here that the deadline
-        passed. False means: settle the claim as NotRun.
+        passed, or that this process is about to go. False means: settle the claim
+        as NotRun.
         """
-        on_time = self._timers.wall() < claimed.call.deadline
+        last = min(claimed.call.deadline, self._last_dispatch)
+        on_time = self._timers.wall() < last
         return on_time and self._clock() < claimed.expires
 
     def settle(
@@ -157,7 +170,8 @@
                 return self._try_claim(call, attempt, expires)
             except (Unavailable, MaybeApplied) as exc:
                 log.warning("claim waits for the table: %s", exc)
-            left = min(expires - self._clock(), call.deadline - self._timers.wall())
+            last = min(call.deadline, self._last_dispatch)
+            left = min(expires - self._clock(), last - self._timers.wall())
             if left <= delay:
                 return NotRun("table_unavailable", retry_after=MAX_RETRY_SECONDS)
             self._timers.sleep(delay)
--- a/tests/failure/test_claim_failures.py
+++ b/tests/failure/test_claim_failures.py
@@ -47,6 +47,24 @@
         self.bench.timers.after(5, lambda: setattr(self.bench.table, "down", False))
         self.assertIsInstance(self.first.claim(self.bench.call()), Claimed)
 
+    def test_a_node_that_is_about_to_go_claims_and_sends_nothing_more(self):
+        # Guards against a booking that is claimed in the last moments of a reclaimed
+        # node and stays unknown, although its caller could repeat it elsewhere.
+        early = self.first.claim(self.bench.call(key="early"))
+        self.assertTrue(self.first.may_dispatch(early))
+        self.first.leave_at(self.bench.timers.wall() + 6)
+        self.assertTrue(self.first.may_dispatch(early))
+        self.bench.table.down = True
+        began = self.bench.timers.now()
+        result = self.first.claim(self.bench.call())
+        self.assertIsInstance(result, NotRun)
+        self.assertLess(self.bench.timers.now() - began, 5)
+        self.bench.table.down = False
+        self.bench.timers.advance(1)
+        self.assertFalse(self.first.may_dispatch(early))
+        self.assertIsInstance(self.first.claim(self.bench.call()), NotRun)
+        self.assertIsInstance(self.second.claim(self.bench.call()), Claimed)
+
     def test_an_outage_beyond_the_deadline_is_not_run_and_leaves_nothing(self):
         self.bench.table.down = True
         result = self.first.claim(self.bench.call(seconds=3))
