--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: environment format lint test ci dist demo prove clean
+.PHONY: environment format lint test ci dist demo prove capacity clean
 
 environment: $(STAMP)
 
@@ -41,5 +41,9 @@
 prove: $(STAMP)
 	$(BIN)/python -m spec
 
+# About 12 minutes; starts up to 50 processes on loopback.
+capacity: $(STAMP)
+	PYTHONPATH=src:. $(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,77 @@
+"""Measure what a node costs, as slopes that CAPACITY.md extrapolates.
+
+    python -m bench.capacity [--part rest|work|latency|all] [--seconds N]
+
+Starts real nodes (``rattanwick serve``), the platform fake and the endpoint fake
+as processes on loopback. Raw figures are written to ``bench/results``, with the
+command, the seed and the load average of the machine.
+"""
+
+import argparse
+import json
+import os
+import signal
+import sys
+import time
+
+from bench.capacity_rest import run_rest
+from fakes.deployment import ROOT
+
+RESULTS = ROOT / "bench" / "results"
+PARTS = ("rest", "work", "latency")
+
+
+def log(value) -> None:
+    """Print one line of JSON."""
+    print(json.dumps(value), flush=True)
+
+
+def run_part(name: str, args: argparse.Namespace) -> dict:
+    """Return the figures of one part."""
+    if name == "rest":
+        return run_rest(args.nodes, args.endpoints, args.seconds, log)
+    if name == "work":
+        from bench.capacity_work import run_work
+
+        return run_work(args.seed, log)
+    from bench.capacity_latency import run_latency
+
+    return run_latency(args.rounds, args.seed, log)
+
+
+def store(name: str, result: dict) -> None:
+    """Write a result to the directory of results."""
+    RESULTS.mkdir(exist_ok=True)
+    text = json.dumps(result, indent=1) + "\n"
+    (RESULTS / f"{name}.json").write_text(text, encoding="utf-8")
+
+
+def main() -> int:
+    """Run the parts asked for and store their figures."""
+    parser = argparse.ArgumentParser(prog="bench.capacity", description=__doc__)
+    parser.add_argument("--part", choices=(*PARTS, "all"), default="all")
+    parser.add_argument("--nodes", type=int, nargs="+", default=[6, 12, 24, 48])
+    parser.add_argument("--endpoints", type=int, nargs="+", default=[12, 200, 600])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--name", default="capacity")
+    args = parser.parse_args()
+    # A terminated measurement ends its processes as an interrupted one does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    for part in PARTS if args.part == "all" else (args.part,):
+        result = {
+            "command": "python -m bench.capacity " + " ".join(sys.argv[1:]),
+            "seed": args.seed,
+            "date": time.strftime("%Y-%m-%d"),
+            "cores": os.cpu_count(),
+            "load_average_before": round(os.getloadavg()[0], 2),
+        }
+        result |= run_part(part, args)
+        result["load_average_after"] = round(os.getloadavg()[0], 2)
+        store(f"{args.name}_{part}", result)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -126,6 +126,7 @@
         self.nodes: dict[str, LocalNode] = {}
         self.endpoints: dict[str, dict] = {}
         self.platform_port = 0
+        self.start_seconds = START_SECONDS
         self._fakes: list[subprocess.Popen] = []
         self._environment = {
             **os.environ,
@@ -217,7 +218,7 @@
 
     def wait_ready(self, node_ids: list[str]) -> None:
         """Wait until nodes are ready."""
-        limit = time.monotonic() + START_SECONDS
+        limit = time.monotonic() + self.start_seconds
         waiting = [self.nodes[node_id] for node_id in node_ids]
         while waiting:
             waiting = [node for node in waiting if not node.is_ready()]
