Confirm changes at nodes without a link and wake idle nodes less often

Cause: a node asked for the list version only of peers with a heartbeat link; the others told it with their next probe, up to 15 heartbeats per node later.

--- a/src/rattanwick/internal/base/timers.py
+++ b/src/rattanwick/internal/base/timers.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -88,6 +89,7 @@
 
     def __init__(self):
         super().__init__()
+        self._origin = self.now()
         self._wakeup = Event()
         self._task = gevent.spawn(self._loop)
 
@@ -108,10 +110,21 @@
         self._task.kill()
 
     def _schedule(self, subscription: Subscription, delay: float) -> Subscription:
+        if subscription.period is not None:
+            delay = self._align(subscription.period)
         super()._schedule(subscription, delay)
         self._wakeup.set()
         return subscription
 
+    def _align(self, period: float) -> float:
+        """Return the delay to a multiple of the period since the start.
+
+        Periods of 0.1, 1 and 5 s then share one wake-up of the process, which
+        costs more than most callbacks. The delay is 0.5 to 1.5 periods.
+        """
+        elapsed = self.now() - self._origin
+        return (math.floor(elapsed / period + 0.5) + 1) * period - elapsed
+
     def _loop(self) -> None:
         while True:
             for subscription in self._pop_due(self.now()):
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -1,6 +1,6 @@
 """Members: who is live, from heartbeats of linked peers and news of the others."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import gevent
 from gevent.pool import Pool
@@ -171,12 +171,14 @@
         versions[self._self_node.id] = self._list_version()
         return versions
 
-    def refresh_versions(self, timeout: float) -> None:
-        """Ask live nodes without a heartbeat link for their list version."""
+    def refresh_versions(
+        self, timeout: float, wanted: Collection[str] | None = None
+    ) -> None:
+        """Ask live nodes, or those wanted, without a link for their list version."""
         linked = {*self.links.ids(), self._self_node.id}
         pool = Pool(VERSION_PINGS)
         for node in self.live():
-            if node.id not in linked:
+            if node.id not in linked and (wanted is None or node.id in wanted):
                 pool.spawn(self._ping_for_version, node.id, timeout)
         pool.join(timeout)
         pool.kill(block=False)
--- a/src/rattanwick/internal/peers/packing.py
+++ b/src/rattanwick/internal/peers/packing.py
@@ -8,11 +8,22 @@
 
 MAX_UNPACKED_BYTES = 16 << 20
 FAST = 1  # compression level
+# The default window and hash table take longer to set up than a short message
+# takes to compress.
+SHORT_BYTES = 4096
+SHORT_WINDOW_BITS = 12  # a window of SHORT_BYTES
+SHORT_MEMORY_LEVEL = 5
 
 
 def pack_compressed(value: object) -> bytes:
     """Return compressed msgpack."""
-    return zlib.compress(msgpack.packb(value), FAST)
+    packed = msgpack.packb(value)
+    if len(packed) > SHORT_BYTES:
+        return zlib.compress(packed, FAST)
+    packer = zlib.compressobj(
+        FAST, zlib.DEFLATED, SHORT_WINDOW_BITS, SHORT_MEMORY_LEVEL
+    )
+    return packer.compress(packed) + packer.flush()
 
 
 def unpack_compressed(data: object, field: str) -> dict:
--- a/src/rattanwick/internal/routing/asking.py
+++ b/src/rattanwick/internal/routing/asking.py
@@ -103,6 +103,10 @@
         else:
             self._network.notify(node_id, PLACED, reply.to_message())
 
+    def is_waiting(self) -> bool:
+        """Tell whether an ask waits for its answer."""
+        return bool(self._waiters)
+
     def check_waiters(self) -> None:
         """Wake waiters whose deadline passed or whose owner changed."""
         for waiter in list(self._waiters.values()):
--- a/src/rattanwick/internal/routing/hosting.py
+++ b/src/rattanwick/internal/routing/hosting.py
@@ -23,11 +23,11 @@
     ReleaseNote,
 )
 from rattanwick.internal.routing.owner import CellOwner, OwnerParts
+from rattanwick.internal.routing.sweeping import BusySweep
 
 log = get_logger("routing")
 
 HOLDINGS_TIMEOUT_SECONDS = 0.3
-SWEEP_SECONDS = 0.1
 RECONCILE_SECONDS = 5.0
 
 
@@ -60,7 +60,7 @@
         network.handle(HOLDINGS, self._handle_holdings)
         members.subscribe(self._free_dead_nodes)
         timers = parts.timers
-        timers.subscribe("routing sweep", SWEEP_SECONDS, self._sweep)
+        self._sweeps = BusySweep("routing sweep", timers, self._sweep, self._is_busy)
         timers.subscribe("routing reconcile", RECONCILE_SECONDS, self._reconcile)
 
     def hosts(self, cell: str) -> bool:
@@ -77,7 +77,9 @@
         if owner is None:
             reason = RefuseReason.NO_ENDPOINT
             return PlaceReply(ask.cell, ask.ticket, PlaceState.REFUSED, reason=reason)
-        return owner.place(ask, node_id)
+        reply = owner.place(ask, node_id)
+        self._sweeps.wake()
+        return reply
 
     def release(self, note: ReleaseNote) -> None:
         """Free the slot of a placement."""
@@ -115,6 +117,11 @@
                 owner.state.cell = cell
                 owner.sweep()
 
+    def _is_busy(self) -> bool:
+        return any(
+            len(owner.queue) or owner.state.running for owner in self._owners.values()
+        )
+
     def _owner_of(self, key: str) -> CellOwner | None:
         found = self._owners.get(key)
         if found is not None:
--- a/src/rattanwick/internal/routing/router.py
+++ b/src/rattanwick/internal/routing/router.py
@@ -34,6 +34,7 @@
 from rattanwick.internal.routing.owner import OwnerParts
 from rattanwick.internal.routing.progress import ProgressWatch, StreamProgress
 from rattanwick.internal.routing.ranks import hash_rank
+from rattanwick.internal.routing.sweeping import BusySweep
 from rattanwick.internal.routing.work import (
     features_of,
     features_of_request,
@@ -42,7 +43,6 @@
 
 log = get_logger("routing")
 
-WAITER_SECONDS = 0.1
 CELL_CANDIDATES = 2
 HEDGE_QUANTILE = 0.95
 TRIAL_HEDGE_QUANTILE = 0.5  # a trial on a slow endpoint is hedged early
@@ -104,12 +104,13 @@
         )
         self._directory.subscribe(self._owned.update_cells)
         self._client.attach(self._owned)
-        timers.subscribe("routing waiters", WAITER_SECONDS, self._sweep)
+        self._sweeps = BusySweep("routing waiters", timers, self._sweep, self._is_busy)
 
     def place(
         self, req: ServingRequest, excluded: frozenset[str] = frozenset()
     ) -> Placement:
         """Wait for a placement; raise Refused when the deadline cannot be met."""
+        self._sweeps.wake()
         started = self._timers.now()
         deadline = started + req.deadline - self._timers.wall()
         hedged = self._begin_attempt(req)
@@ -341,6 +342,9 @@
             if held.cell.key == cell
         ]
 
+    def _is_busy(self) -> bool:
+        return bool(self._held) or self._client.is_waiting()
+
     def _sweep(self) -> None:
         self._client.check_waiters()
         self._alone.sweep()
--- a/src/rattanwick/internal/state/lists.py
+++ b/src/rattanwick/internal/state/lists.py
@@ -1,7 +1,7 @@
 """Versions of the lists: adoption, changes, history and confirmation."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from gevent.pool import Pool
 
@@ -44,6 +44,10 @@
 WRITE_ATTEMPTS = 4
 RETRY_SECONDS = 0.5
 CONFIRM_POLL_SECONDS = 0.1
+# Heartbeats bring the version of linked nodes within a second; the others are
+# probed only every 15 heartbeats, too late for the time limit of a change.
+REFRESH_SECONDS = 1.0
+REFRESH_TIMEOUT_SECONDS = 1.0
 MAX_HISTORY = 100
 
 log = get_logger("lists")
@@ -63,6 +67,7 @@
         timers: TimerService,
         settings: ListSettings,
         confirmed_versions: Callable[[], dict[str, int]] = dict,
+        refresh_versions: Callable[[float, Collection[str]], None] | None = None,
     ):
         self._table = table
         self._objects = objects
@@ -73,6 +78,7 @@
         self._timers = timers
         self._settings = settings
         self._confirmed_versions = confirmed_versions
+        self._refresh_versions = refresh_versions  # asks nodes without a heartbeat
         self._current = EMPTY_VERSION
         self._callbacks: list[Callable[[ListsVersion], None]] = []
         self.adopted_at: float | None = None  # monotonic seconds
@@ -300,9 +306,15 @@
 
     def wait_confirmed(self, number: int) -> tuple[str, ...]:
         """Wait for all listed nodes; return those that have not confirmed."""
-        limit = self._timers.now() + self._settings.confirm_seconds
+        started = self._timers.now()
+        limit = started + self._settings.confirm_seconds
+        refresh_at = started + REFRESH_SECONDS
         missing = self.unconfirmed(number)
         while missing and self._timers.now() < limit:
-            self._timers.sleep(CONFIRM_POLL_SECONDS)
+            if self._refresh_versions is not None and self._timers.now() >= refresh_at:
+                self._refresh_versions(REFRESH_TIMEOUT_SECONDS, missing)
+                refresh_at = self._timers.now() + REFRESH_SECONDS
+            else:
+                self._timers.sleep(CONFIRM_POLL_SECONDS)
             missing = self.unconfirmed(number)
         return missing
--- a/tests/unit/test_lists.py
+++ b/tests/unit/test_lists.py
@@ -16,7 +16,11 @@
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.state.identity import Caller, Identity, OperatorKeys
 from rattanwick.internal.state.list_format import parse_lists
-from rattanwick.internal.state.lists import FETCH, ListStore
+from rattanwick.internal.state.lists import (
+    FETCH,
+    REFRESH_TIMEOUT_SECONDS,
+    ListStore,
+)
 
 KEY_HASH = hashlib.sha256(b"key-1").hexdigest()
 PLANS = f"""
@@ -189,6 +193,24 @@
         self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.assertEqual(self.first.wait_confirmed(1), ("node-9",))
 
+    def test_nodes_without_a_heartbeat_link_are_asked_whether_they_confirm(self):
+        # Guards against changes that are reported as unconfirmed because a node
+        # without a link tells its version only with its next probe.
+        heard: dict[str, int] = {"node-1": 1}
+        asked: list[tuple[float, set[str]]] = []
+
+        def refresh(timeout: float, wanted) -> None:
+            asked.append((timeout, set(wanted)))
+            heard.update(dict.fromkeys(wanted, 1))
+
+        self.first._confirmed_versions = lambda: heard
+        self.first._refresh_versions = refresh
+        self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
+        started = self.cluster.timers.now()
+        self.assertEqual(self.first.wait_confirmed(1), ())
+        self.assertLess(self.cluster.timers.now() - started, 2.0)
+        self.assertEqual(asked, [(REFRESH_TIMEOUT_SECONDS, {"node-2"})])
+
     def test_a_new_node_loads_from_peers_while_the_table_is_down(self):
         self.cluster.apply(PLANS, ALLOWANCES, 0, "ana")
         self.cluster.table.down = True
--- a/tests/unit/test_timers.py
+++ b/tests/unit/test_timers.py
@@ -2,7 +2,9 @@
 
 import unittest
 
-from rattanwick.internal.base.timers import ManualTimerService
+import gevent
+
+from rattanwick.internal.base.timers import GeventTimerService, ManualTimerService
 
 
 class ManualTimerTests(unittest.TestCase):
@@ -29,3 +31,19 @@
         self.timers.subscribe("tick", 1.0, fail)
         self.timers.advance(2.5)
         self.assertEqual(len(self.calls), 2)
+
+
+class AlignedTimerTests(unittest.TestCase):
+    def test_periods_that_started_apart_share_a_wake_up(self):
+        # Guards against one wake-up of the process for each subscription.
+        timers = GeventTimerService()
+        self.addCleanup(timers.stop)
+        calls: dict[str, list[float]] = {"first": [], "second": []}
+        timers.subscribe("1", 0.1, lambda: calls["first"].append(timers.now()))
+        gevent.sleep(0.03)
+        timers.subscribe("2", 0.1, lambda: calls["second"].append(timers.now()))
+        gevent.sleep(0.55)
+        pairs = list(zip(calls["first"], calls["second"], strict=False))
+        self.assertGreaterEqual(len(pairs), 3)
+        apart = sorted(abs(first - second) for first, second in pairs)
+        self.assertLess(apart[len(apart) // 2], 0.02)
