Notice a replaced TLS file with the same time of change

Cause: the reload compared times of change only. In a checkout that wrote both test certificates within one clock tick, the test of the reload failed each time; a file renamed over another with a kept time would be missed as well. Change: the inode is compared too.

--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -282,8 +282,10 @@
         self.context.load_cert_chain(*self._files)
         self._loaded = self._times()
 
-    def _times(self) -> tuple[int, ...]:
-        return tuple(os.stat(name).st_mtime_ns for name in self._files)
+    def _times(self) -> tuple[tuple[int, int], ...]:
+        # A file that replaces another can have the same time of change.
+        states = [os.stat(name) for name in self._files]
+        return tuple((state.st_ino, state.st_mtime_ns) for state in states)
 
     def reload(self) -> bool:
         """Load changed files; new connections use them. Tell whether it did."""
