--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: check-dist environment format lint test ci dist demo prove incident clean
+.PHONY: check-dist environment format lint test ci dist demo prove incident capacity clean
 
 environment: $(STAMP)
 
@@ -47,5 +47,9 @@
 incident: $(STAMP)
 	$(BIN)/python -m bench.incident
 
+# About 12 minutes; starts up to 50 processes on loopback.
+capacity: $(STAMP)
+	PYTHONPATH=src:. $(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf $(VENV) build dist
--- a/src/rattanwick/internal/peers/members.py
+++ b/src/rattanwick/internal/peers/members.py
@@ -1,6 +1,6 @@
 """Members: who is live, from heartbeats of linked peers and news of the others."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.log import get_logger
@@ -171,10 +171,16 @@
         versions[self._self_node.id] = self._list_version()
         return versions
 
-    def refresh_versions(self, timeout: float) -> None:
-        """Ask live nodes without a heartbeat link for their list version."""
+    def refresh_versions(
+        self, timeout: float, wanted: Collection[str] | None = None
+    ) -> None:
+        """Ask live nodes, or those wanted, without a link for their list version."""
         linked = {*self.links.ids(), self._self_node.id}
-        unlinked = [node.id for node in self.live() if node.id not in linked]
+        unlinked = [
+            node.id
+            for node in self.live()
+            if node.id not in linked and (wanted is None or node.id in wanted)
+        ]
         self._probes.ping_all(unlinked, timeout)
 
     def ping(self, node_id: str, timeout: float) -> None:
