--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -179,7 +179,11 @@
             config["port"] = ports[config["id"]]
             self.endpoints[config["id"]] = config
 
-    def publish_instances(self, leaving: frozenset[str] = frozenset()) -> None:
+    def publish_instances(
+        self,
+        leaving: frozenset[str] = frozenset(),
+        unlisted: frozenset[str] = frozenset(),
+    ) -> None:
         """Put nodes and endpoints into the instance list."""
         listed = [node.listing() for node in self.nodes.values()]
         for config in self.endpoints.values():
@@ -189,6 +193,7 @@
             listed.append({"service": "endpoints", **entry})
         for entry in listed:
             entry["leaving"] = entry["id"] in leaving
+        listed = [entry for entry in listed if entry["id"] not in unlisted]
         self.platform("PUT", "/_fake/instances", listed)
 
     def platform(self, method: str, path: str, body=None):
@@ -228,13 +233,19 @@
                 raise DeploymentError(f"not ready in time: {names}")
             time.sleep(POLL_SECONDS)
 
-    def apply_lists(self, from_version: int = 0) -> tuple[int, str]:
-        """Apply the deployment's lists with the command line."""
-        first = next(iter(self.nodes.values()))
+    def apply_lists(
+        self,
+        from_version: int = 0,
+        folder: Path | None = None,
+        node_id: str | None = None,
+    ) -> tuple[int, str]:
+        """Apply the lists of a folder, by default the shipped ones, at a node."""
+        source = folder or self.source
+        first = self.nodes[node_id or next(iter(self.nodes))]
         command = [sys.executable, "-m", "rattanwick", "lists", "apply"]
         command += ["--node", f"http://{first.host}:{first.operator_port}"]
-        command += ["--plans", str(self.source / "plans.ini")]
-        command += ["--allowances", str(self.source / "allowances.ini")]
+        command += ["--plans", str(source / "plans.ini")]
+        command += ["--allowances", str(source / "allowances.ini")]
         command += ["--from-version", str(from_version)]
         done = subprocess.run(
             command,
--- /dev/null
+++ b/scenarios/__main__.py
@@ -0,0 +1,95 @@
+"""Run scenarios and print one row for each; exit 1 when one is broken."""
+
+# The standard library must be patched before any module imports ssl or threading.
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import functools  # noqa: E402
+import os  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from gevent.pool import Pool  # noqa: E402
+
+from scenarios.language import Scenario, load_scenario, parse_scenario  # noqa: E402
+from scenarios.random_mix import random_scenario  # noqa: E402
+from scenarios.records import BROKEN, Tally  # noqa: E402
+from scenarios.runner import Report, run_scenario  # noqa: E402
+
+CASES = Path(__file__).with_name("cases")
+COLUMNS = ("faults", "requests", "answered", "resumed", "moved", "restarted")
+COLUMNS += ("refused", "not_run", "failed", "unknown")
+OCTETS = 240  # values of the second octet of a deployment's addresses
+
+
+def read_seeds(text: str) -> range:
+    """Return the seeds of ``FIRST-LAST`` or of one number."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+def choose(args: argparse.Namespace) -> list[Scenario]:
+    """Return the scenarios that the arguments name."""
+    if args.random:
+        return [
+            parse_scenario(f"random-{seed}", random_scenario(seed))
+            for seed in args.seeds
+        ]
+    paths = sorted(CASES.glob("**/*.scn"))
+    chosen = [path for path in paths if not args.names or path.stem in args.names]
+    return [load_scenario(path) for path in chosen]
+
+
+def run_all(
+    scenarios: list[Scenario], parallel: int, logs: Path | None
+) -> Iterator[Report]:
+    """Yield the reports in order; each deployment has its own addresses."""
+    first = os.getpid() % OCTETS
+    octets = [10 + (first + index) % OCTETS for index in range(len(scenarios))]
+    pool = Pool(parallel)
+    run = functools.partial(run_scenario, logs=logs)
+    try:
+        yield from pool.imap(run, scenarios, octets)
+    finally:
+        pool.kill()  # ends the processes of scenarios that still run
+
+
+def print_report(report: Report) -> None:
+    """Print the row of a scenario and what failed in it."""
+    cells = [f"{getattr(report.tally, name):>9}" for name in COLUMNS]
+    verdict = "pass" if report.passed else "FAIL"
+    print(f"{report.name:<24}{verdict}{report.seconds:>7.1f}", *cells, flush=True)
+    for failure in report.failures:
+        print(f"    {failure}", flush=True)
+
+
+def main() -> int:
+    """Run the chosen scenarios and return the exit status."""
+    parser = argparse.ArgumentParser(prog="scenarios", description=__doc__)
+    parser.add_argument("names", nargs="*", help="scenarios; all without a name")
+    parser.add_argument("--parallel", type=int, default=3, choices=range(1, 5))
+    parser.add_argument("--random", action="store_true", help="mix faults by seed")
+    parser.add_argument("--seeds", type=read_seeds, default=read_seeds("1-10"))
+    parser.add_argument("--logs", type=Path, help="folder to keep the nodes' logs in")
+    args = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    scenarios = choose(args)
+    total, failed = Tally(), 0
+    print(f"{'scenario':<24}    {'seconds':>7}", *(f"{name:>9}" for name in COLUMNS))
+    for report in run_all(scenarios, args.parallel, args.logs):
+        print_report(report)
+        total.add(report.tally)
+        failed += not report.passed
+    print(f"{'total':<35}", *(f"{getattr(total, name):>9}" for name in COLUMNS))
+    for name in BROKEN:
+        print(f"{name.replace('_', ' ')}: {getattr(total, name)}")
+    print(f"{len(scenarios) - failed} of {len(scenarios)} scenarios passed")
+    return 0 if scenarios and not failed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scenarios/caller.py
+++ b/scenarios/caller.py
@@ -36,6 +36,7 @@
     prompt: str = ""
     key: str = ""
     max_tokens: int = 0
+    poison: bool = False  # crashes the endpoints that run it
     request_ids: list[str] = field(default_factory=list)  # the last one counts
     not_run_ids: list[str] = field(default_factory=list)
     accepted: bool = False
@@ -46,6 +47,8 @@
     restarts: int = 0
     moves: int = 0
     resumes: int = 0
+    repeats: int = 0  # of a request that got no answer and was not accepted
+    withdrawn: int = 0  # accepted, then told that it did not run
     refusals: int = 0
     sent_at: float = 0.0  # Unix seconds
     ended_at: float = 0.0
@@ -89,12 +92,15 @@
             try:
                 self._send_chat(record, address, body)
             except CUT_OFF:
-                record.resumes += 1
                 if record.accepted:
+                    record.resumes += 1
                     self._resume_until(record, limit)
-                    break
+                else:
+                    record.repeats += 1
             if record.outcome == NOT_RUN:
                 record.refusals += 1
+                record.withdrawn += record.accepted
+                record.accepted = False
                 record.outcome = ""
             if not record.outcome:
                 gevent.sleep(PAUSE_SECONDS)
@@ -114,7 +120,7 @@
                 self._send_booking(record, address, body, pool)
             except CUT_OFF:
                 # The answer was lost; only a repeat of the key can tell.
-                record.resumes += 1
+                record.repeats += 1
                 record.outcome = UNKNOWN
             if record.outcome in (ANSWERED, FAILED):
                 break
--- a/scenarios/language.py
+++ b/scenarios/language.py
@@ -5,6 +5,7 @@
 
 from lark import Lark, Token, Transformer, UnexpectedInput
 
+PATIENCE_SECONDS = 40.0
 GRAMMAR = Path(__file__).with_name("grammar.lark")
 
 
@@ -27,6 +28,8 @@
     settings: dict[str, dict[str, str]]
     engines: dict[str, object]
     services: dict[str, object]
+    allowances: dict[str, dict[str, str]]  # section of the list -> changed keys
+    patience: float  # seconds until a caller gives up
     steps: tuple[Step, ...]
 
 
@@ -49,6 +52,15 @@
         """Return the node's name."""
         return str(children[0])
 
+    def places(self, children):
+        """Return the names of the nodes."""
+        return tuple(str(child) for child in children if child is not None)
+
+    def meanwhile(self, children):
+        """Return the step that runs beside the following ones."""
+        inner = _prepared(children[0])
+        return Step("meanwhile", (inner,), inner.line)
+
     def copies(self, children):
         """Return how often each call is sent."""
         return int(children[0])
@@ -79,6 +91,14 @@
     return int(number) if number.is_integer() else number
 
 
+def _prepared(step: Step) -> Step:
+    """Return a step with the value of a fault as number or switch."""
+    if not step.action.endswith("_fault"):
+        return step
+    *names, value = step.values
+    return Step(step.action, (*names, _literal(value)), step.line)
+
+
 _PARSER = Lark(GRAMMAR.read_text(encoding="utf-8"), parser="earley", lexer="dynamic")
 
 
@@ -93,6 +113,8 @@
     settings: dict[str, dict[str, str]] = {}
     engines: dict[str, object] = {}
     services: dict[str, object] = {}
+    allowances: dict[str, dict[str, str]] = {}
+    patience = PATIENCE_SECONDS
     actions = []
     for step in steps:
         if step.action == "deployment":
@@ -105,13 +127,24 @@
         elif step.action in ("engines", "services"):
             target = engines if step.action == "engines" else services
             target[step.values[0]] = _literal(step.values[1])
-        elif step.action.endswith("_fault"):
-            *names, value = step.values
-            values = (*names, _literal(value))
-            actions.append(Step(step.action, values, step.line))
+        elif step.action == "allowance":
+            plan, pool, key, value = step.values
+            allowances.setdefault(f"allowance {plan} {pool}", {})[key] = value
+        elif step.action == "patience":
+            patience = step.values[0]
         else:
-            actions.append(step)
-    return Scenario(name, deployment, seed, settings, engines, services, tuple(actions))
+            actions.append(_prepared(step))
+    return Scenario(
+        name,
+        deployment,
+        seed,
+        settings,
+        engines,
+        services,
+        allowances,
+        patience,
+        tuple(actions),
+    )
 
 
 def load_scenario(path: Path) -> Scenario:
--- /dev/null
+++ b/scenarios/random_mix.py
@@ -0,0 +1,97 @@
+"""Write a scenario with faults chosen by a seed."""
+
+import random
+
+DATA_CENTRES = {
+    "guayas": ("gye-norte", "gye-sur", "duran"),
+    "bortolini": ("sul-a", "sul-b", "sul-c"),
+}
+POOLS = {
+    "guayas": ("rattan-afila", "agenda-vans"),
+    "bortolini": ("tear-llm", "livro-pedidos"),
+}
+PLATFORM_FAULTS = (
+    ("table_down", "true", "false"),
+    ("table_hang", "true", "false"),
+    ("object_down", "true", "false"),
+    ("list_down", "true", "false"),
+    ("list_lag_seconds", "20", "0"),
+    ("lose_table_answers", "8", "0"),
+    ("table_answer_delay_seconds", "1", "0"),
+)
+MODEL_FAULTS = (
+    ("slow_factor", "5"),
+    ("truncate_times", "4"),
+    ("wrong_id_times", "4"),
+    ("stall_times", "3"),
+    ("lose_answers", "3"),
+    ("busy_times", "5"),
+)
+ROUNDS = 5
+
+
+def random_scenario(seed: int) -> str:
+    """Return the text of a scenario.
+
+    At most one node is lost without notice: with the serving node and the keeper
+    both lost at once, no promise is made.
+    """
+    rng = random.Random(seed)
+    deployment = rng.choice(sorted(DATA_CENTRES))
+    centres = rng.sample(DATA_CENTRES[deployment], 3)
+    lines = [f"deployment {deployment}", f"seed {1000 + seed}"]
+    lines += ["setting drain.notice_seconds = 3", "engines token_seconds = 0.02"]
+    lines += ["start"]
+    lines += _load(rng, centres)
+    ends: list[str] = []
+    node_faults = _node_faults(rng, centres)
+    for index in range(ROUNDS):
+        lines.append(f"wait {rng.uniform(0.4, 2.0):.1f} s")
+        if index < len(node_faults):
+            lines.append(node_faults[index])
+        fault, start, end = rng.choice(PLATFORM_FAULTS)
+        lines.append(f"fault platform {fault} = {start}")
+        ends.append(f"fault platform {fault} = {end}")
+        lines += _endpoint_fault(rng, POOLS[deployment], centres)
+    lines += [f"wait {rng.uniform(1.0, 4.0):.1f} s", *ends]
+    lines += [line.replace("freeze", "thaw") for line in lines if "freeze" in line]
+    lines += ["expect at most 0 not_run", "expect at most 0 failed"]
+    return "\n".join(lines) + "\n"
+
+
+def _load(rng: random.Random, centres: list[str]) -> list[str]:
+    tokens = rng.choice((40, 100, 200))
+    return [
+        f"chats {rng.randint(10, 40)} of {tokens} tokens over 6 s",
+        f"chats 8 of 200 tokens over 2 s at node {centres[0]}-1",
+        f"completions {rng.randint(2, 8)} of {tokens} tokens over 6 s",
+        f"bookings {rng.randint(5, 15)} over 6 s sent 2 times",
+    ]
+
+
+def _node_faults(rng: random.Random, centres: list[str]) -> list[str]:
+    """Return faults of nodes of the first two data centres."""
+    sudden = rng.choice(("kill", "freeze"))
+    announced = rng.choice(
+        (
+            f"reclaim node {centres[1]}-1 in 3 s",
+            f"reclaim data_centre {centres[1]} in 3 s",
+            f"stop node {centres[1]}-2",
+        )
+    )
+    faults = [f"{sudden} node {centres[0]}-1", announced]
+    rng.shuffle(faults)
+    return faults
+
+
+def _endpoint_fault(
+    rng: random.Random, pools: tuple[str, ...], centres: list[str]
+) -> list[str]:
+    endpoint = f"{rng.choice(pools)}-{rng.choice(centres)}-1"
+    name, value = rng.choice(MODEL_FAULTS)
+    lines = [f"fault endpoint {endpoint} {name} = {value}"]
+    if name == "truncate_times":
+        lines.append(f"fault endpoint {endpoint} truncate_after = 10")
+    if name == "stall_times":
+        lines.append(f"fault endpoint {endpoint} stall_seconds = 3")
+    return lines
--- a/scenarios/records.py
+++ b/scenarios/records.py
@@ -6,6 +6,10 @@
 from fakes.endpoint_text import expected_text, render_messages
 from scenarios.caller import ANSWERED, FAILED, LOST, NOT_RUN, UNKNOWN, CallRecord
 
+BROKEN = ("lost", "wrong_text", "doubled_text", "wrongly_not_run")
+BROKEN += ("bookings_run_twice", "answered_not_run")
+BROKEN += ("units_over_limit", "versions_reverted")
+
 
 @dataclass(slots=True)
 class Tally:
@@ -19,14 +23,18 @@
     failed: int = 0
     unknown: int = 0
     resumed: int = 0
+    repeated: int = 0
     restarted: int = 0
     moved: int = 0
     refused: int = 0
     lost: int = 0
     wrong_text: int = 0
+    doubled_text: int = 0
     wrongly_not_run: int = 0
     bookings_run_twice: int = 0
     answered_not_run: int = 0
+    units_over_limit: int = 0
+    versions_reverted: int = 0
 
     def add(self, other: "Tally") -> None:
         """Add the counts of another scenario."""
@@ -36,9 +44,7 @@
 
     def broken(self) -> dict[str, int]:
         """Return the counts of broken promises that are not zero."""
-        names = ("lost", "wrong_text", "wrongly_not_run")
-        names += ("bookings_run_twice", "answered_not_run")
-        return {name: getattr(self, name) for name in names if getattr(self, name)}
+        return {name: getattr(self, name) for name in BROKEN if getattr(self, name)}
 
 
 @dataclass(slots=True)
@@ -83,6 +89,8 @@
         name = outcomes.get(record.outcome, "lost")
         setattr(tally, name, getattr(tally, name) + 1)
         tally.resumed += record.resumes
+        tally.repeated += record.repeats
+        tally.lost += record.withdrawn
         tally.restarted += record.restarts
         tally.moved += record.moves
         tally.refused += record.refusals
@@ -92,12 +100,29 @@
         )
         if record.kind == "booking":
             keys[record.key].append(record)
-        elif record.outcome == ANSWERED and record.text != wanted_text(record):
-            tally.wrong_text += 1
+        else:
+            _judge_chat(tally, record)
+    _judge_bookings(tally, keys, ledgers)
+    return tally
+
+
+def _judge_chat(tally: Tally, record: CallRecord) -> None:
+    """Count an accepted request without an answer, and a text that is not its own."""
+    if record.outcome == FAILED and record.accepted and not record.poison:
+        tally.lost += 1
+    if record.outcome != ANSWERED:
+        return
+    wanted = wanted_text(record)
+    if len(record.text) > len(wanted):
+        tally.doubled_text += 1
+    elif record.text != wanted:
+        tally.wrong_text += 1
+
+
+def _judge_bookings(tally: Tally, keys: dict, ledgers: Ledgers) -> None:
     for key, calls in keys.items():
         tally.bookings += 1
         runs = ledgers.runs_by_key[key]
         tally.bookings_run_twice += runs > 1
         answered = any(call.outcome == ANSWERED for call in calls)
         tally.answered_not_run += answered and runs == 0
-    return tally
--- a/scenarios/runner.py
+++ b/scenarios/runner.py
@@ -1,6 +1,7 @@
 """Run a scenario against real processes and judge it."""
 
 import random
+import shutil
 import signal
 import tempfile
 import time
@@ -9,13 +10,16 @@
 
 import gevent
 
-from fakes.deployment import LocalDeployment, http_json
-from scenarios.caller import ANSWERED, NOT_RUN, UNKNOWN, Caller, CallRecord
+from fakes.deployment import LocalDeployment
+from scenarios.caller import Caller, CallRecord
+from scenarios.expectations import Expectations
 from scenarios.language import Scenario, Step
+from scenarios.limits import read_list, units_over_limit, wait_for_window
 from scenarios.records import Tally, judge, read_ledgers
+from scenarios.versions import VersionWatch
 
-PATIENCE_SECONDS = 40.0
 SETTLE_SECONDS = 0.5
+APPLY_RESULTS = {0: "accepted", 1: "failed", 3: "unconfirmed", 4: "refused"}
 POISON_MARKER = "#crash-this-endpoint"
 MODEL = {"guayas": "rattan-afila", "bortolini": "tear-llm"}
 SERVICE = {"guayas": "agenda-vans", "bortolini": "livro-pedidos"}
@@ -40,7 +44,7 @@
         return not self.failures and not self.tally.broken()
 
 
-class ScenarioRun:
+class ScenarioRun(Expectations):
     """Carry out the steps of one scenario."""
 
     def __init__(self, scenario: Scenario, folder: Path, octet: int | None = None):
@@ -51,7 +55,10 @@
         self._failures: list[str] = []
         self._faults = 0
         self._left_at: dict[str, float] = {}  # endpoint -> Unix seconds of notice
-        self._leaving: set[str] = set()
+        self._unlisted: set[str] = set()
+        self._edits = 0
+        self._apply_output = ""  # of the last apply
+        self._folder = folder
         self._deployment = LocalDeployment(
             scenario.deployment,
             folder,
@@ -67,18 +74,28 @@
         """Return the report of the scenario."""
         started = time.monotonic()
         with self._deployment:
+            watch = VersionWatch(self._deployment)
+            watch.start()
             for step in self._scenario.steps:
-                getattr(self, f"_do_{step.action}")(step)
-            gevent.joinall(self._tasks, timeout=PATIENCE_SECONDS)
+                self._do(step)
+            gevent.joinall(self._tasks, timeout=self._scenario.patience)
             time.sleep(SETTLE_SECONDS)
+            watch.stop()
             ledgers = read_ledgers(self._deployment)
         tally = judge(self._records, ledgers, self._faults)
+        tally.versions_reverted = watch.reverted
+        tally.units_over_limit = units_over_limit(
+            self._lists_folder(), self._deployment.endpoints, ledgers.entries
+        )
         report = Report(self._scenario.name, tally, self._failures)
         for name, count in tally.broken().items():
             report.failures.append(f"{name} is {count}, must be 0")
         report.seconds = time.monotonic() - started
         return report
 
+    def _do(self, step: Step) -> None:
+        getattr(self, f"_do_{step.action}")(step)
+
     def _fail(self, step: Step, message: str) -> None:
         self._failures.append(f"line {step.line}, {step.action}: {message}")
 
@@ -88,7 +105,9 @@
 
     def _caller(self, organisation: str) -> Caller:
         seed = self._random.getrandbits(32)
-        return Caller(self._node_addresses(), organisation, seed, PATIENCE_SECONDS)
+        return Caller(
+            self._node_addresses(), organisation, seed, self._scenario.patience
+        )
 
     def _address(self, node_id: str | None) -> tuple[str, int] | None:
         if node_id is None:
@@ -106,10 +125,16 @@
     # Steps
 
     def _do_start_all(self, step: Step) -> None:
-        status, output = self._deployment.apply_lists()
+        status, output = self._deployment.apply_lists(0, self._lists_folder())
         if status:
             self._fail(step, f"lists were not accepted: {output}")
 
+    def _do_meanwhile(self, step: Step) -> None:
+        self._tasks.append(gevent.spawn(self._do, step.values[0]))
+
+    def _do_window(self, step: Step) -> None:
+        wait_for_window(step.values[0])
+
     def _do_chats(self, step: Step, stream: bool = True) -> None:
         count, tokens, seconds, node_id = step.values
         for delay in self._spread(count, seconds):
@@ -137,17 +162,17 @@
         return record
 
     def _do_bookings(self, step: Step) -> None:
-        count, seconds, node_id, copies = step.values
+        count, seconds, node_ids, copies = step.values
         pool = SERVICE[self._scenario.deployment]
         for delay in self._spread(count, seconds):
             key = f"key-{self._scenario.seed}-{len(self._records)}"
             organisation = self._organisation(len(self._records))
             number = len(self._records)
-            for _ in range(copies or 1):
+            for copy in range(copies or 1):
                 record = CallRecord(number, "booking", organisation, key=key)
                 self._records.append(record)
                 caller = self._caller(organisation)
-                first = self._address(node_id)
+                first = self._address(_nth(node_ids, copy))
                 self._tasks.append(
                     gevent.spawn_later(delay, caller.book, record, first, pool)
                 )
@@ -161,6 +186,7 @@
         self._faults += 1
         for attempt in range(times):
             record = self._new_chat(20, f" {POISON_MARKER}")
+            record.poison = True
             record.prompt = f"{self._scenario.seed}: crash #tokens=20 {POISON_MARKER}"
             record.organisation = self._organisation(0)
             caller = self._caller(record.organisation)
@@ -190,7 +216,10 @@
     def _do_start_node(self, step: Step) -> None:
         node = self._deployment.nodes[step.values[0]]
         if node.process.poll() is None:
-            node.process.wait(PATIENCE_SECONDS)
+            node.process.wait(self._scenario.patience)
+        if node.id in self._unlisted:
+            self._unlisted.discard(node.id)
+            self._deployment.publish_instances(unlisted=frozenset(self._unlisted))
         self._deployment.start_node(node.id)
 
     def _do_reclaim_node(self, step: Step) -> None:
@@ -247,90 +276,68 @@
         self._faults += 1
         self._deployment.platform("PUT", "/_fake/faults", {name: value})
 
+    def _lists_folder(self) -> Path:
+        """Write the lists with the next edit and return their folder."""
+        target = self._folder / f"lists-{self._edits}"
+        target.mkdir(exist_ok=True)
+        source = self._deployment.source
+        plans = (source / "plans.ini").read_text(encoding="utf-8")
+        text = f"# edit {self._edits}\n{plans}"
+        (target / "plans.ini").write_text(text, encoding="utf-8")
+        allowances = read_list(source / "allowances.ini")
+        for section, changes in self._scenario.allowances.items():
+            allowances[section].update(changes)
+        with open(target / "allowances.ini", "w", encoding="utf-8") as file:
+            allowances.write(file)
+        return target
+
+    def _apply(self, from_version: int, node_id: str | None) -> str:
+        """Edit the lists at a node and return the result."""
+        self._edits += 1
+        status, self._apply_output = self._deployment.apply_lists(
+            from_version, self._lists_folder(), node_id
+        )
+        return APPLY_RESULTS.get(status, f"exit {status}")
+
     def _do_apply_lists(self, step: Step) -> None:
-        version, wanted = step.values
-        results = {0: "accepted", 3: "unconfirmed", 4: "refused"}
-        status, output = self._deployment.apply_lists(version)
-        given = results.get(status, f"exit {status}")
+        version, node_id, wanted = step.values
+        given = self._apply(version, node_id)
         if given != wanted:
-            self._fail(step, f"gave {given} instead of {wanted}: {output}")
-
-    def _do_expect_answered(self, step: Step) -> None:
-        gevent.joinall(self._tasks, timeout=step.values[0])
-        for record in self._records:
-            if record.outcome != ANSWERED:
-                told = record.outcome or "nothing yet"
-                self._fail(step, f"request {record.number}: {told} {record.reason}")
-
-    def _expect_at_most(self, step: Step, outcome: str) -> None:
-        gevent.joinall(self._tasks, timeout=PATIENCE_SECONDS)
-        count = sum(1 for record in self._records if record.outcome == outcome)
-        if count > step.values[0]:
-            self._fail(step, f"{count} requests are {outcome}")
-
-    def _do_expect_unknown(self, step: Step) -> None:
-        self._expect_at_most(step, UNKNOWN)
-
-    def _do_expect_not_run(self, step: Step) -> None:
-        self._expect_at_most(step, NOT_RUN)
-
-    def _do_expect_failed(self, step: Step) -> None:
-        self._expect_at_most(step, "failed")
-
-    def _do_expect_crashes(self, step: Step) -> None:
-        gevent.joinall(self._tasks, timeout=PATIENCE_SECONDS)
-        entries = read_ledgers(self._deployment).entries
-        crashed = sum(
-            1
-            for endpoint_entries in entries.values()
-            for entry in endpoint_entries
-            if entry["outcome"] == "crashed"
-        )
-        if crashed > step.values[0]:
-            self._fail(step, f"{crashed} crashes of endpoints")
-
-    def _do_expect_end(self, step: Step) -> None:
-        node_id, seconds = step.values
-        process = self._deployment.nodes[node_id].process
-        limit = time.monotonic() + seconds
-        while process.poll() is None and time.monotonic() < limit:
-            time.sleep(0.05)
-        if process.poll() is None:
-            self._fail(step, f"{node_id} still runs")
-        elif process.returncode != 0:
-            self._fail(step, f"{node_id} ended with {process.returncode}")
-
-    def _do_expect_idle(self, step: Step) -> None:
-        endpoint_id, seconds = step.values
-        since = self._left_at[endpoint_id] + seconds
-        entries = read_ledgers(self._deployment).entries[endpoint_id]
-        late = [entry for entry in entries if entry["started"] > since]
-        if late:
-            self._fail(step, f"{len(late)} calls arrived after {seconds} s")
-
-    def _do_expect_version(self, step: Step) -> None:
-        version, seconds = step.values
-        limit = time.monotonic() + seconds
-        behind = list(self._deployment.nodes.values())
-        while behind and time.monotonic() < limit:
-            behind = [node for node in behind if self._version_of(node) != version]
-            time.sleep(0.1)
-        for node in behind:
-            self._fail(step, f"{node.id} has version {self._version_of(node)}")
-
-    def _version_of(self, node) -> int:
-        headers = {"Authorization": f"Bearer {self._deployment.operator_key}"}
-        path = "/v1/operator/lists"
+            self._fail(step, f"gave {given}, not {wanted}: {self._apply_output}")
+
+    def _do_apply_twice(self, step: Step) -> None:
+        """Edit the same version at two nodes at the same moment."""
+        node_ids = list(self._deployment.nodes)
+        tasks = [
+            gevent.spawn(self._apply, step.values[0], node_id)
+            for node_id in (node_ids[0], node_ids[-1])
+        ]
+        gevent.joinall(tasks)
+        given = sorted(task.value for task in tasks)
+        if given != ["accepted", "refused"]:
+            self._fail(step, f"gave {' and '.join(given)}")
+
+    def _do_unlist(self, step: Step) -> None:
+        self._unlisted.add(step.values[0])
+        self._deployment.publish_instances(unlisted=frozenset(self._unlisted))
+
+
+def _nth(node_ids: tuple[str, ...] | None, index: int) -> str | None:
+    return node_ids[index % len(node_ids)] if node_ids else None
+
+
+def run_scenario(
+    scenario: Scenario, octet: int | None = None, logs: Path | None = None
+) -> Report:
+    """Run a scenario in a folder of its own; an error is a failure of it."""
+    with tempfile.TemporaryDirectory(prefix="rattanwick-scenario-") as name:
+        folder = Path(name)
         try:
-            _, reply = http_json(
-                "GET", node.host, node.operator_port, path, headers=headers
-            )
-        except OSError:
-            return -1
-        return reply.get("version", -1) if isinstance(reply, dict) else -1
-
-
-def run_scenario(scenario: Scenario, octet: int | None = None) -> Report:
-    """Run a scenario in a folder of its own."""
-    with tempfile.TemporaryDirectory(prefix="rattanwick-scenario-") as folder:
-        return ScenarioRun(scenario, Path(folder), octet).run()
+            return ScenarioRun(scenario, folder, octet).run()
+        except Exception as exc:
+            message = f"{type(exc).__name__}: {exc}"
+            return Report(scenario.name, Tally(), [message])
+        finally:
+            if logs is not None:
+                target = logs / scenario.name
+                shutil.copytree(folder, target, dirs_exist_ok=True)
