Charge restarted and handed-over requests, refund those not run

A request that the keeper runs again from the start was not charged, and a node that hands a request over refunded the rest, which the new holder runs without a charge. A request that was restarted, or handed over before its first text, could be told not_run although its first run may have reached an endpoint (found by reading). Ruled out: the hand-over of the grant itself; the allowance rows were right. Change: charges.py holds the charge of a run; a restart waits for its charge until the deadline; nothing is refunded at a hand-over; settle passes ran; contains() accepts an empty lineage; an earlier run counts as sent. Scenario callers honour Retry-After, each deployment claims a free octet.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 prove: $(STAMP)
 	$(BIN)/python -m spec
+	PYTHONPATH=src:. $(BIN)/python -m scenarios
 
 clean:
 	rm -rf $(VENV) build dist
--- a/fakes/collaborators.py
+++ b/fakes/collaborators.py
@@ -161,6 +161,7 @@
         self.reserved = 0
         self.used = 0
         self.open = 0
+        self.unrun = 0  # requests refunded because they did not run
         self.exhausted = False
 
     def reserve(self, plan, pool, tokens):
@@ -171,8 +172,9 @@
         self.reserved += tokens
         return Reservation(plan, pool, 0, tokens)
 
-    def settle(self, reservation, used_tokens):
+    def settle(self, reservation, used_tokens, ran=True):
         """Count the used tokens."""
+        self.unrun += not ran
         self.open -= 1
         self.used += used_tokens
 
--- a/scenarios/__main__.py
+++ b/scenarios/__main__.py
@@ -7,7 +7,6 @@
 
 import argparse  # noqa: E402
 import functools  # noqa: E402
-import os  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
 from collections.abc import Iterator  # noqa: E402
@@ -19,11 +18,10 @@
 from scenarios.random_mix import random_scenario  # noqa: E402
 from scenarios.records import BROKEN, Tally  # noqa: E402
 from scenarios.runner import Report, run_scenario  # noqa: E402
+from scenarios.suite import LONG_CASES, PARALLEL, SHORT_CASES  # noqa: E402
 
-CASES = Path(__file__).with_name("cases")
 COLUMNS = ("faults", "requests", "answered", "resumed", "moved", "restarted")
 COLUMNS += ("refused", "not_run", "failed", "unknown")
-OCTETS = 240  # values of the second octet of a deployment's addresses
 
 
 def read_seeds(text: str) -> range:
@@ -39,21 +37,22 @@
             parse_scenario(f"random-{seed}", random_scenario(seed))
             for seed in args.seeds
         ]
-    paths = sorted(CASES.glob("**/*.scn"))
-    chosen = [path for path in paths if not args.names or path.stem in args.names]
-    return [load_scenario(path) for path in chosen]
+    # The long ones start first, so that the short ones fill the gaps.
+    cases = LONG_CASES | SHORT_CASES
+    unknown = [name for name in args.names if name not in cases]
+    if unknown:
+        raise SystemExit(f"no such scenario: {', '.join(unknown)}")
+    return [load_scenario(cases[name]) for name in args.names or cases]
 
 
 def run_all(
     scenarios: list[Scenario], parallel: int, logs: Path | None
 ) -> Iterator[Report]:
-    """Yield the reports in order; each deployment has its own addresses."""
-    first = os.getpid() % OCTETS
-    octets = [10 + (first + index) % OCTETS for index in range(len(scenarios))]
+    """Yield the reports in order."""
     pool = Pool(parallel)
     run = functools.partial(run_scenario, logs=logs)
     try:
-        yield from pool.imap(run, scenarios, octets)
+        yield from pool.imap(run, scenarios)
     finally:
         pool.kill()  # ends the processes of scenarios that still run
 
@@ -71,7 +70,7 @@
     """Run the chosen scenarios and return the exit status."""
     parser = argparse.ArgumentParser(prog="scenarios", description=__doc__)
     parser.add_argument("names", nargs="*", help="scenarios; all without a name")
-    parser.add_argument("--parallel", type=int, default=3, choices=range(1, 5))
+    parser.add_argument("--parallel", type=int, default=PARALLEL)
     parser.add_argument("--random", action="store_true", help="mix faults by seed")
     parser.add_argument("--seeds", type=read_seeds, default=read_seeds("1-10"))
     parser.add_argument("--logs", type=Path, help="folder to keep the nodes' logs in")
--- a/scenarios/caller.py
+++ b/scenarios/caller.py
@@ -49,6 +49,7 @@
     resumes: int = 0
     repeats: int = 0  # of a request that got no answer and was not accepted
     withdrawn: int = 0  # accepted, then told that it did not run
+    retry_after: float = 0.0  # seconds, as the last answer asked
     refusals: int = 0
     sent_at: float = 0.0  # Unix seconds
     ended_at: float = 0.0
@@ -103,7 +104,7 @@
                 record.accepted = False
                 record.outcome = ""
             if not record.outcome:
-                gevent.sleep(PAUSE_SECONDS)
+                self._pause(record, limit)
                 address = self._random.choice(self._nodes)
         if not record.outcome:
             record.outcome = LOST if record.accepted else NOT_RUN
@@ -128,10 +129,16 @@
                 break
             if record.outcome == NOT_RUN:
                 record.refusals += 1
-            gevent.sleep(PAUSE_SECONDS)
+            self._pause(record, limit)
             address = self._random.choice(self._nodes)
         record.ended_at = time.time()
 
+    def _pause(self, record: CallRecord, limit: float) -> None:
+        """Wait as long as the last answer asked for, and not beyond the limit."""
+        seconds = max(PAUSE_SECONDS, record.retry_after)
+        record.retry_after = 0.0
+        gevent.sleep(min(seconds, max(limit - time.monotonic(), 0.0)))
+
     def _send_booking(self, record, address, body: str, pool: str) -> None:
         client = _connect(address)
         try:
@@ -161,6 +168,7 @@
             client.close()
 
     def _note_id(self, record: CallRecord, response) -> None:
+        record.retry_after = float(response.get("retry-after") or 0)
         request_id = response.get("rattanwick-request-id") or ""
         if request_id and request_id not in record.request_ids:
             record.request_ids.append(request_id)
--- a/scenarios/records.py
+++ b/scenarios/records.py
@@ -108,7 +108,7 @@
 
 def _judge_chat(tally: Tally, record: CallRecord) -> None:
     """Count an accepted request without an answer, and a text that is not its own."""
-    if record.outcome == FAILED and record.accepted and not record.poison:
+    if record.outcome in (FAILED, UNKNOWN) and record.accepted and not record.poison:
         tally.lost += 1
     if record.outcome != ANSWERED:
         return
--- a/scenarios/runner.py
+++ b/scenarios/runner.py
@@ -11,6 +11,7 @@
 import gevent
 
 from fakes.deployment import LocalDeployment
+from scenarios.addresses import claimed_octet
 from scenarios.caller import Caller, CallRecord
 from scenarios.expectations import Expectations
 from scenarios.language import Scenario, Step
@@ -47,7 +48,7 @@
 class ScenarioRun(Expectations):
     """Carry out the steps of one scenario."""
 
-    def __init__(self, scenario: Scenario, folder: Path, octet: int | None = None):
+    def __init__(self, scenario: Scenario, folder: Path, octet: int):
         self._scenario = scenario
         self._random = random.Random(scenario.seed)
         self._records: list[CallRecord] = []
@@ -326,14 +327,13 @@
     return node_ids[index % len(node_ids)] if node_ids else None
 
 
-def run_scenario(
-    scenario: Scenario, octet: int | None = None, logs: Path | None = None
-) -> Report:
+def run_scenario(scenario: Scenario, logs: Path | None = None) -> Report:
     """Run a scenario in a folder of its own; an error is a failure of it."""
     with tempfile.TemporaryDirectory(prefix="rattanwick-scenario-") as name:
         folder = Path(name)
         try:
-            return ScenarioRun(scenario, folder, octet).run()
+            with claimed_octet() as octet:
+                return ScenarioRun(scenario, folder, octet).run()
         except Exception as exc:
             message = f"{type(exc).__name__}: {exc}"
             return Report(scenario.name, Tally(), [message])
--- a/src/rattanwick/internal/adapters.py
+++ b/src/rattanwick/internal/adapters.py
@@ -48,9 +48,11 @@
         """Charge one request with its upper bound of tokens, or refuse it."""
         return self._grants.reserve(plan, pool, tokens)
 
-    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+    def settle(
+        self, reservation: Reservation, used_tokens: int, ran: bool = True
+    ) -> None:
         """Refund what was not used to the same window."""
-        self._grants.settle(reservation, used_tokens)
+        self._grants.settle(reservation, used_tokens, ran)
 
 
 class TableClaims(requests.Claims):
--- a/src/rattanwick/internal/model/transcripts.py
+++ b/src/rattanwick/internal/model/transcripts.py
@@ -61,6 +61,8 @@
 
     def contains(self, generation: str, offset: int) -> bool:
         """Tell whether this text has what a generation gave before an offset."""
+        if not self.lineage:
+            return False  # a run that has not begun
         ends = [start for _, start in self.lineage[1:]] + [self.length]
         for (known, _), end in zip(self.lineage, ends, strict=True):
             if known == generation:
--- a/src/rattanwick/internal/requests/app.py
+++ b/src/rattanwick/internal/requests/app.py
@@ -12,6 +12,7 @@
     answer_caller_error,
     error_body,
 )
+from rattanwick.internal.requests.charges import RestartCharge
 from rattanwick.internal.requests.chat import ModelResource
 from rattanwick.internal.requests.connections import EndpointConnections
 from rattanwick.internal.requests.crashes import CrashRegister
@@ -37,7 +38,7 @@
     def __init__(self, services: RequestServices):
         super().__init__()
         timers = services.timers
-        self._keepers = services.keepers
+        self._services = services
         endpoints = EndpointIndex(services.instances, services.news)
         self.connections = EndpointConnections()
         self.live = LiveRequests(services.table, timers)
@@ -86,8 +87,8 @@
     def take_over(self, req: ServingRequest, transcript: Transcript) -> Run:
         """Run a request of another node from its text so far, in its own task.
 
-        The node that accepted it has charged its allowance. A request that is
-        already here is not run a second time.
+        The node that accepted it has charged its allowance, but for a run from the
+        start. A request that is already here is not run a second time.
         """
         run = self.live.get(req.id)
         if run is not None:
@@ -95,14 +96,19 @@
         record = RequestRecord(req, transcript)
         control = RunControl()
         steps = self.dispatcher.steps(req, transcript, control)
-        run = self.live.start(record, steps, control, self._end_taken_over)
+        charge = RestartCharge(self._services.grants, self._services.timers)
+        if transcript.restarted and transcript.length == 0:
+            steps = charge.steps(req, transcript, control, steps)
+
+        def end(run: Run) -> None:
+            charge.settle(req, transcript)
+            if transcript.outcome is not None:
+                self._services.keepers.drop(req.id)
+
+        run = self.live.start(record, steps, control, end)
         gevent.spawn(run.finish)
         return run
 
-    def _end_taken_over(self, run: Run) -> None:
-        if run.record.transcript.outcome is not None:
-            self._keepers.drop(run.record.req.id)
-
     def _clean(self) -> None:
         self.live.drop_expired()
         self.connections.close_idle(self.endpoints.by_id)
--- a/src/rattanwick/internal/requests/chat.py
+++ b/src/rattanwick/internal/requests/chat.py
@@ -16,6 +16,7 @@
     RESTARTED_HEADER,
     outcome_error,
 )
+from rattanwick.internal.requests.charges import settle_charge, upper_bound
 from rattanwick.internal.requests.close_watch import CloseWatch
 from rattanwick.internal.requests.copies import ACCEPT_SECONDS, RequestCopy
 from rattanwick.internal.requests.crashes import fingerprint
@@ -117,10 +118,9 @@
         )
 
     def _reserve(self, serving: ServingRequest) -> Reservation:
-        tokens = serving.prompt_tokens + serving.max_output_tokens
         with self._spans.step(serving, "reserve"):
             grants = self._services.grants
-            reserved = grants.reserve(serving.plan, serving.pool, tokens)
+            reserved = grants.reserve(serving.plan, serving.pool, upper_bound(serving))
         if isinstance(reserved, NotRun):
             REQUESTS.labels(self._kind, NotRun.tag).inc()
             raise outcome_error(reserved)
@@ -141,10 +141,9 @@
         def end(run: Run) -> None:
             transcript = record.transcript
             outcome = transcript.outcome
-            unrun = isinstance(outcome, NotRun)
-            used = 0 if unrun else serving.prompt_tokens + transcript.tokens
             with self._spans.step(serving, "settle"):
-                self._services.grants.settle(reservation, used)
+                grants = self._services.grants
+                settle_charge(grants, reservation, serving, transcript)
             span.close()
             if outcome is None:
                 return  # handed over: the keeper's copy is still needed
--- a/src/rattanwick/internal/requests/dispatch.py
+++ b/src/rattanwick/internal/requests/dispatch.py
@@ -43,10 +43,11 @@
 class _Progress:
     """Hold what the attempts of one request have come to."""
 
-    __slots__ = ("excluded", "hedge_asked", "sent", "tokens_before")
+    __slots__ = ("began_before", "excluded", "hedge_asked", "sent", "tokens_before")
 
     def __init__(self):
         self.excluded: set[str] = set()
+        self.began_before = False  # in an earlier run
         self.sent = False  # an endpoint may have run it
         self.hedge_asked = False
         self.tokens_before = 0  # of the transcript, before this attempt
@@ -80,7 +81,10 @@
     ) -> Iterator[None]:
         """Run a request step by step; a step ends with new text or after a tick."""
         progress = _Progress()
-        progress.sent = transcript.length > 0
+        # An earlier run, here or at a node that is gone, may have reached an endpoint.
+        progress.sent = transcript.restarted or bool(transcript.lineage)
+        progress.sent = progress.sent or transcript.length > 0
+        progress.began_before = progress.sent
         transcript.begin_generation(new_generation())
         for _ in range(MAX_ATTEMPTS):
             if self._crashes.refuses(req.fingerprint):
@@ -248,7 +252,7 @@
         """Tell whether another attempt follows; set the outcome if none does."""
         if isinstance(error, EngineRefused):
             reason = f"refused_by_endpoint: {error.reason}"
-            started = transcript.length > 0
+            started = transcript.length > 0 or progress.began_before
             transcript.finish(Failed(reason) if started else NotRun(reason))
             return False
         if req.deadline <= self._timers.wall():
--- a/src/rattanwick/internal/requests/interfaces.py
+++ b/src/rattanwick/internal/requests/interfaces.py
@@ -57,8 +57,13 @@
         """Charge one request with its upper bound of tokens, or refuse it."""
 
     @abstractmethod
-    def settle(self, reservation: Reservation, used_tokens: int) -> None:
-        """Refund what was not used to the same window."""
+    def settle(
+        self, reservation: Reservation, used_tokens: int, ran: bool = True
+    ) -> None:
+        """Refund what was not used to the same window.
+
+        A request that did not run (``ran`` is False) does not count at all.
+        """
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rattanwick/internal/requests/service_calls.py
+++ b/src/rattanwick/internal/requests/service_calls.py
@@ -136,7 +136,8 @@
             yield
 
         def end(run: Run) -> None:
-            self._services.grants.settle(reservation, 0)
+            ran = not isinstance(record.transcript.outcome, NotRun)
+            self._services.grants.settle(reservation, 0, ran)
 
         run = self._live.start(record, steps(), RunControl(), end)
         run.finish()
--- a/tests/failure/test_callers_and_drain.py
+++ b/tests/failure/test_callers_and_drain.py
@@ -8,7 +8,7 @@
 
 from fakes.collaborators import MemoryPeers, node, request_services
 from fakes.endpoint_text import chat_text_of as chat_text
-from rattanwick.internal.base.outcomes import Answered
+from rattanwick.internal.base.outcomes import Answered, Failed
 from rattanwick.internal.model.requests import RequestKind, ServingRequest
 from rattanwick.internal.model.transcripts import RequestRecord, Transcript
 from rattanwick.internal.peers.fetch import RequestFetcher
@@ -135,6 +135,72 @@
         self.assertEqual(text + text_of(answer.body), chat_text(prompt))
         self.assertEqual(self.ledger("e1")[0].output_tokens, 13)
 
+    def restarted_request(self, seconds: float) -> ServingRequest:
+        """Return a request of a lost node with a deadline."""
+        now = self.timers.wall()
+        return ServingRequest(
+            "req_lost", RequestKind.CHAT, "org-a", "gold", "rattan",
+            chat_body("lost #tokens=6"), True, now + seconds, now, 5, 100,
+        )  # fmt: skip
+
+    def test_a_restarted_request_waits_for_its_charge(self):
+        # Without a charge of its own, the second run exceeds the allowance.
+        self.services.grants.exhausted = True
+        transcript = Transcript()
+        transcript.restarted = True
+        run = self.app.take_over(self.restarted_request(10), transcript)
+        gevent.sleep(0.1)
+        self.assertEqual(self.ledger("e1", "e2", "e3"), [])
+        self.services.grants.exhausted = False
+        self.until(lambda: run.ended)
+        self.assertEqual(transcript.text(), chat_text("lost #tokens=6"))
+        grants = self.services.grants
+        self.assertEqual((grants.reserved, grants.open), (105, 0))
+        self.assertLess(grants.used, 105)
+
+    def test_a_caller_that_resumes_before_the_restart_waits_for_its_text(self):
+        # Looking up the caller's generation failed while there was none yet.
+        self.services.grants.exhausted = True
+        transcript = Transcript()
+        transcript.restarted = True
+        self.app.take_over(self.restarted_request(10), transcript)
+        path = "/v1/requests/req_lost?offset=4&generation=0a1b2c3d"
+        task = gevent.spawn(self.call, "GET", path)
+        gevent.sleep(0.1)
+        self.services.grants.exhausted = False
+        answer = task.get(timeout=3)
+        self.assertEqual(text_of(answer.body), chat_text("lost #tokens=6"))
+
+    def test_a_restarted_request_is_never_reported_as_not_run(self):
+        # The node that was lost may have sent it to an endpoint.
+        for name in ("e1", "e2", "e3"):
+            self.fault(name, down=True)
+        gevent.sleep(0.05)
+        transcript = Transcript()
+        transcript.restarted = True
+        run = self.app.take_over(self.restarted_request(2), transcript)
+        self.until(lambda: run.ended, 4)
+        self.assertIsInstance(transcript.outcome, Failed)
+
+    def test_a_request_handed_over_before_its_text_is_never_reported_as_not_run(self):
+        for name in ("e1", "e2", "e3"):
+            self.fault(name, down=True)
+        gevent.sleep(0.05)
+        transcript = Transcript()
+        transcript.begin_generation("gen_first")
+        run = self.app.take_over(self.restarted_request(2), transcript)
+        self.until(lambda: run.ended, 4)
+        self.assertIsInstance(transcript.outcome, Failed)
+
+    def test_a_restarted_request_without_a_charge_fails_at_its_deadline(self):
+        self.services.grants.exhausted = True
+        transcript = Transcript()
+        transcript.restarted = True
+        run = self.app.take_over(self.restarted_request(0.3), transcript)
+        self.until(lambda: run.ended)
+        self.assertEqual(transcript.outcome, Failed("allowance_exhausted"))
+        self.assertEqual(self.ledger("e1", "e2", "e3"), [])
+
     def test_a_restarted_answer_is_sent_whole_and_marked(self):
         # A sampled answer may differ, so the text before the offset is void.
         prompt = "restarted #tokens=6"
@@ -194,6 +260,9 @@
         self.assertEqual(last["data"]["offset"], len(handed))
         self.assertEqual(text_of(answer.body), handed)
         self.assertTrue(chat_text(prompt).startswith(handed))
+        # The new holder runs the rest without a charge, so nothing is refunded.
+        grants = self.services.grants
+        self.assertEqual((grants.used, grants.open), (grants.reserved, 0))
         later = self.call("GET", f"/v1/requests/{request_id}?offset=3")
         location = f"{OTHER}/v1/requests/{request_id}?offset=3"
         self.assertEqual((later.status, later.headers["location"]), (303, location))
--- a/tests/failure/test_model_requests.py
+++ b/tests/failure/test_model_requests.py
@@ -253,6 +253,8 @@
         self.assertEqual((answer.status, answer.outcome), (503, "not_run"))
         self.assertEqual(self.services.grants.used, 0)
         self.assertEqual(self.services.grants.open, 0)
+        # An outage of the endpoints must not use up the requests of a minute.
+        self.assertEqual(self.services.grants.unrun, 1)
 
     def test_a_lost_answer_without_retry_budget_is_failed(self):
         self.services.router.retries = 0
--- a/tests/failure/test_service_calls.py
+++ b/tests/failure/test_service_calls.py
@@ -65,6 +65,7 @@
         gevent.sleep(0.05)
         refused = self.book()
         self.assertEqual((refused.status, refused.outcome), (503, "not_run"))
+        self.assertEqual(self.services.grants.unrun, 1)
         self.fault("s1", down=False)
         self.assertEqual(self.book().outcome, "answered")
         self.assertEqual(len(self.runs()), 1)
