--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 prove: $(STAMP)
 	$(BIN)/python -m spec
+	PYTHONPATH=src:. $(BIN)/python -m scenarios
 
 incident: $(STAMP)
 	$(BIN)/python -m bench.incident
--- a/scenarios/caller.py
+++ b/scenarios/caller.py
@@ -36,6 +36,7 @@
     prompt: str = ""
     key: str = ""
     max_tokens: int = 0
+    poison: bool = False  # crashes the endpoints that run it
     request_ids: list[str] = field(default_factory=list)  # the last one counts
     not_run_ids: list[str] = field(default_factory=list)
     accepted: bool = False
@@ -46,6 +47,9 @@
     restarts: int = 0
     moves: int = 0
     resumes: int = 0
+    repeats: int = 0  # of a request that got no answer and was not accepted
+    withdrawn: int = 0  # accepted, then told that it did not run
+    retry_after: float = 0.0  # seconds, as the last answer asked
     refusals: int = 0
     sent_at: float = 0.0  # Unix seconds
     ended_at: float = 0.0
@@ -89,15 +93,18 @@
             try:
                 self._send_chat(record, address, body)
             except CUT_OFF:
-                record.resumes += 1
                 if record.accepted:
+                    record.resumes += 1
                     self._resume_until(record, limit)
-                    break
+                else:
+                    record.repeats += 1
             if record.outcome == NOT_RUN:
                 record.refusals += 1
+                record.withdrawn += record.accepted
+                record.accepted = False
                 record.outcome = ""
             if not record.outcome:
-                gevent.sleep(PAUSE_SECONDS)
+                self._pause(record, limit)
                 address = self._random.choice(self._nodes)
         if not record.outcome:
             record.outcome = LOST if record.accepted else NOT_RUN
@@ -114,7 +121,7 @@
                 self._send_booking(record, address, body, pool)
             except CUT_OFF:
                 # The answer was lost; only a repeat of the key can tell.
-                record.resumes += 1
+                record.repeats += 1
                 record.outcome = UNKNOWN
             if record.outcome in (ANSWERED, FAILED):
                 break
@@ -122,10 +129,16 @@
                 break
             if record.outcome == NOT_RUN:
                 record.refusals += 1
-            gevent.sleep(PAUSE_SECONDS)
+            self._pause(record, limit)
             address = self._random.choice(self._nodes)
         record.ended_at = time.time()
 
+    def _pause(self, record: CallRecord, limit: float) -> None:
+        """Wait as long as the last answer asked for, and not beyond the limit."""
+        seconds = max(PAUSE_SECONDS, record.retry_after)
+        record.retry_after = 0.0
+        gevent.sleep(min(seconds, max(limit - time.monotonic(), 0.0)))
+
     def _send_booking(self, record, address, body: str, pool: str) -> None:
         client = _connect(address)
         try:
@@ -155,6 +168,7 @@
             client.close()
 
     def _note_id(self, record: CallRecord, response) -> None:
+        record.retry_after = float(response.get("retry-after") or 0)
         request_id = response.get("rattanwick-request-id") or ""
         if request_id and request_id not in record.request_ids:
             record.request_ids.append(request_id)
--- a/src/rattanwick/internal/requests/chat.py
+++ b/src/rattanwick/internal/requests/chat.py
@@ -6,7 +6,7 @@
 
 from rattanwick.internal.base.ids import new_request_id
 from rattanwick.internal.base.metrics import counter
-from rattanwick.internal.base.outcomes import Answered, NotRun
+from rattanwick.internal.base.outcomes import Answered
 from rattanwick.internal.model.requests import RequestKind, ServingRequest
 from rattanwick.internal.model.transcripts import RequestRecord
 from rattanwick.internal.requests.admission import Admission, Admitted
@@ -17,6 +17,7 @@
     RESTARTED_HEADER,
     outcome_error,
 )
+from rattanwick.internal.requests.charges import settle_charge
 from rattanwick.internal.requests.close_watch import CloseWatch
 from rattanwick.internal.requests.copies import ACCEPT_SECONDS, RequestCopy
 from rattanwick.internal.requests.crashes import fingerprint
@@ -127,10 +128,9 @@
         def end(run: Run) -> None:
             transcript = record.transcript
             outcome = transcript.outcome
-            unrun = isinstance(outcome, NotRun)
-            used = 0 if unrun else serving.prompt_tokens + transcript.tokens
             with self._spans.step(serving, "settle"):
-                self._services.grants.settle(reservation, used)
+                grants = self._services.grants
+                settle_charge(grants, reservation, serving, transcript)
             span.close()
             if outcome is None:
                 return  # handed over: the keeper's copy is still needed
--- a/src/rattanwick/internal/requests/dispatch.py
+++ b/src/rattanwick/internal/requests/dispatch.py
@@ -55,10 +55,18 @@
 class _Progress:
     """Hold what the attempts of one request have come to."""
 
-    __slots__ = ("excluded", "hedge_asked", "kv", "sent", "tokens_before")
+    __slots__ = (
+        "began_before",
+        "excluded",
+        "hedge_asked",
+        "kv",
+        "sent",
+        "tokens_before",
+    )
 
     def __init__(self):
         self.excluded: set[str] = set()
+        self.began_before = False  # in an earlier run
         self.sent = False  # an endpoint may have run it
         self.hedge_asked = False
         self.kv: dict | None = None  # exported, for the next endpoint
@@ -95,7 +103,10 @@
     ) -> Iterator[None]:
         """Run a request step by step; a step ends with new text or after a tick."""
         progress = _Progress()
-        progress.sent = transcript.length > 0
+        # An earlier run, here or at a node that is gone, may have reached an endpoint.
+        progress.sent = transcript.restarted or bool(transcript.lineage)
+        progress.sent = progress.sent or transcript.length > 0
+        progress.began_before = progress.sent
         transcript.begin_generation(new_generation())
         for _ in range(MAX_ATTEMPTS):
             if self._crashes.refuses(req.fingerprint, req.id):
@@ -294,7 +305,8 @@
             transcript.finish(self._not_answered(progress, "retry_budget"))
         elif reason == AttemptReason.REFUSED_BY_ENDPOINT:
             text = f"{reason}: {error.reason}"
-            transcript.finish(Failed(text) if inputs["has_text"] else NotRun(text))
+            started = transcript.length > 0 or progress.began_before
+            transcript.finish(Failed(text) if started else NotRun(text))
         else:
             transcript.finish(self._not_answered(progress, reason))
         return False
