--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -244,6 +244,7 @@
             self.requests,
             peers.keepers,
             peers.handover,
+            peers.passing,
             DrainSteps(
                 withdraw=self._withdraw,
                 release_leases=self.orders.stop,
--- a/src/rattanwick/internal/peers/drain.py
+++ b/src/rattanwick/internal/peers/drain.py
@@ -20,6 +20,7 @@
 from rattanwick.internal.peers.interfaces import PeerNetwork
 from rattanwick.internal.peers.keepers import PeerKeepers
 from rattanwick.internal.peers.members import HeartbeatMembers
+from rattanwick.internal.peers.passing import CopyPassing
 
 log = get_logger("drain")
 
@@ -57,6 +58,7 @@
         table: RequestTable,
         keepers: PeerKeepers,
         handover: Handover,
+        passing: CopyPassing,
         steps: DrainSteps,
         timers: TimerService,
     ):
@@ -66,6 +68,7 @@
         self._table = table
         self._keepers = keepers
         self._handover = handover
+        self._passing = passing
         self._steps = steps
         self._timers = timers
         self._end: float | None = None  # Unix seconds at which the instance is gone
@@ -91,12 +94,13 @@
         self._members.leave()
         giving_back = gevent.spawn(self._give_back)
         settling = gevent.spawn(self._hand_over_settlements)
+        passing = gevent.spawn(self._attempt, "pass copies on", self._passing.run)
         if self._end is None:
             self._wait_for_requests()
         if self._table.in_flight():
             self._move()
         self._drained = True
-        gevent.joinall([giving_back, settling], timeout=2 * STEP_SECONDS)
+        gevent.joinall([giving_back, settling, passing], timeout=2 * STEP_SECONDS)
         self._keepers.flush()
         log.info("drained, %d requests left", len(self._table.in_flight()))
 
--- a/src/rattanwick/internal/requests/chat.py
+++ b/src/rattanwick/internal/requests/chat.py
@@ -192,13 +192,16 @@
 
 
 def set_stream_headers(
-    resp: falcon.Response, record: RequestRecord, restarted: bool = False
+    resp: falcon.Response, record: RequestRecord, offset: int = 0
 ) -> None:
-    """Set the headers of a streamed answer; ``restarted`` voids earlier text."""
+    """Set the headers of an answer that is streamed from an offset on.
+
+    A caller that continues the text of a restarted run must not discard it.
+    """
     resp.content_type = "text/event-stream"
     resp.set_header("Cache-Control", "no-store")
     resp.set_header(REQUEST_ID_HEADER, record.req.id)
-    if restarted:
+    if record.transcript.restarted and offset == 0:
         resp.set_header(RESTARTED_HEADER, "true")
 
 
