Record nodes at rest after the changes, and model the target scale

Cause: the first figures were those before the improvements. Change: the measurement of rest with 6 to 48 nodes and 12 to 600 endpoints is stored, and bench.capacity_model works out the target scale from the slopes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Measure what a node costs, as slopes that CAPACITY.md extrapolates.
 
-    python -m bench.capacity [--part rest|work|latency|all] [--seconds N]
+    python -m bench.capacity [--part rest|work|latency|model|all] [--seconds N]
 
 Starts real nodes (``rattanwick serve``), the platform fake and the endpoint fake
 as processes on loopback. Raw figures are written to ``bench/results``, with the
@@ -14,11 +14,14 @@
 import sys
 import time
 
+from bench.capacity_latency import run_latency
+from bench.capacity_model import run_model
 from bench.capacity_rest import run_rest
+from bench.capacity_work import run_work
 from fakes.deployment import ROOT
 
 RESULTS = ROOT / "bench" / "results"
-PARTS = ("rest", "work", "latency")
+PARTS = ("rest", "work", "latency", "model")
 
 
 def log(value) -> None:
@@ -31,11 +34,9 @@
     if name == "rest":
         return run_rest(args.nodes, args.endpoints, args.seconds, log)
     if name == "work":
-        from bench.capacity_work import run_work
-
         return run_work(args.seed, log)
-    from bench.capacity_latency import run_latency
-
+    if name == "model":
+        return run_model(RESULTS)
     return run_latency(args.rounds, args.seed, log)
 
 
--- a/bench/capacity_latency.py
+++ b/bench/capacity_latency.py
@@ -81,6 +81,7 @@
         node = nodes[number % len(nodes)]
         pids = [item.process.pid for item in nodes]
         before = {pid: cpu_seconds(pid) for pid in pids}
+        held = {pid: resident_megabytes(pid) for pid in pids}
 
         def work(index: int, number: int = number):
             prompt = f"blade steel {seed} {number} {index} #tokens=2"
@@ -89,15 +90,19 @@
         seconds = send_closed(node, work, CALLERS, CALLS_EACH)
         used = {pid: cpu_seconds(pid) - before[pid] for pid in pids}
         calls = CALLERS * CALLS_EACH
+        rise = {pid: 1000 * (resident_megabytes(pid) - held[pid]) for pid in pids}
+        served_rise = rise.pop(node.process.pid)
         rows.append(
             {
                 "calls": calls,
                 "calls_per_second": calls / seconds,
                 "per_core_of_serving_node": calls / used[node.process.pid],
                 "per_core_of_all_nodes": calls / sum(used.values()),
+                "finished_kb_serving": served_rise / calls,
+                "finished_kb_keeping": sum(rise.values()) / calls,
             }
         )
-    names = ("calls_per_second", "per_core_of_serving_node", "per_core_of_all_nodes")
+    names = [name for name in rows[0] if name != "calls"]
     return {"rows": rows} | {n: spread([row[n] for row in rows]) for n in names}
 
 
