Claim loopback addresses in the deployment itself

Cause: deployments chose addresses by process id, so two test runs on one machine could use the same ones: 18 scenarios failed with 'Address already in use' while another checkout ran its own. Change: LocalDeployment holds a bound socket for its range of addresses; scenarios, demo, benches and the check of the built file use it.

--- a/bench/capacity_deployment.py
+++ b/bench/capacity_deployment.py
@@ -1,7 +1,6 @@
 """Deployments of real nodes of any size for the capacity measurement."""
 
 import json
-import os
 import signal
 import tempfile
 from collections.abc import Iterator
@@ -71,7 +70,6 @@
         super().__init__(
             "guayas",
             folder,
-            octet=3 + os.getpid() % 250,
             overrides={"tracing": {"sample_ratio": "0"}, **(overrides or {})},
             endpoint_overrides={"engine": engine, "service": service},
         )
--- a/bench/incidents.py
+++ b/bench/incidents.py
@@ -77,8 +77,8 @@
 class IncidentRun(ScenarioRun):
     """Run a scenario and examine its recording while the nodes still serve."""
 
-    def __init__(self, scenario: Scenario, folder: Path, octet: int | None = None):
-        super().__init__(scenario, folder, octet)
+    def __init__(self, scenario: Scenario, folder: Path):
+        super().__init__(scenario, folder)
         self.findings = Findings()
         self._started = 0.0  # Unix seconds
         self._processor_before: dict[str, float] = {}
--- a/scenarios/addresses.py
+++ b/fakes/addresses.py
@@ -1,9 +1,7 @@
 """Addresses on loopback for deployments that run side by side."""
 
-import contextlib
 import os
 import socket
-from collections.abc import Iterator
 
 FIRST_OCTET = 10
 OCTETS = 240
@@ -11,18 +9,26 @@
 USED = ((1, 1, 8080), (1, 11, 8000), (3, 1, 8080), (3, 11, 8000))
 
 
-@contextlib.contextmanager
-def claimed_octet() -> Iterator[int]:
-    """Hold a second octet of 127.0.0.0/8 that no other deployment uses."""
-    for index in range(OCTETS):
-        octet = FIRST_OCTET + (os.getpid() + index) % OCTETS
-        with socket.socket() as lock:
-            if not _can_bind(lock, f"127.{octet}.0.1", LOCK_PORT):
-                continue
-            if _is_free(octet):
-                yield octet
+class OctetClaim:
+    """Hold a second octet of 127.0.0.0/8 that no other deployment uses.
+
+    The claim is a bound socket, so it ends with the process at the latest.
+    """
+
+    def __init__(self):
+        for index in range(OCTETS):
+            octet = FIRST_OCTET + (os.getpid() + index) % OCTETS
+            lock = socket.socket()
+            if _can_bind(lock, f"127.{octet}.0.1", LOCK_PORT) and _is_free(octet):
+                self.octet = octet
+                self._lock = lock
                 return
-    raise OSError("no free addresses for a deployment")
+            lock.close()
+        raise OSError("no free addresses for a deployment")
+
+    def release(self) -> None:
+        """Let other deployments use the octet."""
+        self._lock.close()
 
 
 def _is_free(octet: int) -> bool:
--- a/fakes/deployment.py
+++ b/fakes/deployment.py
@@ -17,6 +17,8 @@
 
 from geventhttpclient import HTTPClient
 
+from fakes.addresses import OctetClaim
+
 ROOT = Path(__file__).resolve().parent.parent
 START_SECONDS = 20.0
 POLL_SECONDS = 0.02
@@ -112,14 +114,14 @@
         self,
         name: str,
         folder: Path,
-        octet: int | None = None,
         overrides: dict[str, dict[str, str]] | None = None,
         endpoint_overrides: dict | None = None,
     ):
         self.name = name
         self.folder = folder
         self.source = ROOT / "deploy" / name
-        self.octet = octet or 3 + os.getpid() % 250
+        self._addresses = OctetClaim()
+        self.octet = self._addresses.octet
         self.overrides = overrides or {}
         self.endpoint_overrides = endpoint_overrides or {}
         self.operator_key = f"demo-operator-{name}"
@@ -138,13 +140,20 @@
         try:
             self.start()
         except BaseException:
-            self.stop_all(signal.SIGKILL)
+            self._stop_and_release(signal.SIGKILL)
             raise
         return self
 
     def __exit__(self, *exc_info) -> None:
         """Stop everything."""
-        self.stop_all(signal.SIGTERM if exc_info[0] is None else signal.SIGKILL)
+        failed = exc_info[0] is not None
+        self._stop_and_release(signal.SIGKILL if failed else signal.SIGTERM)
+
+    def _stop_and_release(self, number: int) -> None:
+        try:
+            self.stop_all(number)
+        finally:
+            self._addresses.release()
 
     def start(self) -> None:
         """Start the fakes and the nodes and wait until the nodes are ready."""
--- a/scenarios/runner.py
+++ b/scenarios/runner.py
@@ -11,7 +11,6 @@
 import gevent
 
 from fakes.deployment import LocalDeployment
-from scenarios.addresses import claimed_octet
 from scenarios.caller import Caller, CallRecord
 from scenarios.expectations import Expectations
 from scenarios.language import Scenario, Step
@@ -48,7 +47,7 @@
 class ScenarioRun(Expectations):
     """Carry out the steps of one scenario."""
 
-    def __init__(self, scenario: Scenario, folder: Path, octet: int):
+    def __init__(self, scenario: Scenario, folder: Path):
         self._scenario = scenario
         self._random = random.Random(scenario.seed)
         self._records: list[CallRecord] = []
@@ -63,7 +62,6 @@
         self._deployment = LocalDeployment(
             scenario.deployment,
             folder,
-            octet,
             overrides=scenario.settings,
             endpoint_overrides={
                 "engine": scenario.engines,
@@ -333,8 +331,7 @@
     with tempfile.TemporaryDirectory(prefix="rattanwick-scenario-") as name:
         folder = Path(name)
         try:
-            with claimed_octet() as octet:
-                return ScenarioRun(scenario, folder, octet).run()
+            return ScenarioRun(scenario, folder).run()
         except Exception as exc:
             message = f"{type(exc).__name__}: {exc}"
             return Report(scenario.name, Tally(), [message])
