Run the examination of an incident after the ledgers were read

Ruled out: a try inside the lease keeper itself, which delayed the takeover of a waiting keeper beyond the bound of its test.

--- a/bench/incidents.py
+++ b/bench/incidents.py
@@ -91,7 +91,9 @@
         }
 
     def _examine(self) -> None:
-        live = [n for n in self._deployment.nodes.values() if n.process.poll() is None]
+        # A process that has just ended may not be noted as ended yet.
+        nodes = self._deployment.nodes.values()
+        live = [node for node in nodes if Path(f"/proc/{node.process.pid}").exists()]
         for node in live:
             spent = processor_seconds(node) - self._processor_before[node.id]
             self.findings.node_seconds += spent
--- a/scenarios/runner.py
+++ b/scenarios/runner.py
@@ -81,6 +81,7 @@
             time.sleep(SETTLE_SECONDS)
             watch.stop()
             ledgers = read_ledgers(self._deployment)
+            self._examine()
         tally = judge(self._records, ledgers, self._faults)
         tally.versions_reverted = watch.reverted
         tally.units_over_limit = units_over_limit(
@@ -93,6 +94,9 @@
         report.seconds = time.monotonic() - started
         return report
 
+    def _examine(self) -> None:
+        """Look at the deployment before it stops; a hook for measurements."""
+
     def _do(self, step: Step) -> None:
         getattr(self, f"_do_{step.action}")(step)
 
--- a/src/rattanwick/internal/state/order_service.py
+++ b/src/rattanwick/internal/state/order_service.py
@@ -41,6 +41,8 @@
     def start(self) -> None:
         """Try to get the lease from now on."""
         self._keeper = LeaseKeeper(self._leases, LEASE_NAME, self._timers)
+        # The first try comes at once, so that a new deployment soon has a holder.
+        self._timers.after(0.0, self._keeper.tick)
         self._orders = Orders(
             self._leases,
             self._keeper,
