--- a/src/rattanwick/internal/state/order_service.py
+++ b/src/rattanwick/internal/state/order_service.py
@@ -50,6 +50,7 @@
             self._recorder,
             provider=self._desired,
         )
+        self._timers.after(0.0, self._keeper.tick)
 
     def stop(self) -> None:
         """Issue no more orders and release the lease."""
