Notice a changed TLS key whose file has the same time

Cause: test_a_changed_key_is_used_for_new_connections failed in this checkout, because both keys were written with one timestamp. Change: the inode is compared as well as the time. Conclusion: a file that is replaced within the clock's step is seen.

--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -282,8 +282,10 @@
         self.context.load_cert_chain(*self._files)
         self._loaded = self._times()
 
-    def _times(self) -> tuple[int, ...]:
-        return tuple(os.stat(name).st_mtime_ns for name in self._files)
+    def _times(self) -> tuple[tuple[int, int], ...]:
+        """Return what changes with a file; copies made at once share their times."""
+        stats = [os.stat(name) for name in self._files]
+        return tuple((stat.st_mtime_ns, stat.st_ino) for stat in stats)
 
     def reload(self) -> bool:
         """Load changed files; new connections use them. Tell whether it did."""
