Drop a condition that another one implies when a node joins

Cause: a listed peer that is live makes more than one node live, so the second half of the condition in _await_peers added nothing. Change: the node asks once whether any other node is live. Conclusion: no behaviour changed.

--- a/src/rattanwick/internal/node.py
+++ b/src/rattanwick/internal/node.py
@@ -313,10 +313,9 @@
             others = [
                 item for item in self.instances.nodes() if item.id != self.node.id
             ]
-            known = [node for node in self.peers.members.live() if node in others]
             if not others and self.instances.age() < JOIN_SECONDS:
                 return
-            if len(self.peers.members.live()) > 1 or known:
+            if len(self.peers.members.live()) > 1:
                 return
             self.timers.sleep(self.settings.peers.heartbeat_seconds / 10)
 
