Keep the stand-ins of each deployment at an address of its own

All stand-ins listened on 127.0.0.1; a client of a stand-in that had ended called whoever got its port next.

Change: each deployment has its own address, the stand-in refuses a request without an id as an endpoint does, and the soak names the sender.

--- a/fakes/gateway_deployment.py
+++ b/fakes/gateway_deployment.py
@@ -102,7 +102,11 @@
             name: f"127.{self._claim.octet}.5.{number}"
             for number, name in enumerate(names, 1)
         }
-        self.platform = FakeGatewayPlatform()
+        # The port of a stand-in that has ended may be given to another one, whose
+        # callers would then be those of the former. So each deployment has an address
+        # of its own for its stand-ins, too.
+        self.host = f"127.{self._claim.octet}.6.1"
+        self.platform = FakeGatewayPlatform(self.host)
         self.platform.start()
         self.endpoints: dict[str, FakeGatewayEndpoint] = {}
         self.nodes: dict[str, SpawnedProcess] = {}
@@ -129,7 +133,7 @@
 
     def start_endpoint(self, endpoint_id: str, stream: bool) -> FakeGatewayEndpoint:
         """Start an endpoint that is not listed yet."""
-        endpoint = FakeGatewayEndpoint(endpoint_id, stream=stream)
+        endpoint = FakeGatewayEndpoint(endpoint_id, stream, self.host)
         self.endpoints[endpoint_id] = endpoint
         return endpoint
 
--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -4,6 +4,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+LOOPBACK = "127.0.0.1"
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENTS = 4
 
@@ -15,34 +16,38 @@
     extra, truncated, cut_in_event, cut_between_events, unframed, crash.
     """
 
-    def __init__(self, endpoint_id: str = "i-1", stream: bool = False):
+    def __init__(
+        self, endpoint_id: str = "i-1", stream: bool = False, host: str = LOOPBACK
+    ):
         self.id = endpoint_id
         self.stream = stream
         self.fault = ""
         self.faults_left = 1_000_000
         self.seen: list[dict[str, str]] = []  # headers of requests that ran
+        # Requests without an id, with the address of their sender; none of them ran.
+        self.strangers: list[str] = []
         self.echo = False  # answers hold the id of their request
         self.work_seconds = 0.0  # before a whole answer
         self.declined = 0
         self.bodies: list[bytes] = []
         self.event_seconds = 0.0
         self.closed_early = 0
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer((host, 0), self._serve)
         self._server.start()
 
     @property
     def address(self) -> str:
         """Return IP:PORT."""
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"{self._server.server_host}:{self._server.server_port}"
 
     def stop(self) -> None:
         """Refuse connections."""
         self._server.stop(timeout=0.1)
 
-    def _serve(self, sock, _address) -> None:
+    def _serve(self, sock, address) -> None:
         reader = sock.makefile("rb")
         try:
-            while self._serve_one(sock, reader):
+            while self._serve_one(sock, reader, address):
                 pass
         except OSError:
             self.closed_early += 1
@@ -50,7 +55,7 @@
             reader.close()
             sock.close()
 
-    def _serve_one(self, sock, reader) -> bool:
+    def _serve_one(self, sock, reader, sender) -> bool:
         line = reader.readline()
         if not line:
             return False
@@ -59,6 +64,10 @@
             name, _, value = text.partition(":")
             headers[name.lower()] = value.strip()
         body = reader.read(int(headers.get("content-length", 0)))
+        if "x-request-id" not in headers:
+            self.strangers.append(f"{headers[':request']} from {sender}: {headers}")
+            headers["x-request-id"] = ""
+            return self._send(sock, "400 No id", headers, b"", {"X-Not-Run": "1"})
         fault = self.fault if self.faults_left > 0 else ""
         self.faults_left -= bool(fault)
         if fault == "shed":
--- a/fakes/gateway_platform.py
+++ b/fakes/gateway_platform.py
@@ -7,6 +7,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from fakes.gateway_endpoint import LOOPBACK
 from fakes.gateway_rows import MemoryRows
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
 from rattanwick.internal.gateway.interfaces import HistoryLost, RowPage, StoredRow
@@ -25,14 +26,14 @@
 class FakeGatewayPlatform:
     """Serve the store's rows, and take orders and reports under a fence."""
 
-    def __init__(self):
+    def __init__(self, host: str = LOOPBACK):
         self.rows = MemoryRows()
         self.reports: dict[int, dict] = {}
         self.changed_reports: list[str] = []  # windows reported twice, differently
         self.orders: list[dict] = []
         self.fence = 0
         self._server = WSGIServer(
-            ("127.0.0.1", 0),
+            (host, 0),
             self._answer,
             log=None,
             error_log=None,
@@ -42,7 +43,7 @@
     @property
     def address(self) -> str:
         """Return IP:PORT."""
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"{self._server.server_host}:{self._server.server_port}"
 
     def start(self) -> None:
         """Listen."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,7 +7,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from fakes.gateway_endpoint import reset_connection
+from fakes.gateway_endpoint import LOOPBACK, reset_connection
 
 READ_BYTES = 65_536
 HOLD_SECONDS = 0.02  # between looks at a cut that may have healed
@@ -35,20 +35,20 @@
 class LoopbackProxy:
     """Pass connections on to one address; attributes switch faults on."""
 
-    def __init__(self, upstream: tuple[str, int]):
+    def __init__(self, upstream: tuple[str, int], host: str = LOOPBACK):
         self.upstream = upstream
         self.delay = 0.0  # seconds for each piece, in both directions
         self.cut_forward = False  # pieces wait until the cut heals
         self.cut_backward = False
         self.refuses = False
         self._connections: set[_Connection] = set()
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer((host, 0), self._serve)
         self._server.start()
 
     @property
     def address(self) -> str:
         """Return IP:PORT."""
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"{self._server.server_host}:{self._server.server_port}"
 
     def heal(self) -> None:
         """Switch all lasting faults off."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -127,6 +127,7 @@
         report.answers.update(item.status for item in told)
         report.failures += system.failures
         report.failures += check_answers(told, system.ledger)
+        report.failures += [f"without an id: {item}" for item in system.strangers]
         report.failures += check_silence(told, system.disturbances)
         report.failures += check_recovery([t for t in told if t.began >= healthy])
         report.failures += system.deployment.platform.changed_reports
--- a/soak/system.py
+++ b/soak/system.py
@@ -47,6 +47,7 @@
         self.store_links: dict[str, LoopbackProxy] = {}
         self.endpoint_links: dict[str, LoopbackProxy] = {}
         self.ledger: dict[str, list[dict[str, str]]] = {}  # requests by endpoint
+        self.strangers: list[str] = []  # requests without an id, and their senders
         self.version = 1
         self._busy: set[str] = set()
         self._born = 1
@@ -60,7 +61,7 @@
         """Start the nodes and wait until they know each other."""
         store = split_address(self.deployment.platform.address)
         for name in self.names:
-            self.store_links[name] = LoopbackProxy(store)
+            self.store_links[name] = LoopbackProxy(store, self.deployment.host)
             self.start_node(name)
         if not self.deployment.wait_joined():
             raise SoakError("the nodes did not come up")
@@ -138,9 +139,10 @@
         endpoint.work_seconds = WORK_SECONDS
         # One ledger for all processes of an endpoint's id.
         endpoint.seen = self.ledger.setdefault(endpoint_id, endpoint.seen)
+        endpoint.strangers = self.strangers
         upstream = split_address(endpoint.address)
         if link is None:
-            link = LoopbackProxy(upstream)
+            link = LoopbackProxy(upstream, self.deployment.host)
         else:
             link.upstream = upstream
             link.heal()
