Give up no endpoint that serves for one that has yet to boot

After the kill of a holder the next one, which knew no load, let 8 of 16 go at the moment of a reclaim.

Change: full-price endpoints fill only the places that reclaimable ones do not hold, and a holder that does not know the load lowers no order, but before the first request of a deployment.

--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -1,6 +1,6 @@
 """Plan of endpoints to order: how many, of which class, in which data centre."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import ceil
 
 from rattanwick.internal.gateway.model import ScalingSpec
@@ -95,7 +95,8 @@
     """
     prices = scaling.data_centre_prices
     centres = sorted(prices, key=lambda name: (prices[name], name))
-    live = {c.data_centre: c.live for c in counts if c.reclaimable}
+    live = dict.fromkeys(centres, 0)
+    live.update((c.data_centre, c.live) for c in counts if c.reclaimable)
     # Reclaimable endpoints that do not serve yet are no capacity; until they do,
     # full-price ones keep their places under the limit of a data centre.
     serving = sum(live.values())
@@ -103,7 +104,10 @@
         serving = int(WAVE_SHARE * serving)
     base = _base(scaling, centres)
     if not idle:
-        _fill(base, needed - serving, centres, prices, scaling.most)
+        # Reclaimable endpoints that serve keep their places: what would replace them
+        # boots for seconds first.
+        room = {name: scaling.most - live[name] for name in centres}
+        _fill(base, needed - serving, centres, prices, room)
     cheap = dict.fromkeys(centres, 0)
     if scaling.reclaimable_price is not None:
         wanted = ceil(RECLAIMABLE_RATIO * needed)
@@ -117,6 +121,18 @@
     ]
 
 
+def keep_serving(
+    plan: list[DesiredCount], counts: list[ClassCount]
+) -> list[DesiredCount]:
+    """Return a plan that gives up no endpoint which serves."""
+    live = {(c.data_centre, c.reclaimable): c.live for c in counts}
+    return [
+        replace(item, count=max(item.count, live.get(key, 0)))
+        for item in plan
+        for key in [(item.data_centre, item.reclaimable)]
+    ]
+
+
 def _base(scaling: ScalingSpec, centres: list[str]) -> dict[str, int]:
     """Return the full-price endpoints that are always there."""
     if scaling.reclaimable_price is None:
@@ -129,14 +145,14 @@
     wanted: int,
     centres: list[str],
     prices: dict[str, float],
-    most: int,
+    room: dict[str, int],
 ) -> None:
     """Raise full-price endpoints to a number in all, evenly, the cheapest first."""
     while sum(base.values()) < wanted:
-        room = [name for name in centres if base[name] < most]
-        if not room:
+        free = [name for name in centres if base[name] < room[name]]
+        if not free:
             return
-        base[min(room, key=lambda name: (base[name], prices[name]))] += 1
+        base[min(free, key=lambda name: (base[name], prices[name]))] += 1
 
 
 def _spread(
--- a/src/rattanwick/internal/gateway/endpoint_orders.py
+++ b/src/rattanwick/internal/gateway/endpoint_orders.py
@@ -13,6 +13,7 @@
     DesiredCount,
     MarketView,
     engines_needed,
+    keep_serving,
     plan_capacity,
 )
 from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder
@@ -126,6 +127,9 @@
         needed = engines_needed(load_ahead, rate, self._state.members.count())
         idle = load is None and self._state.settings.first_start
         plan = plan_capacity(needed, service.scaling, counts, self._market, now, idle)
+        if load is None and not idle:
+            # A holder that has just started does not know yet what is needed.
+            plan = keep_serving(plan, counts)
         live = {(c.data_centre, c.reclaimable): c.live for c in counts}
         # Growth first: what shrinks must not leave before its replacement is ordered.
         plan.sort(key=lambda d: d.count <= live.get((d.data_centre, d.reclaimable), 0))
@@ -157,7 +161,8 @@
             self._surplus_since.pop(subject, None)
             return desired != present or last is not None
         since = self._surplus_since.setdefault(subject, now)
-        return now - since >= SHRINK_SECONDS or self._last.get(subject) is None
+        first = self._state.settings.first_start and last is None
+        return first or now - since >= SHRINK_SECONDS
 
     def _order(
         self,
--- a/tests/failure/test_gateway_duties.py
+++ b/tests/failure/test_gateway_duties.py
@@ -1,6 +1,7 @@
 """Duties of one node: who holds them, usage reports and orders under failure."""
 
 import unittest
+from dataclasses import replace
 
 from fakes.gateway_rows import MemoryRows
 from rattanwick.internal.base.errors import Conflict, TimedOut
@@ -279,6 +280,21 @@
         self.first.orders.step()
         self.assertGreater(self.cloud.orders[0][0], before)
 
+    def test_a_holder_that_restarted_orders_no_fewer_than_serve(self):
+        """It knows no load, and had given up half of what served."""
+        settings = replace(self.first.state.settings, first_start=False)
+        self.first.state.settings = settings
+        for number in range(9, 18):
+            view = make_view(f"i-{number}", data_centre="abc"[number % 3])
+            self.first.state.endpoints._views[f"i-{number}"] = view
+        for _ in range(8):
+            self.first.orders.step()
+            self.timers.advance(0.5)
+        full = {
+            o.data_centre: o.count for _, o in self.cloud.orders if not o.reclaimable
+        }
+        self.assertTrue(all(count >= 6 for count in full.values()), full)
+
     def test_a_market_without_reclaimable_endpoints_is_not_a_lost_fence(self):
         self.cloud.none_to_be_had = True
         self.first.orders.step()
--- a/tests/unit/test_gateway_capacity.py
+++ b/tests/unit/test_gateway_capacity.py
@@ -3,9 +3,11 @@
 import unittest
 
 from rattanwick.internal.gateway.capacity import (
+    BASE_ENDPOINTS,
     ClassCount,
     MarketView,
     engines_needed,
+    keep_serving,
     plan_capacity,
 )
 from rattanwick.internal.gateway.endpoint_orders import LoadMeter
@@ -75,6 +77,30 @@
         left = (ClassCount("b", True, 4), ClassCount("c", True, 4))
         self.assertGreaterEqual(full_price(plan(7, left, market)), 3)
 
+    def test_a_load_above_the_limit_of_a_wave_gives_up_nothing_that_serves(self):
+        """A burst in a wave of reclaims was met by 10 endpoints in place of 17.
+
+        Reclaimable ones were given up for full-price ones that had yet to boot.
+        """
+        most = SCALING.most
+        full = tuple(ClassCount(name, True, most) for name in "abc")
+        market = MarketView()
+        market.note_reclaim("a", NOW)
+        desired = plan(4 * most, full, market)
+        for name in "bc":
+            self.assertEqual(desired[name, True] + desired[name, False], most)
+        self.assertLessEqual(full_price(desired), BASE_ENDPOINTS)
+
+    def test_a_holder_that_has_just_started_gives_up_nothing(self):
+        """After the kill of a holder 16 endpoints were ordered to be 6."""
+        serving = [ClassCount("a", False, 4), ClassCount("b", False, 3)]
+        desired = keep_serving(
+            plan_capacity(8, SCALING, serving, MarketView(), NOW), serving
+        )
+        counts = {(item.data_centre, item.reclaimable): item.count for item in desired}
+        self.assertGreaterEqual(counts["a", False], 4)
+        self.assertGreaterEqual(counts["b", False], 3)
+
     def test_a_market_without_any_is_covered_at_full_price(self):
         market = MarketView()
         for name in "abc":
