Treat malformed pages of the store as errors, and pause after unforeseen ones

Cause: a page that is JSON of another shape (a row without a key, a row that is a number, a version that is text, a truncated page without rows) raised KeyError, AttributeError, ValueError or IndexError; the task of the call ended with a traceback, and the next call followed at once for as long as the store answered so. A value that is not base64 was taken for an empty one.

Change: each is a ProtocolError, logged as a failure of the store and paused after; a write that was answered without a version may have been applied; an error of another kind in a step is logged and paused after.

--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -173,6 +173,10 @@
         except StepError as exc:
             self._note_failure(exc)
             return RETRY_SECONDS * slowing(self._count_nodes())
+        except Exception:
+            # An error that nobody foresaw must not end the copy, nor repeat at once.
+            log.exception("table not read", extra={"table": self.table})
+            return RETRY_SECONDS * slowing(self._count_nodes())
         self._note_success()
         return 0.0
 
--- a/src/rattanwick/platform/records.py
+++ b/src/rattanwick/platform/records.py
@@ -34,7 +34,13 @@
             ),
             limits=_decode_limits(raw["limits"]),
         )
-    except (KeyError, TypeError, AttributeError) as exc:
+    except (
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise ValueError(f"configuration: {type(exc).__name__} {exc}")
 
 
@@ -116,7 +122,7 @@
         state = raw["state"]
         host, _, port = raw["address"].rpartition(":")
         service, zone, slots = raw["service"], raw["zone"], raw["slots"]
-    except (KeyError, TypeError, AttributeError, UnicodeDecodeError) as exc:
+    except (KeyError, TypeError, AttributeError, RecursionError) as exc:
         raise ValueError(f"endpoint entry: {type(exc).__name__} {exc}")
     if state not in ENDPOINT_STATES:
         raise ValueError(f"endpoint entry: state {state!r} is not known")
--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -49,6 +49,8 @@
             rows.extend(page.rows)
             if not body.get("truncated"):
                 return RowPage(tuple(rows), page.version)
+            if not page.rows:
+                raise ProtocolError("decode", PEER, "page is truncated and has no rows")
             start = rows[-1].key + "\x00"
 
     def follow(self, table: str, after: int, wait: float) -> RowPage:
@@ -94,7 +96,10 @@
             found = _decode_page(_decode_body(answer)).rows
             raise Conflict("write", PEER, f"row {key} has changed", found)
         _check_status("write", answer)
-        return int(_decode_body(answer)["ver"])
+        version = _decode_body(answer).get("ver")
+        if type(version) is not int:
+            raise MaybeApplied("write", PEER, f"answer has the version {version!r}")
+        return version
 
     def _get(self, step: str, path: str, query: dict, timeout: float) -> HttpAnswer:
         target = f"{path}?{urlencode(query)}"
@@ -123,9 +128,27 @@
 
 
 def _decode_page(body: dict) -> RowPage:
-    rows = []
-    for raw in body.get("rows", ()):
-        deleted = raw.get("deleted") or raw.get("value") is None
-        value = None if deleted else base64.b64decode(raw["value"])
-        rows.append(StoredRow(raw["key"], value, int(raw.get("ver") or 0)))
-    return RowPage(tuple(rows), int(body.get("ver") or 0))
+    """Return the rows of an answer; raise ProtocolError where one is malformed.
+
+    A page is taken whole or not at all: a row that was left out would stay as it was
+    for good, since changes are told once.
+    """
+    raw_rows, version = body.get("rows", []), body.get("ver", 0)
+    if not isinstance(raw_rows, list) or type(version) is not int:
+        raise ProtocolError("decode", PEER, "rows or version have the wrong type")
+    return RowPage(tuple(_decode_row(raw) for raw in raw_rows), version)
+
+
+def _decode_row(raw) -> StoredRow:
+    if not isinstance(raw, dict) or not isinstance(raw.get("key"), str):
+        raise ProtocolError("decode", PEER, f"row without a key: {raw!r:.80}")
+    key, version = raw["key"], raw.get("ver", 0)
+    if type(version) is not int:
+        raise ProtocolError("decode", PEER, f"row {key} has the version {version!r}")
+    if raw.get("deleted") or raw.get("value") is None:
+        return StoredRow(key, None, version)
+    try:
+        value = base64.b64decode(raw["value"], validate=True)
+    except (TypeError, ValueError) as exc:
+        raise ProtocolError("decode", PEER, f"row {key} has a bad value: {exc}")
+    return StoredRow(key, value, version)
--- a/tests/failure/test_gateway_store.py
+++ b/tests/failure/test_gateway_store.py
@@ -3,15 +3,22 @@
 import unittest
 
 import gevent
+from gevent.pywsgi import WSGIServer
 
 from fakes.gateway_platform import FakeGatewayPlatform
 from fakes.gateway_rows import MemoryRows
-from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
+from rattanwick.internal.base.errors import (
+    Conflict,
+    MaybeApplied,
+    ProtocolError,
+    Unavailable,
+)
 from rattanwick.internal.base.timers import GeventTimerService, ManualTimerService
 from rattanwick.internal.gateway.endpoint_directory import EndpointDirectory
 from rattanwick.internal.gateway.interfaces import HistoryLost, StoredRow
 from rattanwick.internal.gateway.table_watch import (
     FOLLOW_SECONDS,
+    RETRY_SECONDS,
     TableChanges,
     TableWatch,
     gather_seconds,
@@ -268,3 +275,69 @@
         self.platform.rows.forget_history()
         with self.assertRaises(HistoryLost):
             self.store.follow("t", 0, 0.1)
+
+
+class MalformedPageTests(unittest.TestCase):
+    """Guard against an answer of the store that ends a task or is taken for rows.
+
+    Such answers ended the task of the call with a traceback, and the next call
+    followed at once, for as long as the store answered so.
+    """
+
+    PAGES = (
+        b"[]",
+        b'{"rows": 5, "ver": 1}',
+        b'{"rows": [{"value": "YQ=="}], "ver": 1}',
+        b'{"rows": [7], "ver": 1}',
+        b'{"rows": [{"key": "k", "value": "YQ==", "ver": "x"}], "ver": 1}',
+        b'{"rows": [{"key": "k", "value": "@@@", "ver": 1}], "ver": 1}',
+        b'{"rows": [{"key": "k", "value": 5, "ver": 1}], "ver": 1}',
+        b'{"rows": [], "ver": 1, "truncated": true}',
+        b'{"rows": [], "ver": "1"}',
+    )
+    QUIET_SECONDS = 0.5
+
+    def setUp(self):
+        self.page = b""
+        self.calls = 0
+        self.server = WSGIServer(("127.0.0.1", 0), self.answer, log=None)
+        self.server.start()
+        self.addCleanup(self.server.stop, 0.1)
+        self.store = PlatformStore(("127.0.0.1", self.server.server_port))
+
+    def answer(self, environ, start_response):
+        """Answer every call with the page."""
+        self.calls += 1
+        start_response("200 OK", [("Content-Length", str(len(self.page)))])
+        return [self.page]
+
+    def test_each_is_an_error_of_the_protocol(self):
+        for page in self.PAGES:
+            self.page = page
+            with self.subTest(page=page), self.assertRaises(ProtocolError):
+                self.store.read("t")
+
+    def test_an_answer_to_a_write_without_a_version_leaves_it_unknown(self):
+        self.page = b"{}"
+        with self.assertRaises(MaybeApplied):
+            self.store.put("t", "k", b"v")
+
+    def test_calls_are_paused_while_pages_are_malformed(self):
+        self.page = self.PAGES[2]
+        watch = TableWatch(self.store, "t", GeventTimerService(), lambda *_: None)
+        watch.start()
+        self.addCleanup(watch.stop)
+        gevent.sleep(self.QUIET_SECONDS)
+        self.assertLessEqual(self.calls, 1 + self.QUIET_SECONDS / RETRY_SECONDS)
+
+    def test_an_error_of_a_listener_is_paused_after_and_the_copy_goes_on(self):
+        def fail(rows, changed):
+            raise KeyError("not foreseen")
+
+        self.page = b'{"rows": [{"key": "k", "value": "YQ==", "ver": 1}], "ver": 1}'
+        watch = TableWatch(self.store, "t", GeventTimerService(), fail)
+        watch.start()
+        self.addCleanup(watch.stop)
+        gevent.sleep(self.QUIET_SECONDS)
+        self.assertLessEqual(self.calls, 2 + self.QUIET_SECONDS / RETRY_SECONDS)
+        self.assertGreaterEqual(self.calls, 2)
