Fit the speed of engines at all nodes, and order less at full price

Cause: the plan took all of the time to a first event for reading, so engines counted as half as fast as they are (22,700 prompt tokens a second against 40,000), and twice as many were ordered. A holder that had restarted went by the speed that is assumed at first for half a minute, since it served few requests itself. No reclaimable engines were asked for within 14 s of a reclaim, however short that was.

Ruled out: the ratio of reclaimable engines by itself (same seconds within noise). Change: start and rate of a first event are fitted by least squares over what all nodes have seen; engines are used to 0.85 of their speed and 2.75 reclaimable ones kept for each; declined orders are tried again each second, in one data centre that lacks some. Messages of peers are checked field by field before they are taken in, and must come from the node that they name.

--- a/bench/capacity_lab.py
+++ b/bench/capacity_lab.py
@@ -26,9 +26,10 @@
     ScalingSpec,
     Service,
 )
-from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.node_state import NodeState, make_node_state
 from rattanwick.internal.gateway.prefill import PrefillSpeed
-from tests.gateway_case import make_state
+from rattanwick.internal.gateway.settings import Bounds, GatewaySettings
+from rattanwick.platform.wire import PlatformWire
 
 SERVICE = "engine"
 CENTRES = ("a", "b", "c")
@@ -37,8 +38,29 @@
 LEAD_SECONDS = 10.0  # before the first request
 NOTICE_SECONDS = 2.0  # of a reclaim
 # Share of an engine's speed at which requests still begin within their objective.
-ORACLE_UTILISATION = 0.85
+ORACLE_UTILISATION = 0.9
 CALLER_LIMITS = CallerLimits(1, 1, 1.0, 1.0)
+# First events that the nodes saw before the day: the speed of engines is known.
+FIRST_EVENT_SECONDS = 0.02  # beside the prompt
+LEARNED_SIZES = (500, 4_000, 16_000)  # prompt tokens
+LEARNED_EVENTS = 200
+NOWHERE = ("127.0.0.1", 0)  # nothing is called
+SETTINGS = GatewaySettings(
+    node_id="n1",
+    data_centre=CENTRES[0],
+    ip=NOWHERE[0],
+    callers=NOWHERE,
+    readiness=NOWHERE,
+    entry=NOWHERE,
+    peer_port=0,
+    metrics_port=0,
+    store=NOWHERE,
+    cloud=None,
+    first_start=True,
+    reports_usage=False,
+    orders_endpoints=True,
+    bounds=Bounds(8.0, 0.2, 10.0, 50.0, 3.0, 5.0, 10.0, 5.0, 0.0),
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -251,6 +273,7 @@
 
     def __init__(self, day: Day, market: Market, timers: ManualTimerService):
         self._day, self._market, self._timers = day, market, timers
+        self._began = timers.now() + LEAD_SECONDS  # of the first request
 
     def step(self, read_tokens: float) -> None:
         """Act, after so many prompt tokens were sent since the start."""
@@ -261,13 +284,18 @@
 
     def __init__(self, day: Day, market: Market, timers: ManualTimerService):
         super().__init__(day, market, timers)
-        self._state: NodeState = make_state(timers)
+        self._state: NodeState = make_node_state(SETTINGS, timers, PlatformWire())
         scaling = ScalingSpec(1, day.most, day.price, dict.fromkeys(CENTRES, 1.0))
         service = Service(SERVICE, 1, EngineSpec(64, 400_000), scaling)
         self._state.configuration = Configuration(
             1, (), {SERVICE: service}, (), CALLER_LIMITS
         )
-        self._state.prefill_speeds._speeds[SERVICE] = PrefillSpeed(day.rate, 0.02)
+        speed = PrefillSpeed(day.rate, FIRST_EVENT_SECONDS)
+        for _ in range(LEARNED_EVENTS):
+            for tokens in LEARNED_SIZES:
+                self._state.prefill_speeds.observe(
+                    SERVICE, tokens, speed.seconds(tokens)
+                )
         self._orders = EndpointOrders(
             self._state, market, AlwaysHolder(), lambda service: 0
         )
@@ -309,7 +337,7 @@
 
     def step(self, read_tokens: float) -> None:
         """Order by what is to come."""
-        day, now = self._day, self._timers.now()
+        day, now = self._day, self._timers.now() - self._began
         ahead = [now + STEP_SECONDS * n for n in range(int(day.boot / STEP_SECONDS))]
         load = max(map(day.load_at, [*ahead, now + day.boot]))
         needed = max(ceil(load / (day.rate * ORACLE_UTILISATION)), 1)
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -254,7 +254,7 @@
             course.first_event_seconds = now - course.call.arrived
         placed = course.placed
         tokens = placed.backlog_tokens + placed.read_tokens
-        self._state.prefill_rate.observe(
+        self._state.prefill_speeds.observe(
             course.service.name, tokens, now - self._sent_at
         )
         self._view.note_cached(course.call.prompt)
--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -5,8 +5,9 @@
 
 from rattanwick.internal.gateway.model import ScalingSpec
 
-# Above this share of its prefill rate an engine's queue exceeds the objectives.
-TARGET_UTILISATION = 0.65
+# Of an engine's prefill rate. Above it queues exceed the objectives; what is paid in
+# full is used up to it, and reclaimable engines beside the need keep queues short.
+TARGET_UTILISATION = 0.85
 # Counted as needed before the load is known. Nodes are sized with the load: 6 of them
 # met one that needed 8 engines, and 80 one of 550,000 prompt tokens a second, for which
 # 29 were then ordered while the first reclaim had already taken 14.
@@ -15,13 +16,16 @@
 LEAST_ENGINES = 4
 # Reclaimable endpoints for each engine needed: they cost about a fifth, a reclaim
 # takes a third of them, and a burst finds them booted.
-RECLAIMABLE_RATIO = 2.1
+RECLAIMABLE_RATIO = 2.75
 BASE_ENDPOINTS = 2  # at full price, which no reclaim takes
 # While endpoints are being reclaimed, the rest is counted at this share: reclaims
 # come in waves over the data centres, faster than replacements boot.
 WAVE_SHARE = 0.5
-RECLAIM_SECONDS = 14.0  # after a reclaim, in which no others are to be had
-DECLINED_SECONDS = 3.0  # after a declined order
+WAVE_SECONDS = 14.0  # after a reclaim, in which others are likely
+RECLAIM_SECONDS = 2.0  # after a reclaim, in which its data centre gives no others
+# Between tries while orders are declined, of one data centre at a time. A try costs
+# less than the full price of one endpoint for a tenth of a second.
+DECLINED_SECONDS = 1.0
 SHRINK_SECONDS = 3.0  # for which fewer must suffice before the order shrinks
 REPEAT_SECONDS = 9.0  # after which an order that had no effect is made again
 
@@ -46,27 +50,41 @@
 
 @dataclass(slots=True)
 class MarketView:
-    """Remember when reclaimable endpoints were last refused or taken away."""
+    """Remember when reclaimable endpoints were last declined or taken away.
 
-    refused_until: dict[str, float] = field(default_factory=dict)  # by data centre
+    The class is short in all data centres at once, mostly. So while orders are
+    declined, one data centre is tried at a time, the one that was declined longest ago.
+    """
+
+    reclaimed_until: dict[str, float] = field(default_factory=dict)  # by data centre
     wave_until: float = 0.0
+    _declined: dict[str, float] = field(default_factory=dict)  # since one was taken
 
     def note_reclaim(self, data_centre: str, now: float) -> None:
         """Note that a data centre's reclaimable endpoints are being taken away."""
-        self._refuse(data_centre, now + RECLAIM_SECONDS)
-        self.wave_until = now + RECLAIM_SECONDS
+        self.reclaimed_until[data_centre] = now + RECLAIM_SECONDS
+        self.wave_until = now + WAVE_SECONDS
 
     def note_declined(self, data_centre: str, now: float) -> None:
         """Note that an order for reclaimable endpoints was declined."""
-        self._refuse(data_centre, now + DECLINED_SECONDS)
+        self._declined[data_centre] = now
+
+    def note_taken(self) -> None:
+        """Note that an order for reclaimable endpoints was taken."""
+        self._declined.clear()
 
-    def available(self, data_centre: str, now: float) -> bool:
-        """Tell whether an order may be tried."""
-        return now >= self.refused_until.get(data_centre, 0.0)
+    def open(self, data_centre: str, now: float) -> bool:
+        """Tell whether a data centre is not being reclaimed."""
+        return now >= self.reclaimed_until.get(data_centre, 0.0)
 
-    def _refuse(self, data_centre: str, until: float) -> None:
-        known = self.refused_until.get(data_centre, 0.0)
-        self.refused_until[data_centre] = max(known, until)
+    def to_try(self, centres: list[str], now: float) -> list[str]:
+        """Return those data centres in which more may be ordered now."""
+        tried = [name for name in centres if self.open(name, now)]
+        if not tried or not self._declined:
+            return tried
+        if now - max(self._declined.values()) < DECLINED_SECONDS:
+            return []
+        return [min(tried, key=lambda name: self._declined.get(name, 0.0))]
 
 
 def engines_needed(
@@ -112,12 +130,14 @@
     if scaling.reclaimable_price is not None:
         wanted = ceil(RECLAIMABLE_RATIO * needed)
         _spread(wanted, centres, base, cheap, scaling.most, market, now)
+    growing = [name for name in centres if cheap[name] > live[name]]
+    shut = set(growing) - set(market.to_try(growing, now))
     return [
         DesiredCount(name, reclaimable, count[name])
         for reclaimable, count in ((False, base), (True, cheap))
         for name in centres
         # Without reclaimable endpoints to be had, their order is left as it is.
-        if not reclaimable or market.available(name, now)
+        if not reclaimable or (market.open(name, now) and name not in shut)
     ]
 
 
@@ -169,7 +189,7 @@
         room = [
             name
             for name in centres
-            if market.available(name, now) and base[name] + cheap[name] < most
+            if market.open(name, now) and base[name] + cheap[name] < most
         ]
         if not room:
             return
--- a/src/rattanwick/internal/gateway/endpoint_orders.py
+++ b/src/rattanwick/internal/gateway/endpoint_orders.py
@@ -43,6 +43,16 @@
     unknown: bool = False  # it may be carried out late
 
 
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """State what a service needs and why."""
+
+    needed: int  # engines
+    serving: int
+    load: float | None  # prompt tokens a second; None before it is known
+    rate: float  # prompt tokens a second that an engine reads
+
+
 class LoadMeter:
     """Measure prompt tokens a second from growing sums."""
 
@@ -122,7 +132,7 @@
 
     def _order_service(self, service: Service, load: float | None, now: float) -> None:
         counts = self._counts(service.name)
-        rate = self._state.prefill_rate.of(service.name)
+        rate = self._state.prefill_speeds.of(service.name).rate
         load_ahead = None if load is None else load * LOAD_MARGIN
         needed = engines_needed(load_ahead, rate, self._state.members.count())
         idle = load is None and self._state.settings.first_start
@@ -131,6 +141,7 @@
             # A holder that has just started does not know yet what is needed.
             plan = keep_serving(plan, counts)
         live = {(c.data_centre, c.reclaimable): c.live for c in counts}
+        demand = Demand(needed, sum(live.values()), load, rate)
         # Growth first: what shrinks must not leave before its replacement is ordered.
         plan.sort(key=lambda d: d.count <= live.get((d.data_centre, d.reclaimable), 0))
         for desired in plan:
@@ -138,7 +149,10 @@
             present = live.get((desired.data_centre, desired.reclaimable), 0)
             if not self._should_order(subject, desired.count, present, now):
                 continue
-            if not self._order(subject, desired, needed, sum(live.values()), load, now):
+            grows = desired.reclaimable and desired.count > present
+            if grows and not self._market.to_try([desired.data_centre], now):
+                continue  # an order before it was declined
+            if not self._order(subject, desired, present, demand, now):
                 return
 
     def _counts(self, service: str) -> list[ClassCount]:
@@ -168,9 +182,8 @@
         self,
         subject: Subject,
         desired: DesiredCount,
-        needed: int,
-        serving: int,
-        load: float | None,
+        present: int,
+        demand: Demand,
         now: float,
     ) -> bool:
         """Make one order; tell whether to go on with the next."""
@@ -197,6 +210,9 @@
         except StepError as exc:
             outcome = f"unknown: {exc}"
             placed.unknown = True
+        else:
+            if order.reclaimable and order.count > present:
+                self._market.note_taken()
         self._last[subject] = placed
         self._surplus_since.pop(subject, None)
         endpoint_orders_total.labels(outcome.partition(":")[0]).inc()
@@ -207,9 +223,10 @@
                 "data_centre": order.data_centre,
                 "reclaimable": order.reclaimable,
                 "count": order.count,
-                "needed": needed,
-                "serving": serving,
-                "load_tokens_per_s": None if load is None else round(load),
+                "needed": demand.needed,
+                "serving": demand.serving,
+                "load_tokens_per_s": demand.load and round(demand.load),
+                "engine_tokens_per_s": round(demand.rate),
                 "fence": fence,
                 "outcome": outcome,
             },
--- a/src/rattanwick/internal/gateway/engine_view.py
+++ b/src/rattanwick/internal/gateway/engine_view.py
@@ -6,18 +6,12 @@
 
 from rattanwick.internal.gateway.model import Endpoint, LoadReport, PromptPart
 
-FIRST_PREFILL_RATE = 25_000.0  # tokens a second until one was observed
-LEAST_PREFILL_RATE = 5_000.0
-MOST_PREFILL_RATE = 200_000.0
-RATE_WEIGHT = 0.02  # of a new observation in the mean
 CACHE_SHARE = 0.6  # of an engine's memory that shared parts are assumed to keep
 FAILURE_WEIGHT = 0.25  # of a new outcome in an endpoint's failure rate
 FAILING_RATE = 0.6  # failure rate from which an endpoint is set aside
 FIRST_ASIDE_SECONDS = 1.0  # doubled at each further failure, up to the most
 MOST_ASIDE_SECONDS = 8.0
 RECENT_SECONDS = 3.0  # over which the load of prompts at an endpoint is measured
-OBSERVED_TOKENS = 2000  # fewer tell more of the network than of the engine
-FIRST_STEP_SECONDS = 0.015  # of an observed time that is no prefill
 PEER_LOAD_SECONDS = 1.5  # age at which a peer's figures are left out
 # An answer shows for so long that an endpoint is up. With 80 nodes before 45 engines
 # a node hears each engine about every 18 s.
@@ -156,23 +150,3 @@
 
     def _decayed(self, now: float) -> float:
         return self._amount * exp((self._updated - now) / RECENT_SECONDS)
-
-
-class PrefillRate:
-    """Learn how many prompt tokens a second engines of a service read."""
-
-    def __init__(self):
-        self._rates: dict[str, float] = {}
-
-    def of(self, service: str) -> float:
-        """Return tokens a second."""
-        return self._rates.get(service, FIRST_PREFILL_RATE)
-
-    def observe(self, service: str, tokens: int, seconds: float) -> None:
-        """Learn from the time in which a known number of tokens was read."""
-        reading = seconds - FIRST_STEP_SECONDS
-        if tokens < OBSERVED_TOKENS or reading <= 0:
-            return
-        seen = min(max(tokens / reading, LEAST_PREFILL_RATE), MOST_PREFILL_RATE)
-        rate = self.of(service)
-        self._rates[service] = rate + RATE_WEIGHT * (seen - rate)
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -15,24 +15,18 @@
 from rattanwick.internal.base.metrics import gauge
 from rattanwick.internal.base.timers import GeventTimerService
 from rattanwick.internal.gateway.caller_server import DEFAULT_LIMITS, CallerServer
-from rattanwick.internal.gateway.crash_guard import CrashGuard
-from rattanwick.internal.gateway.endpoint_directory import EndpointDirectory
-from rattanwick.internal.gateway.endpoint_links import EndpointLinks, link_keys
+from rattanwick.internal.gateway.endpoint_links import link_keys
 from rattanwick.internal.gateway.endpoint_orders import EndpointOrders
-from rattanwick.internal.gateway.engine_view import PrefillRate
 from rattanwick.internal.gateway.entry import Entry
 from rattanwick.internal.gateway.interfaces import Cloud, RowStore, StoredRow, Wire
 from rattanwick.internal.gateway.leadership import Leadership
-from rattanwick.internal.gateway.members import Member, Members
+from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.model import CallerLimits
-from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.node_state import make_node_state
 from rattanwick.internal.gateway.peer_exchange import PeerExchange
-from rattanwick.internal.gateway.quotas import SharedLimits
 from rattanwick.internal.gateway.relay import Relay
-from rattanwick.internal.gateway.retries import RetryBudget
 from rattanwick.internal.gateway.settings import GatewaySettings
 from rattanwick.internal.gateway.table_watch import TableWatch, slowing
-from rattanwick.internal.gateway.usage import UsageCounts
 from rattanwick.internal.gateway.usage_reports import UsageReports
 
 log = get_logger("node")
@@ -70,21 +64,7 @@
         self._store = store
         self._wire = wire
         self._timers = timers
-        bounds = settings.bounds
-        self.state = NodeState(
-            settings=settings,
-            timers=timers,
-            members=Members(settings.node_id),
-            endpoints=EndpointDirectory(wire, timers),
-            links=EndpointLinks(),
-            limits=SharedLimits(settings.first_start, bounds.limit_slack),
-            retry_budget=RetryBudget(
-                bounds.retry_share, bounds.retry_slack, bounds.retry_window
-            ),
-            crash_guard=CrashGuard(),
-            prefill_rate=PrefillRate(),
-            usage=UsageCounts(bounds.usage_window),
-        )
+        self.state = make_node_state(settings, timers, wire)
         self._configuration_watch = TableWatch(
             store,
             wire.configuration_table,
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -10,13 +10,11 @@
 from rattanwick.internal.gateway.crash_guard import CrashGuard
 from rattanwick.internal.gateway.endpoint_directory import EndpointDirectory
 from rattanwick.internal.gateway.endpoint_links import EndpointLinks
-from rattanwick.internal.gateway.engine_view import (
-    EndpointView,
-    PrefillRate,
-    RecentRate,
-)
+from rattanwick.internal.gateway.engine_view import EndpointView, RecentRate
+from rattanwick.internal.gateway.interfaces import Wire
 from rattanwick.internal.gateway.members import Member, Members
 from rattanwick.internal.gateway.model import Configuration, PromptPart
+from rattanwick.internal.gateway.prefill import PrefillSpeeds
 from rattanwick.internal.gateway.quotas import SharedLimits
 from rattanwick.internal.gateway.retries import RetryBudget
 from rattanwick.internal.gateway.roster import (
@@ -58,7 +56,7 @@
     limits: SharedLimits
     retry_budget: RetryBudget
     crash_guard: CrashGuard
-    prefill_rate: PrefillRate
+    prefill_speeds: PrefillSpeeds
     usage: UsageCounts
     configuration: Configuration | None = None
     leaving: bool = False
@@ -175,3 +173,24 @@
         """Tell whether callers may be sent here."""
         known = self.configuration is not None and self.endpoints.known
         return known and not self.leaving
+
+
+def make_node_state(
+    settings: GatewaySettings, timers: TimerService, wire: Wire
+) -> NodeState:
+    """Return the state of a node that has just started."""
+    bounds = settings.bounds
+    return NodeState(
+        settings=settings,
+        timers=timers,
+        members=Members(settings.node_id),
+        endpoints=EndpointDirectory(wire, timers),
+        links=EndpointLinks(),
+        limits=SharedLimits(settings.first_start, bounds.limit_slack),
+        retry_budget=RetryBudget(
+            bounds.retry_share, bounds.retry_slack, bounds.retry_window
+        ),
+        crash_guard=CrashGuard(),
+        prefill_speeds=PrefillSpeeds(),
+        usage=UsageCounts(bounds.usage_window),
+    )
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -90,7 +90,9 @@
         else:
             self._tell_in_turn(own, state.members.sharing())
             self._tell_in_turn(make_brief(own), state.members.standing_by())
-        self._turns.forget({member.node_id for member in state.members.all()})
+        known = {member.node_id for member in state.members.all()}
+        self._turns.forget(known)
+        state.prefill_speeds.keep_peers(known)
         self._copies.catch_up(now)
 
     def tell_all(self) -> None:
@@ -197,6 +199,7 @@
             usage=state.usage.own(),
             loads=self._own_loads(now),
             prompt_tokens=dict(state.prompt_tokens),
+            prefill_seen=state.prefill_speeds.seen(),
             crashes=[
                 list(c) for c in state.crash_guard.recent(now, CRASH_TELL_SECONDS)
             ],
@@ -219,6 +222,8 @@
             return
         if told.node_id == self._state.settings.node_id:
             return
+        if not self._comes_from_its_node(told, address[0]):
+            return
         peer = (told.node_id, told.boot)
         if told.sequence <= self._heard_sequence.get(peer, 0):
             return
@@ -234,6 +239,18 @@
         else:
             self._take(peer, told, address[0])
 
+    def _comes_from_its_node(self, told: PeerState | PeerLoads, ip: str) -> bool:
+        """Tell whether a message that names a known process came from its address.
+
+        Otherwise a sequence number far ahead, sent by another, would silence the
+        node for good. A node that was replaced has a later start.
+        """
+        known = self._state.members.get(told.node_id)
+        if known is None or known.boot != told.boot or known.address[0] == ip:
+            return True
+        log.warning("foreign sender", extra={"peer": ip, "member": told.node_id})
+        return False
+
     def _take(self, peer: tuple[str, int], told: PeerState, ip: str) -> None:
         state, now = self._state, self._state.timers.now()
         known = state.members.get(told.node_id)
@@ -260,6 +277,7 @@
         )
         state.limits.hear(peer, told.spent, now, told.boot > self._boot)
         self._prompt_tokens[peer] = told.prompt_tokens
+        state.prefill_speeds.hear(told.node_id, told.prefill_seen)
         for print_, endpoint_id, age in told.crashes:
             state.crash_guard.note_crash(print_, endpoint_id, now - age)
         if told.brief:
--- a/src/rattanwick/internal/gateway/peer_state.py
+++ b/src/rattanwick/internal/gateway/peer_state.py
@@ -12,6 +12,7 @@
 from rattanwick.internal.gateway.interfaces import StoredRow
 from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.node_state import Placement
+from rattanwick.internal.gateway.shapes import Shape, matches
 from rattanwick.internal.gateway.table_watch import TableChanges
 from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
 
@@ -29,6 +30,34 @@
     CHANGES = 3
 
 
+FIGURES = (int, int, int, int)
+# Of the fields of messages, by their names.
+SHAPES: dict[str, Shape] = {
+    "node_id": str,
+    "boot": int,
+    "sequence": int,
+    "brief": bool,
+    "port": int,
+    "callers": str,
+    "data_centre": str,
+    "ready": bool,
+    "leaving": bool,
+    "standby": bool,
+    "cores": float,
+    "request_rate": float,
+    "store_failing": bool,
+    "fence": int,
+    "versions": {str: int},
+    "spent": {str: (float, float)},
+    "usage": {int: {str: int}},
+    "loads": {str: FIGURES},
+    "prompt_tokens": {str: int},
+    "prefill_seen": {str: (float,) * 6},
+    "crashes": [(str, str, float)],
+    "placed": int,
+    "placements": [(str, [(str, int)])],
+}
+
 # By endpoint: pending prompt tokens, requests running, output tokens expected of
 # them, prompt tokens a second.
 Loads = dict[str, list[int]]
@@ -78,6 +107,7 @@
     usage: dict[int, dict[str, int]]
     loads: Loads
     prompt_tokens: dict[str, int]  # by service, read since the start
+    prefill_seen: dict[str, list[float]]  # by service, sums of first events
     crashes: list[list]  # fingerprint, endpoint, age in seconds
     placed: int  # placements since the start; the last of them follow
     # Endpoint, and id and tokens of each part. Most of them are known already, so
@@ -147,7 +177,16 @@
 def _decode_changes(node_id: str, packed: bytes) -> tuple[str, TableChanges]:
     fields = unpack_compressed(packed, "changes")
     rows = tuple(StoredRow(*row) for row in fields.pop("rows"))
-    return node_id, TableChanges(rows=rows, **fields)
+    changes = TableChanges(rows=rows, **fields)
+    numbers = [changes.after, changes.version, *(row.version for row in rows)]
+    keys = [node_id, changes.table, *(row.key for row in rows)]
+    if not (matches(numbers, [int]) and matches(keys, [str])):
+        raise ValueError("changes: a version or key has the wrong type")
+    if not all(row.value is None or isinstance(row.value, bytes) for row in rows):
+        raise ValueError("changes: a value is not bytes")
+    if not isinstance(changes.failed_seconds, (float, int, type(None))):
+        raise ValueError("changes: time since the failure is not a number")
+    return node_id, changes
 
 
 def decode_datagram(data: bytes) -> PeerState | PeerLoads | tuple[str, TableChanges]:
@@ -157,16 +196,21 @@
         if version != PROTOCOL_VERSION:
             raise ValueError(f"protocol version {version!r} is not known")
         if kind == DatagramKind.LOADS:
-            return PeerLoads(*fields)
+            return _checked(PeerLoads(*fields))
         if kind == DatagramKind.CHANGES:
             return _decode_changes(*fields)
         if kind != DatagramKind.STATE:
             raise ValueError(f"datagram kind {kind!r} is not known")
-        state = PeerState(*fields)
+        return _checked(PeerState(*fields))
     except ValueError:
         raise
     except Exception as exc:
         raise ValueError(f"datagram: {type(exc).__name__} {exc}")
-    if not (isinstance(state.node_id, str) and isinstance(state.boot, int)):
-        raise ValueError("datagram: node or time of start has the wrong type")
-    return state
+
+
+def _checked(told):
+    """Return a message whose fields all have their shapes; raise ValueError."""
+    for name in told.__slots__:
+        if not matches(getattr(told, name), SHAPES[name]):
+            raise ValueError(f"datagram: {name} has the wrong shape")
+    return told
--- a/src/rattanwick/internal/gateway/placement.py
+++ b/src/rattanwick/internal/gateway/placement.py
@@ -8,6 +8,7 @@
 
 from rattanwick.internal.gateway.engine_view import EndpointView, TotalLoad
 from rattanwick.internal.gateway.model import Call, Route, RouteTarget
+from rattanwick.internal.gateway.prefill import PrefillSpeed
 
 # Up to so many nodes, what each has sent is known to all before the next request is
 # placed. With more of them, nodes that read the same reports would all choose the
@@ -16,7 +17,6 @@
 NODES_IN_STEP = 12
 LEAST_SAMPLE = 4
 PLAIN_SAMPLE = 2  # the power of two choices
-STEP_SECONDS = 0.02  # first decoding step and its queueing at an idle engine
 REMOTE_SECONDS = 0.008  # extra time through another data centre
 CONNECT_SECONDS = 0.005  # handshake and round trip of a new connection
 REREAD_WEIGHT = 0.5  # reading shared parts again delays the requests behind
@@ -124,7 +124,7 @@
     route: Route,
     views: list[EndpointView],
     data_centre: str,
-    rate: float,
+    speed: PrefillSpeed,
     waited: float,
     now: float,
     connected: Set[str] = frozenset(),
@@ -134,6 +134,7 @@
     ``connected`` holds the ids of endpoints to which a connection is idle.
     """
     best, best_score = None, 0.0
+    rate = speed.rate
     usable = [view for view in views if not view.endpoint.leaving]
     total = call.input_tokens or 0
     duration = call.expected_output * TOKEN_SECONDS
@@ -143,7 +144,7 @@
             continue
         backlog = load.backlog
         read = view.uncached_tokens(call.prompt, total)
-        expected = STEP_SECONDS + (backlog + read) / rate
+        expected = speed.seconds(backlog + read)
         score = expected + REREAD_WEIGHT * read / rate
         score += _interference(view, load, read / rate, duration, rate)
         if view.endpoint.data_centre != data_centre:
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -210,7 +210,7 @@
             course.route,
             views,
             self._state.settings.data_centre,
-            self._state.prefill_rate.of(course.service.name),
+            self._state.prefill_speeds.of(course.service.name),
             course.waited,
             now,
             self._state.links.connected(),
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -8,11 +8,7 @@
 from fakes.gateway_endpoint import FakeGatewayEndpoint
 from rattanwick.internal.base.timers import GeventTimerService, ManualTimerService
 from rattanwick.internal.gateway.caller_server import CallerServer
-from rattanwick.internal.gateway.crash_guard import CrashGuard
-from rattanwick.internal.gateway.endpoint_directory import EndpointDirectory
-from rattanwick.internal.gateway.endpoint_links import EndpointLinks
-from rattanwick.internal.gateway.engine_view import EndpointView, PrefillRate
-from rattanwick.internal.gateway.members import Members
+from rattanwick.internal.gateway.engine_view import EndpointView
 from rattanwick.internal.gateway.model import (
     Call,
     CallerLimits,
@@ -27,12 +23,9 @@
     ScalingSpec,
     Service,
 )
-from rattanwick.internal.gateway.node_state import NodeState
-from rattanwick.internal.gateway.quotas import SharedLimits
+from rattanwick.internal.gateway.node_state import NodeState, make_node_state
 from rattanwick.internal.gateway.relay import Relay
-from rattanwick.internal.gateway.retries import RetryBudget
 from rattanwick.internal.gateway.settings import Bounds, GatewaySettings
-from rattanwick.internal.gateway.usage import UsageCounts
 from rattanwick.platform.wire import PlatformWire
 
 KEY = "key-1"
@@ -171,22 +164,7 @@
 def make_state(timers=None, settings: GatewaySettings | None = None) -> NodeState:
     """Return the state of a node that knows no endpoint yet."""
     settings = settings or make_settings()
-    timers = timers or ManualTimerService()
-    bounds = settings.bounds
-    return NodeState(
-        settings=settings,
-        timers=timers,
-        members=Members(settings.node_id),
-        endpoints=EndpointDirectory(PlatformWire(), timers),
-        links=EndpointLinks(),
-        limits=SharedLimits(first_start=True),
-        retry_budget=RetryBudget(
-            bounds.retry_share, bounds.retry_slack, bounds.retry_window
-        ),
-        crash_guard=CrashGuard(),
-        prefill_rate=PrefillRate(),
-        usage=UsageCounts(bounds.usage_window),
-    )
+    return make_node_state(settings, timers or ManualTimerService(), PlatformWire())
 
 
 class Answer:
--- a/tests/unit/test_gateway_capacity.py
+++ b/tests/unit/test_gateway_capacity.py
@@ -114,11 +114,35 @@
             total = desired[name, False] + desired[name, True]
             self.assertLessEqual(total, SCALING.most)
 
-    def test_a_declined_market_is_tried_again(self):
+    def test_a_short_market_is_tried_by_one_data_centre_at_a_time(self):
+        """All three were asked every 3 s, and not for 14 s after a reclaim.
+
+        Reclaims that were over after 2 s were made up for at full price until then.
+        """
+        market = MarketView()
+        market.note_reclaim("b", NOW)
+        market.note_declined("a", NOW)
+        self.assertEqual(market.to_try(list("abc"), NOW + 0.5), [])
+        self.assertEqual(market.to_try(list("abc"), NOW + 1.5), ["c"])
+        market.note_declined("c", NOW + 1.5)
+        self.assertEqual(market.to_try(list("abc"), NOW + 2.6), ["b"])
+
+    def test_a_data_centre_that_lacks_nothing_does_not_take_the_turn(self):
+        """The one that had all it should have was to be tried, and no other was."""
+        serving = (
+            ClassCount("a", True, 6),
+            ClassCount("b", True, 1),
+            ClassCount("c", True, 6),
+        )
+        market = MarketView()
+        market.note_declined("b", NOW - 5.0)
+        self.assertGreater(plan(6, serving, market)["b", True], 1)
+
+    def test_an_order_that_was_taken_opens_all_data_centres(self):
         market = MarketView()
         market.note_declined("a", NOW)
-        self.assertFalse(market.available("a", NOW + 1))
-        self.assertTrue(market.available("a", NOW + 5))
+        market.note_taken()
+        self.assertEqual(market.to_try(list("abc"), NOW), list("abc"))
 
     def test_the_need_follows_the_load(self):
         self.assertGreater(
--- a/tests/unit/test_gateway_parts.py
+++ b/tests/unit/test_gateway_parts.py
@@ -307,6 +307,7 @@
         usage={5: {"org": 1}},
         loads={"i-1": [1, 2, 3, 4]},
         prompt_tokens={"engine": 5},
+        prefill_seen={"engine": [1.0, 2.5, 0.25, 4.0, 5.5, 0.5]},
         crashes=[],
         placed=7,
         placements=[["i-1", [["p", 5]]]],
@@ -355,6 +356,23 @@
         self.assertEqual(placements_after(state, 7), [])
         self.assertEqual(placements_after(state, 9), [])
 
+    @given(st.data())
+    def test_a_field_of_another_shape_is_an_error(self, data):
+        """Some failed later, after their sequence had been noted."""
+        name = data.draw(st.sampled_from(PeerState.__slots__))
+        strange = st.one_of(
+            st.none(),
+            st.binary(),
+            st.just(1 << 60),
+            st.just(float("nan")),
+            st.just([[1]]),
+            st.just({"org": ["x"]}),
+            st.just({b"org": 1}),
+        )
+        state = replace(self.STATE, **{name: data.draw(strange)})
+        with self.assertRaises(ValueError):
+            decode_datagram(encode_state(state))
+
     @given(st.binary(max_size=200))
     def test_other_bytes_are_an_error(self, data):
         with self.assertRaises(ValueError):
--- a/tests/unit/test_gateway_placement.py
+++ b/tests/unit/test_gateway_placement.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from rattanwick.internal.gateway.engine_view import PeerLoad, PrefillRate, RecentRate
+from rattanwick.internal.gateway.engine_view import PeerLoad, RecentRate
 from rattanwick.internal.gateway.model import CallKind, PromptPart, RouteTarget
 from rattanwick.internal.gateway.placement import (
     NotPlaced,
@@ -16,16 +16,18 @@
     sample_engines,
     sample_plain,
 )
+from rattanwick.internal.gateway.prefill import PrefillSpeed
 from tests.gateway_case import make_call, make_route, make_view
 
 RATE = 30_000.0
+SPEED = PrefillSpeed(RATE, 0.02)
 ROUTE = make_route("/engine/", CallKind.STREAM, "engine", objective=0.8)
 SHARED = (PromptPart("system", 2500), PromptPart("session", 3800))
 
 
 def place(call, *views, data_centre="a", waited=0.0, route=ROUTE, now=1.0):
     """Place a request among views."""
-    return place_on_engine(call, route, list(views), data_centre, RATE, waited, now)
+    return place_on_engine(call, route, list(views), data_centre, SPEED, waited, now)
 
 
 class PlainHerdTests(unittest.TestCase):
@@ -163,12 +165,12 @@
         """With 80 nodes two of three requests opened a connection of their own."""
         views = [make_view("i-1"), make_view("i-2")]
         placed = place_on_engine(
-            make_call(), ROUTE, views, "a", RATE, 0.0, 1.0, connected={"i-2"}
+            make_call(), ROUTE, views, "a", SPEED, 0.0, 1.0, connected={"i-2"}
         )
         self.assertEqual(placed.view.endpoint.id, "i-2")
         views[1].pending_tokens = 2000
         placed = place_on_engine(
-            make_call(), ROUTE, views, "a", RATE, 0.0, 1.0, connected={"i-2"}
+            make_call(), ROUTE, views, "a", SPEED, 0.0, 1.0, connected={"i-2"}
         )
         self.assertEqual(placed.view.endpoint.id, "i-1")
 
@@ -269,12 +271,3 @@
         rate.add(3000, 0.0)
         self.assertAlmostEqual(rate.per_second(0.0), 1000.0)
         self.assertLess(rate.per_second(9.0), 100.0)
-
-    def test_small_prompts_do_not_teach_the_prefill_rate(self):
-        rate = PrefillRate()
-        before = rate.of("engine")
-        rate.observe("engine", 100, 0.2)
-        self.assertEqual(rate.of("engine"), before)
-        for _ in range(400):
-            rate.observe("engine", 8000, 0.215)
-        self.assertAlmostEqual(rate.of("engine"), 40_000, delta=500)
--- /dev/null
+++ b/tests/unit/test_lab_and_account.py
@@ -0,0 +1,94 @@
+"""The experiment tool for orders and the account from logs.
+
+Guards against a tool that plays something else than the node does, and against
+requests that an account leaves out.
+"""
+
+import io
+import json
+import unittest
+from contextlib import redirect_stdout
+
+from bench.attribute import show, take_account
+from bench.capacity_lab import (
+    GatewayPolicy,
+    OraclePolicy,
+    Play,
+    Policy,
+    Ranges,
+    draw_day,
+    set_constants,
+)
+from rattanwick.internal.gateway.explanation import read_lines
+
+SECONDS = 40.0
+
+
+class CapacityLabTests(unittest.TestCase):
+    DEPLOYMENTS = 20
+
+    def test_a_seed_gives_the_same_day_and_figures(self):
+        day = draw_day(7, Ranges(), SECONDS)
+        self.assertEqual(day, draw_day(7, Ranges(), SECONDS))
+        first, second = (Play(day).run(GatewayPolicy) for _ in range(2))
+        self.assertEqual((first.cost, first.late), (second.cost, second.late))
+
+    def test_the_plan_is_worth_more_than_a_fixed_fleet_on_drawn_deployments(self):
+        better = 0
+        for seed in range(self.DEPLOYMENTS):
+            day = draw_day(seed, Ranges(), SECONDS)
+            plan = Play(day).run(GatewayPolicy).worth(day)
+            better += plan > Play(day).run(Policy).worth(day)
+        self.assertGreaterEqual(better, 0.9 * self.DEPLOYMENTS)
+
+    def test_foresight_costs_less(self):
+        day = draw_day(3, Ranges(), SECONDS)
+        plan, oracle = (Play(day).run(kind) for kind in (GatewayPolicy, OraclePolicy))
+        self.assertLess(oracle.cost, plan.cost)
+
+    def test_an_unknown_constant_is_refused(self):
+        with self.assertRaisesRegex(SystemExit, "no such constant"):
+            set_constants(["UTILISATION=0.7"])
+
+
+class AccountTests(unittest.TestCase):
+    def lines(self):
+        """Return lines as nodes write them, some behind other text."""
+        ended = {"message": "relay: ended", "node": "n1", "route": "tags"}
+        told = [
+            ended
+            | {"time": 10.0, "outcome": "answered_200", "first_ms": 90}
+            | {"expected_ms": 70},
+            ended | {"time": 10.5, "outcome": "refused: first_event_too_late: x"},
+            {"time": 12.1, "message": "relay: refused", "reason": "over_limit"},
+            {"time": 12.2, "message": "relay: refused", "reason": "unknown_key"},
+            {"time": 9.0, "message": "endpoints: entry", "endpoint": "i-1"}
+            | {"leaving": False, "reclaimable": True},
+            {"time": 11.0, "message": "endpoints: entry", "endpoint": "i-1"}
+            | {"leaving": True, "reclaimable": True},
+            {"time": 11.5, "message": "orders: order", "reclaimable": False}
+            | {"outcome": "declined: none"},
+        ]
+        texts = [f"  1.5 n1 {json.dumps(line)}" for line in told]
+        return read_lines([*texts, "{torn"])
+
+    def test_each_end_and_engine_is_accounted_for(self):
+        lines, unread = self.lines()
+        account = take_account(lines, 2.0)
+        self.assertEqual(unread, 1)
+        self.assertEqual(
+            account.ends,
+            {
+                0: {"answered_200": 1, "refused: first_event_too_late": 1},
+                1: {"over_limit": 1, "unknown_key": 1},
+            },
+        )
+        self.assertEqual(account.errors_ms, {"tags": [20]})
+        self.assertEqual(account.engine_seconds, {"reclaimable": 1.0})
+        self.assertEqual(account.orders, {("full price", "declined"): 1})
+
+    def test_the_worst_window_is_shown_without_callers_own_faults(self):
+        output = io.StringIO()
+        with redirect_stdout(output):
+            show(take_account(self.lines()[0], 2.0), 2.0, 1)
+        self.assertIn("from   0.0 s     1 not served", output.getvalue())
