Expect further reclaims for 8 s, and keep few reclaimable engines that are dear

Cause: after a reclaim the remaining reclaimable engines counted half for 14 s and full-price ones stood in; the users' waves follow within 6 s. On drawn deployments a fleet of reclaimable engines at 0.9 of the full price cost as much as a fixed one.

--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -17,14 +17,18 @@
 # Reclaimable endpoints for each engine needed: they cost about a fifth, a reclaim
 # takes a third of them, and a burst finds them booted.
 RECLAIMABLE_RATIO = 2.75
+# Where they cost more than this share of the full price, spare ones beside the need
+# cost more than the late requests that they prevent.
+DEAR_PRICE = 0.6
+DEAR_RATIO = 0.8
 BASE_ENDPOINTS = 2  # at full price, which no reclaim takes
 # While endpoints are being reclaimed, the rest is counted at this share: reclaims
 # come in waves over the data centres, faster than replacements boot.
 WAVE_SHARE = 0.5
-WAVE_SECONDS = 14.0  # after a reclaim, in which others are likely
+WAVE_SECONDS = 8.0  # after a reclaim, in which others are likely
 RECLAIM_SECONDS = 2.0  # after a reclaim, in which its data centre gives no others
-# Between tries while orders are declined, of one data centre at a time. A try costs
-# less than the full price of one endpoint for a tenth of a second.
+# Between tries while orders are declined. Calls are priced, but far below a second of
+# the full-price endpoints that stand in meanwhile.
 DECLINED_SECONDS = 1.0
 SHRINK_SECONDS = 3.0  # for which fewer must suffice before the order shrinks
 REPEAT_SECONDS = 9.0  # after which an order that had no effect is made again
@@ -128,7 +132,8 @@
         _fill(base, needed - serving, centres, prices, room)
     cheap = dict.fromkeys(centres, 0)
     if scaling.reclaimable_price is not None:
-        wanted = ceil(RECLAIMABLE_RATIO * needed)
+        dear = scaling.reclaimable_price > DEAR_PRICE
+        wanted = ceil((DEAR_RATIO if dear else RECLAIMABLE_RATIO) * needed)
         _spread(wanted, centres, base, cheap, scaling.most, market, now)
     growing = [name for name in centres if cheap[name] > live[name]]
     shut = set(growing) - set(market.to_try(growing, now))
--- a/tests/unit/test_gateway_capacity.py
+++ b/tests/unit/test_gateway_capacity.py
@@ -1,6 +1,7 @@
 """Orders for endpoints under load, reclaims and a market without spare ones."""
 
 import unittest
+from dataclasses import replace
 
 from rattanwick.internal.gateway.capacity import (
     BASE_ENDPOINTS,
@@ -138,6 +139,14 @@
         market.note_declined("b", NOW - 5.0)
         self.assertGreater(plan(6, serving, market)["b", True], 1)
 
+    def test_dear_reclaimable_endpoints_are_not_kept_beside_the_need(self):
+        """At 0.9 of the full price, spare ones cost as much as a fixed fleet."""
+        scaling = replace(SCALING, reclaimable_price=0.9)
+        desired = plan_capacity(5, scaling, [], MarketView(), NOW)
+        self.assertLessEqual(sum(d.count for d in desired if d.reclaimable), 5)
+        cheap = plan_capacity(5, SCALING, [], MarketView(), NOW)
+        self.assertGreater(sum(d.count for d in cheap if d.reclaimable), 10)
+
     def test_an_order_that_was_taken_opens_all_data_centres(self):
         market = MarketView()
         market.note_declined("a", NOW)
