--- a/tests/scenario/test_gateway_processes.py
+++ b/tests/scenario/test_gateway_processes.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import gevent
+import h11
 
 from fakes.gateway_deployment import (
     CALLERS,
@@ -91,6 +92,73 @@
         self.assertEqual(self.nodes["front-a-1"].wait(9.0), 0)
         self.assertIn('"node: stopped"', self.nodes["front-a-1"].read_output())
 
+    def test_no_request_is_cut_by_a_planned_stop_under_load(self):
+        """Requests on kept and on new connections go on until the node refuses them.
+
+        One that ran must have its whole answer, however late before the end it came.
+        """
+        endpoint = self.deployment.endpoints["i-1"]
+        endpoint.event_seconds, endpoint.echo = 0.02, True
+        node = self.nodes["front-a-1"]
+        whole, cut = [], []
+        callers = [
+            gevent.spawn(self.press, f"c{number}", number % 2 == 0, whole, cut)
+            for number in range(12)
+        ]
+        gevent.sleep(0.5)
+        before = len(whole)
+        node.terminate()
+        gevent.joinall(callers, timeout=12.0, raise_error=True)
+        self.assertEqual(node.wait(9.0), 0)
+        self.assertGreater(len(whole), before)
+        ran = {headers["x-request-id"] for headers in endpoint.seen}
+        self.assertEqual([call_id for call_id in cut if call_id in ran], [])
+
+    def press(self, name: str, keeps: bool, whole: list[str], cut: list[str]) -> None:
+        """Send requests to the first node until it takes no connection any more."""
+        address = self.deployment.callers_address("front-a-1")
+        number = 0
+        while True:
+            try:
+                sock = gevent.socket.create_connection(address, 2.0)
+            except OSError:
+                return
+            http = h11.Connection(h11.CLIENT)
+            goes_on = True
+            while goes_on:
+                number += 1
+                call_id = f"{name}-{number}"
+                goes_on = self.exchange(sock, http, call_id, whole, cut) and keeps
+                if goes_on:
+                    http.start_next_cycle()
+            sock.close()
+
+    def exchange(self, sock, http, call_id: str, whole: list, cut: list) -> bool:
+        """Send one request; tell whether the connection may carry another."""
+        headers = [
+            ("Host", HOST),
+            ("X-Request-Id", call_id),
+            ("X-Api-Key", KEY),
+            ("X-Deadline-Ms", "6000"),
+            ("Content-Length", "2"),
+        ]
+        data = http.send(h11.Request(method="POST", target="/talk/x", headers=headers))
+        data += http.send(h11.Data(data=b"hi")) + http.send(h11.EndOfMessage())
+        try:
+            sock.sendall(data)
+            while (event := http.next_event()) is not None:
+                if event is h11.NEED_DATA:
+                    http.receive_data(sock.recv(65536))
+                elif isinstance(event, h11.EndOfMessage):
+                    whole.append(call_id)
+                    return http.their_state is h11.DONE
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+        except (OSError, h11.RemoteProtocolError):
+            pass  # judged by whether the request ran
+        cut.append(call_id)
+        return False
+
     def test_a_killed_node_is_left_out_and_its_duties_go_on(self):
         self.wait_until(lambda: self.platform.reports)
         holder = next(
