--- a/bench/capacity_lab.py
+++ b/bench/capacity_lab.py
@@ -16,7 +16,7 @@
 
 from rattanwick.internal.base.errors import Conflict
 from rattanwick.internal.base.timers import ManualTimerService
-from rattanwick.internal.gateway import capacity
+from rattanwick.internal.gateway import capacity, endpoint_orders
 from rattanwick.internal.gateway.endpoint_orders import EndpointOrders
 from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder, StoredRow
 from rattanwick.internal.gateway.model import (
@@ -398,12 +398,14 @@
 
 
 def set_constants(settings: list[str]) -> None:
-    """Set constants of the plan, each as NAME=VALUE."""
+    """Set constants of plan and orders, each as NAME=VALUE, wherever they are used."""
     for setting in settings:
         name, _, value = setting.partition("=")
-        if not hasattr(capacity, name):
-            sys.exit(f"--set {name}: no such constant in gateway/capacity.py")
-        setattr(capacity, name, float(value))
+        users = [part for part in (capacity, endpoint_orders) if hasattr(part, name)]
+        if not users:
+            sys.exit(f"--set {name}: no such constant of the plan or the orders")
+        for part in users:
+            setattr(part, name, float(value))
 
 
 def main() -> int:
