Use engines as far as their prompts leave time before the objective

Change: the target is learned from what prompts take of their objectives, such that the mean wait of a queue with random arrivals takes half of it.

--- a/bench/capacity_lab.py
+++ b/bench/capacity_lab.py
@@ -44,6 +44,7 @@
 FIRST_EVENT_SECONDS = 0.02  # beside the prompt
 LEARNED_SIZES = (500, 4_000, 16_000)  # prompt tokens
 LEARNED_EVENTS = 200
+PROMPT_TOKENS = 4_000  # of a usual prompt
 NOWHERE = ("127.0.0.1", 0)  # nothing is called
 SETTINGS = GatewaySettings(
     node_id="n1",
@@ -296,6 +297,9 @@
                 self._state.prefill_speeds.observe(
                     SERVICE, tokens, speed.seconds(tokens)
                 )
+            self._state.utilisation_targets.note(
+                SERVICE, PROMPT_TOKENS, PROMPT_TOKENS / day.rate, day.objective
+            )
         self._orders = EndpointOrders(
             self._state, market, AlwaysHolder(), lambda service: 0
         )
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -97,7 +97,8 @@
             return NotRun(f"connection was dead: {exc.reason}", sent=False)
         course.attempts += 1
         course.may_have_run = True
-        self._state.note_prompt(course.service.name, self._pending)
+        objective = course.route.objective
+        self._state.note_prompt(course.service.name, self._pending, objective)
         self._view.prefill.add(self._pending, self._now())
         if course.route.kind is CallKind.STREAM:
             return self._relay_stream()
--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -5,9 +5,6 @@
 
 from rattanwick.internal.gateway.model import ScalingSpec
 
-# Of an engine's prefill rate. Above it queues exceed the objectives; what is paid in
-# full is used up to it, and reclaimable engines beside the need keep queues short.
-TARGET_UTILISATION = 0.85
 # Counted as needed before the load is known. Nodes are sized with the load: 6 of them
 # met one that needed 8 engines, and 80 one of 550,000 prompt tokens a second, for which
 # 29 were then ordered while the first reclaim had already taken 14.
@@ -15,7 +12,8 @@
 START_ENGINES_PER_NODE = 0.375
 LEAST_ENGINES = 4
 # Reclaimable endpoints for each engine needed: they cost about a fifth, a reclaim
-# takes a third of them, and a burst finds them booted.
+# takes a third of them, and a burst finds them booted. They keep queues short beside
+# what is needed at full price.
 RECLAIMABLE_RATIO = 2.75
 # Where they cost more than this share of the full price, spare ones beside the need
 # cost more than the late requests that they prevent.
@@ -92,12 +90,18 @@
 
 
 def engines_needed(
-    tokens_per_second: float | None, prefill_rate: float, nodes: int
+    tokens_per_second: float | None,
+    prefill_rate: float,
+    utilisation: float,
+    nodes: int,
 ) -> int:
-    """Return the engines that a load of prompt tokens needs."""
+    """Return the engines that a load of prompt tokens needs.
+
+    ``utilisation`` is the share of their speed above which queues exceed objectives.
+    """
     if tokens_per_second is None:
         return max(START_ENGINES, round(START_ENGINES_PER_NODE * nodes))
-    needed = ceil(tokens_per_second / (prefill_rate * TARGET_UTILISATION))
+    needed = ceil(tokens_per_second / (prefill_rate * utilisation))
     return max(needed, LEAST_ENGINES)
 
 
--- a/src/rattanwick/internal/gateway/endpoint_orders.py
+++ b/src/rattanwick/internal/gateway/endpoint_orders.py
@@ -51,6 +51,7 @@
     serving: int
     load: float | None  # prompt tokens a second; None before it is known
     rate: float  # prompt tokens a second that an engine reads
+    utilisation: float  # share of it that may be used
 
 
 class LoadMeter:
@@ -134,14 +135,16 @@
         counts = self._counts(service.name)
         rate = self._state.prefill_speeds.of(service.name).rate
         load_ahead = None if load is None else load * LOAD_MARGIN
-        needed = engines_needed(load_ahead, rate, self._state.members.count())
+        utilisation = self._state.utilisation_targets.of(service.name)
+        nodes = self._state.members.count()
+        needed = engines_needed(load_ahead, rate, utilisation, nodes)
         idle = load is None and self._state.settings.first_start
         plan = plan_capacity(needed, service.scaling, counts, self._market, now, idle)
         if load is None and not idle:
             # A holder that has just started does not know yet what is needed.
             plan = keep_serving(plan, counts)
         live = {(c.data_centre, c.reclaimable): c.live for c in counts}
-        demand = Demand(needed, sum(live.values()), load, rate)
+        demand = Demand(needed, sum(live.values()), load, rate, utilisation)
         # Growth first: what shrinks must not leave before its replacement is ordered.
         plan.sort(key=lambda d: d.count <= live.get((d.data_centre, d.reclaimable), 0))
         for desired in plan:
@@ -227,6 +230,7 @@
                 "serving": demand.serving,
                 "load_tokens_per_s": demand.load and round(demand.load),
                 "engine_tokens_per_s": round(demand.rate),
+                "utilisation": round(demand.utilisation, 2),
                 "fence": fence,
                 "outcome": outcome,
             },
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -24,6 +24,7 @@
 )
 from rattanwick.internal.gateway.settings import GatewaySettings
 from rattanwick.internal.gateway.usage import UsageCounts
+from rattanwick.internal.gateway.utilisation import UtilisationTargets
 
 log = get_logger("members")
 
@@ -57,6 +58,7 @@
     retry_budget: RetryBudget
     crash_guard: CrashGuard
     prefill_speeds: PrefillSpeeds
+    utilisation_targets: UtilisationTargets
     usage: UsageCounts
     configuration: Configuration | None = None
     leaving: bool = False
@@ -83,9 +85,11 @@
             self.placements.append(Placement(view.endpoint.id, prompt[:-1], now))
             self.placed += 1
 
-    def note_prompt(self, service: str, tokens: int) -> None:
-        """Count prompt tokens that an endpoint has to read."""
+    def note_prompt(self, service: str, tokens: int, objective: float) -> None:
+        """Count prompt tokens that an endpoint has to read within an objective."""
         self.prompt_tokens[service] = self.prompt_tokens.get(service, 0) + tokens
+        seconds = tokens / self.prefill_speeds.of(service).rate
+        self.utilisation_targets.note(service, tokens, seconds, objective)
 
     def ready_nodes(self) -> list[RosterNode]:
         """Return the nodes that are up and serve, this one included."""
@@ -192,5 +196,6 @@
         ),
         crash_guard=CrashGuard(),
         prefill_speeds=PrefillSpeeds(),
+        utilisation_targets=UtilisationTargets(),
         usage=UsageCounts(bounds.usage_window),
     )
--- a/tests/unit/test_gateway_capacity.py
+++ b/tests/unit/test_gateway_capacity.py
@@ -12,6 +12,7 @@
     plan_capacity,
 )
 from rattanwick.internal.gateway.endpoint_orders import LoadMeter
+from rattanwick.internal.gateway.utilisation import UtilisationTargets
 from tests.gateway_case import SCALING
 
 NOW = 100.0
@@ -155,24 +156,60 @@
 
     def test_the_need_follows_the_load(self):
         self.assertGreater(
-            engines_needed(200_000, 30_000, 6), engines_needed(60_000, 30_000, 6)
+            engines_needed(200_000, 30_000, 0.8, 6),
+            engines_needed(60_000, 30_000, 0.8, 6),
         )
         self.assertGreaterEqual(
-            engines_needed(None, 30_000, 1), engines_needed(0, 30_000, 1)
+            engines_needed(None, 30_000, 0.8, 1), engines_needed(0, 30_000, 0.8, 1)
         )
 
     def test_a_large_deployment_is_not_shrunk_before_its_load_is_known(self):
         """Of 45 engines 19 were ordered to stay, and 14 were busy at once."""
         rate = 38_400.0
         # 550,000 prompt tokens a second came in the first seconds at 80 nodes.
-        self.assertGreaterEqual(engines_needed(None, rate, 80) * rate, 550_000)
-        self.assertEqual(engines_needed(None, rate, 6), 8)
+        self.assertGreaterEqual(engines_needed(None, rate, 0.8, 80) * rate, 550_000)
+        self.assertEqual(engines_needed(None, rate, 0.8, 6), 8)
 
     def test_the_first_load_finds_the_engines_that_it_needs(self):
         """A reclaim in the second second left 0.66 of the credit for six seconds."""
         usual_rate = 30_000.0
-        then = engines_needed(550_000, usual_rate, 80)
-        self.assertGreaterEqual(engines_needed(None, usual_rate, 80), then)
+        then = engines_needed(550_000, usual_rate, 0.8, 80)
+        self.assertGreaterEqual(engines_needed(None, usual_rate, 0.8, 80), then)
+
+
+class UtilisationTests(unittest.TestCase):
+    """Guard against one figure for deployments with short and with long objectives.
+
+    Engines used to 0.85 served prompts that take 0.2 of their objective late: three
+    kinds of request with objectives of 0.5 to 0.8 s before engines that read 30,000
+    tokens a second.
+    """
+
+    def target(self, *prompts: tuple[int, float, float]) -> float:
+        """Return the target after many prompts: tokens, seconds, objective."""
+        targets = UtilisationTargets()
+        for _ in range(200):
+            for prompt in prompts:
+                targets.note("engine", *prompt)
+        return targets.of("engine")
+
+    def test_prompts_that_take_much_of_their_objective_need_free_engines(self):
+        tight = self.target((4500, 0.15, 0.8), (1900, 0.063, 0.6), (600, 0.02, 0.5))
+        wide = self.target((8000, 0.2, 2.5), (2000, 0.05, 0.5))
+        self.assertLess(tight, 0.78)
+        self.assertGreater(wide, 0.82)
+
+    def test_the_mean_wait_takes_half_of_the_objective_at_most(self):
+        for seconds, objective in ((0.05, 0.5), (0.2, 0.6), (0.3, 2.0)):
+            used = self.target((5000, seconds, objective))
+            self.assertLessEqual(used / (1 - used) * seconds, 0.55 * objective)
+
+    def test_a_few_odd_prompts_do_not_set_the_target(self):
+        targets = UtilisationTargets()
+        before = targets.of("engine")
+        targets.note("engine", 500, 3.0, 0.5)
+        self.assertAlmostEqual(targets.of("engine"), before, delta=0.07)
+        self.assertGreaterEqual(self.target((50_000, 10.0, 0.5)), 0.5)
 
 
 class LoadMeterTests(unittest.TestCase):
