--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: capacity check-dist ci clean demo dist environment format gateway-incident \
-	incident lint prove soak test
+	incident lab lint prove soak test
 
 environment: $(STAMP)
 
@@ -57,6 +57,10 @@
 soak: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m soak $(if $(SEEDS),--seeds $(SEEDS))
 
+# Plays the plan of endpoints on 40 drawn deployments, in some seconds.
+lab: $(STAMP)
+	PYTHONPATH=src:. $(BIN)/python -m bench.capacity_lab
+
 # About 12 minutes; starts up to 50 processes on loopback.
 capacity: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.capacity
--- a/src/rattanwick/internal/gateway/utilisation.py
+++ b/src/rattanwick/internal/gateway/utilisation.py
@@ -31,6 +31,8 @@
 
     def note(self, service: str, tokens: int, seconds: float, objective: float) -> None:
         """Count a prompt that takes so many seconds to read."""
+        if objective <= 0:
+            return  # a route without an objective asks for nothing
         mean = self._means.setdefault(service, _Mean())
         mean.shares += tokens * seconds / objective - FORGETTING * mean.shares
         mean.tokens += tokens - FORGETTING * mean.tokens
--- a/tests/unit/test_gateway_capacity.py
+++ b/tests/unit/test_gateway_capacity.py
@@ -204,6 +204,10 @@
             used = self.target((5000, seconds, objective))
             self.assertLessEqual(used / (1 - used) * seconds, 0.55 * objective)
 
+    def test_a_route_without_an_objective_changes_nothing(self):
+        before = UtilisationTargets().of("engine")
+        self.assertEqual(self.target((5000, 0.2, 0.0)), before)
+
     def test_a_few_odd_prompts_do_not_set_the_target(self):
         targets = UtilisationTargets()
         before = targets.of("engine")
