--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -75,13 +75,13 @@
         """Note that an order for reclaimable endpoints was taken."""
         self._declined.clear()
 
-    def open(self, data_centre: str, now: float) -> bool:
+    def is_open(self, data_centre: str, now: float) -> bool:
         """Tell whether a data centre is not being reclaimed."""
         return now >= self.reclaimed_until.get(data_centre, 0.0)
 
     def to_try(self, centres: list[str], now: float) -> list[str]:
         """Return those data centres in which more may be ordered now."""
-        tried = [name for name in centres if self.open(name, now)]
+        tried = [name for name in centres if self.is_open(name, now)]
         if not tried or not self._declined:
             return tried
         if now - max(self._declined.values()) < DECLINED_SECONDS:
@@ -146,7 +146,7 @@
         for reclaimable, count in ((False, base), (True, cheap))
         for name in centres
         # Without reclaimable endpoints to be had, their order is left as it is.
-        if not reclaimable or (market.open(name, now) and name not in shut)
+        if not reclaimable or (market.is_open(name, now) and name not in shut)
     ]
 
 
@@ -198,7 +198,7 @@
         room = [
             name
             for name in centres
-            if market.open(name, now) and base[name] + cheap[name] < most
+            if market.is_open(name, now) and base[name] + cheap[name] < most
         ]
         if not room:
             return
--- a/src/rattanwick/internal/gateway/quotas.py
+++ b/src/rattanwick/internal/gateway/quotas.py
@@ -4,9 +4,9 @@
 requests and with what its peers tell of theirs. While peers are silent, the
 bucket refills only by the share of the nodes that it hears.
 
-A request is admitted where the bucket covers its cost, but for a reserve that small
-requests may draw on. So one large request does not keep the small ones out that an
-organisation sends at the same time.
+A request is admitted where the bucket covers its cost twice, but for a reserve. So when
+little is left, the small requests of an organisation go before its large ones, and one
+large request does not keep them out.
 """
 
 from dataclasses import dataclass, field
