Check changes of the store by the shapes of datagrams, and count classes once

Found in reading the whole change: datagrams of changes had checks of their own beside the table of shapes; three places built the count of endpoints by data centre and class from the same list; two passed a peer's spending on alike. Each is one piece now. Behaviour is the same, but that a time since the store's failure which is a truth value or no finite number is now refused as malformed, as in all other fields.

--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -1,5 +1,6 @@
 """Plan of endpoints to order: how many, of which class, in which data centre."""
 
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from math import ceil
 
@@ -121,8 +122,7 @@
     """
     prices = scaling.data_centre_prices
     centres = sorted(prices, key=lambda name: (prices[name], name))
-    live = dict.fromkeys(centres, 0)
-    live.update((c.data_centre, c.live) for c in counts if c.reclaimable)
+    live = Counter({c.data_centre: c.live for c in counts if c.reclaimable})
     # Reclaimable endpoints that do not serve yet are no capacity; until they do,
     # full-price ones keep their places under the limit of a data centre.
     serving = sum(live.values())
@@ -154,14 +154,18 @@
     plan: list[DesiredCount], counts: list[ClassCount]
 ) -> list[DesiredCount]:
     """Return a plan that gives up no endpoint which serves."""
-    live = {(c.data_centre, c.reclaimable): c.live for c in counts}
+    live = live_by_class(counts)
     return [
-        replace(item, count=max(item.count, live.get(key, 0)))
+        replace(item, count=max(item.count, live[item.data_centre, item.reclaimable]))
         for item in plan
-        for key in [(item.data_centre, item.reclaimable)]
     ]
 
 
+def live_by_class(counts: list[ClassCount]) -> Counter[tuple[str, bool]]:
+    """Return what serves, by data centre and whether it is reclaimable."""
+    return Counter({(c.data_centre, c.reclaimable): c.live for c in counts})
+
+
 def _base(scaling: ScalingSpec, centres: list[str]) -> dict[str, int]:
     """Return the full-price endpoints that are always there."""
     if scaling.reclaimable_price is None:
--- a/src/rattanwick/internal/gateway/endpoint_orders.py
+++ b/src/rattanwick/internal/gateway/endpoint_orders.py
@@ -14,6 +14,7 @@
     MarketView,
     engines_needed,
     keep_serving,
+    live_by_class,
     plan_capacity,
 )
 from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder
@@ -143,13 +144,13 @@
         if load is None and not idle:
             # A holder that has just started does not know yet what is needed.
             plan = keep_serving(plan, counts)
-        live = {(c.data_centre, c.reclaimable): c.live for c in counts}
-        demand = Demand(needed, sum(live.values()), load, rate, utilisation)
+        live = live_by_class(counts)
+        demand = Demand(needed, live.total(), load, rate, utilisation)
         # Growth first: what shrinks must not leave before its replacement is ordered.
-        plan.sort(key=lambda d: d.count <= live.get((d.data_centre, d.reclaimable), 0))
+        plan.sort(key=lambda d: d.count <= live[d.data_centre, d.reclaimable])
         for desired in plan:
             subject = (service.name, desired.data_centre, desired.reclaimable)
-            present = live.get((desired.data_centre, desired.reclaimable), 0)
+            present = live[desired.data_centre, desired.reclaimable]
             if not self._should_order(subject, desired.count, present, now):
                 continue
             grows = desired.reclaimable and desired.count > present
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -232,8 +232,7 @@
             # States come in turn, and seldom where there are many nodes.
             now = self._state.timers.now()
             self._state.members.note_heard(told.node_id, told.boot, now)
-            later = told.boot > self._boot
-            self._state.limits.hear(peer, told.spent, now, later)
+            self._take_spending(peer, told, now)
             self._take_placements(peer, told)
             self._take_loads(told.node_id, told.loads)
         else:
@@ -275,7 +274,7 @@
                 versions=told.versions,
             )
         )
-        state.limits.hear(peer, told.spent, now, told.boot > self._boot)
+        self._take_spending(peer, told, now)
         self._prompt_tokens[peer] = told.prompt_tokens
         state.prefill_speeds.hear(told.node_id, told.prefill_seen)
         for print_, endpoint_id, age in told.crashes:
@@ -287,6 +286,12 @@
         ended = self._loaded.get(told.node_id, set()) - told.loads.keys()
         self._take_loads(told.node_id, {**dict.fromkeys(ended, NO_LOAD), **told.loads})
 
+    def _take_spending(
+        self, peer: tuple[str, int], told: PeerState | PeerLoads, now: float
+    ) -> None:
+        started_later = told.boot > self._boot
+        self._state.limits.hear(peer, told.spent, now, started_later)
+
     def _take_placements(
         self, peer: tuple[str, int], told: PeerState | PeerLoads
     ) -> None:
--- a/src/rattanwick/internal/gateway/peer_state.py
+++ b/src/rattanwick/internal/gateway/peer_state.py
@@ -56,6 +56,11 @@
     "crashes": [(str, str, float)],
     "placed": int,
     "placements": [(str, [(str, int)])],
+    "table": str,
+    "after": int,
+    "version": int,
+    "rows": [(str, bytes | None, int)],
+    "failed_seconds": float | None,
 }
 
 # By endpoint: pending prompt tokens, requests running, output tokens expected of
@@ -176,17 +181,10 @@
 
 def _decode_changes(node_id: str, packed: bytes) -> tuple[str, TableChanges]:
     fields = unpack_compressed(packed, "changes")
-    rows = tuple(StoredRow(*row) for row in fields.pop("rows"))
-    changes = TableChanges(rows=rows, **fields)
-    numbers = [changes.after, changes.version, *(row.version for row in rows)]
-    keys = [node_id, changes.table, *(row.key for row in rows)]
-    if not (matches(numbers, [int]) and matches(keys, [str])):
-        raise ValueError("changes: a version or key has the wrong type")
-    if not all(row.value is None or isinstance(row.value, bytes) for row in rows):
-        raise ValueError("changes: a value is not bytes")
-    if not isinstance(changes.failed_seconds, (float, int, type(None))):
-        raise ValueError("changes: time since the failure is not a number")
-    return node_id, changes
+    if not matches(node_id, SHAPES["node_id"]):
+        raise ValueError("datagram: node_id has the wrong shape")
+    changes = _checked(TableChanges(**fields))
+    return node_id, replace(changes, rows=tuple(StoredRow(*r) for r in changes.rows))
 
 
 def decode_datagram(data: bytes) -> PeerState | PeerLoads | tuple[str, TableChanges]:
--- a/src/rattanwick/internal/gateway/shapes.py
+++ b/src/rattanwick/internal/gateway/shapes.py
@@ -1,8 +1,9 @@
 """Checks that a decoded message has the expected shape."""
 
 from math import isfinite
+from types import UnionType
 
-Shape = type | dict | list | tuple
+Shape = type | UnionType | dict | list | tuple
 
 MOST_WHOLE = 1 << 53  # whole numbers of messages; above, sums lose their last digits
 
@@ -10,9 +11,10 @@
 def matches(value, shape: Shape) -> bool:
     """Tell whether a value has a shape.
 
-    A shape is a type; a dictionary of one key's shape to one value's shape; a list of
-    one element's shape; or a tuple of shapes, for a list of just so many elements.
-    Numbers must be finite and within bounds; a whole number is a float, too.
+    A shape is a type; a union of types, of which one must match; a dictionary of one
+    key's shape to one value's shape; a list of one element's shape; or a tuple of
+    shapes, for a list of just so many elements. Numbers must be finite and within
+    bounds; a whole number is a float, too.
     """
     if isinstance(shape, dict):
         ((key_shape, value_shape),) = shape.items()
@@ -30,6 +32,8 @@
             and len(value) == len(shape)
             and all(map(matches, value, shape))
         )
+    if isinstance(shape, UnionType):
+        return any(matches(value, kind) for kind in shape.__args__)
     if shape in (int, float):
         if type(value) not in (int, shape):
             return False
