Give stand-ins' addresses one home, and the fixed fleet a class of its own

Found in reading the whole change: three servers of the stand-ins formed their address alike, the loopback address lived with the endpoint's stand-in, and the experiment tool's base class was also one of its policies. The account from logs summed a class without a name and left it out again when printing.

--- a/bench/attribute.py
+++ b/bench/attribute.py
@@ -80,13 +80,13 @@
     """Sum the seconds in which any node had each class of endpoints listed."""
     listed: dict[str, tuple[float, str]] = {}
     for line in lines:
-        name = line.fields.get("endpoint")
+        if line.message not in (LISTED, REMOVED):
+            continue
+        name = line.fields["endpoint"]
         if line.message == LISTED and not line.fields["leaving"]:
             listed.setdefault(name, (max(line.time, account.began), _class_of(line)))
-        elif line.message == REMOVED or (
-            line.message == LISTED and line.fields["leaving"]
-        ):
-            since, kind = listed.pop(name, (line.time, ""))
+        elif name in listed:
+            since, kind = listed.pop(name)
             account.engine_seconds[kind] += max(line.time - since, 0.0)
     for since, kind in listed.values():
         account.engine_seconds[kind] += account.ended - since
@@ -116,8 +116,7 @@
         print(f"  {route}: {len(errors)} requests  {told}")
     print("seconds of endpoints listed and not leaving, by class")
     for kind, seconds in account.engine_seconds.most_common():
-        if kind:
-            print(f"  {kind}: {seconds:.0f}")
+        print(f"  {kind}: {seconds:.0f}")
     print("orders")
     for (kind, outcome), count in account.orders.most_common():
         print(f"  {kind}, {outcome}: {count}")
--- a/bench/capacity_lab.py
+++ b/bench/capacity_lab.py
@@ -9,6 +9,7 @@
 import argparse
 import json
 import sys
+from abc import ABC, abstractmethod
 from dataclasses import asdict, dataclass, field
 from math import ceil, sin, tau
 from random import Random
@@ -60,7 +61,17 @@
     first_start=True,
     reports_usage=False,
     orders_endpoints=True,
-    bounds=Bounds(8.0, 0.2, 10.0, 50.0, 3.0, 5.0, 10.0, 5.0, 0.0),
+    bounds=Bounds(
+        grace=8.0,
+        retry_share=0.2,
+        retry_window=10.0,
+        retry_slack=50.0,
+        lease=3.0,
+        usage_window=5.0,
+        usage_late=10.0,
+        address_lifetime=5.0,
+        limit_slack=0.0,
+    ),
 )
 
 
@@ -166,11 +177,8 @@
 
     def worth(self, day: Day) -> float:
         """Return the share of tokens in time less the price of the engines."""
-        return (
-            1.0
-            - self.late / self.offered
-            - day.engine_share * self.cost / (day.seconds)
-        )
+        price = day.engine_share * self.cost / day.seconds
+        return 1.0 - self.late / self.offered - price
 
 
 class Market(Cloud):
@@ -228,10 +236,15 @@
             for engine in self.engines
             if engine.leaves_at is None or now < engine.leaves_at
         ]
+        return [engine for engine in self.listed() if engine.leaves_at is None]
+
+    def listed(self) -> list[Engine]:
+        """Return the engines that have an entry: they serve, or they leave."""
+        now = self._timers.now()
         return [
             engine
             for engine in self.engines
-            if engine.leaves_at is None and now >= engine.serves_from
+            if engine.leaves_at is not None or now >= engine.serves_from
         ]
 
     def price(self) -> float:
@@ -269,17 +282,25 @@
         """Keep the duties."""
 
 
-class Policy:
-    """Order nothing: the fleet stays as it was at the start."""
+class Policy(ABC):
+    """Order endpoints in one way."""
 
     def __init__(self, day: Day, market: Market, timers: ManualTimerService):
         self._day, self._market, self._timers = day, market, timers
         self._began = timers.now() + LEAD_SECONDS  # of the first request
 
+    @abstractmethod
     def step(self, read_tokens: float) -> None:
         """Act, after so many prompt tokens were sent since the start."""
 
 
+class FixedFleet(Policy):
+    """Leave the fleet as it was at the start."""
+
+    def step(self, read_tokens: float) -> None:
+        """Order nothing."""
+
+
 class GatewayPolicy(Policy):
     """Order as a node does."""
 
@@ -308,8 +329,6 @@
 
     def step(self, read_tokens: float) -> None:
         """Show the entries and the load to the orders."""
-        serving = {engine.id: engine for engine in self._market.serving()}
-        leaving = {e.id: e for e in self._market.engines if e.leaves_at is not None}
         entries = {
             engine.id: json.dumps(
                 {
@@ -321,7 +340,7 @@
                     "spot": engine.reclaimable,
                 }
             ).encode()
-            for engine in (*serving.values(), *leaving.values())
+            for engine in self._market.listed()
         }
         changed = {
             key
@@ -361,7 +380,7 @@
             self._market.order("o", 1, EndpointOrder(SERVICE, centre, full, False))
 
 
-POLICIES = {"plan": GatewayPolicy, "fixed": Policy, "oracle": OraclePolicy}
+POLICIES = {"plan": GatewayPolicy, "fixed": FixedFleet, "oracle": OraclePolicy}
 
 
 @dataclass(slots=True)
--- a/fakes/addresses.py
+++ b/fakes/addresses.py
@@ -3,9 +3,12 @@
 import os
 import socket
 
+from gevent.server import StreamServer
+
 FIRST_OCTET = 10
 OCTETS = 240
 LOCK_PORT = 7999
+LOOPBACK = "127.0.0.1"
 USED = ((1, 1, 8080), (1, 11, 8000), (3, 1, 8080), (3, 11, 8000))
 
 
@@ -15,6 +18,11 @@
     return host, int(port)
 
 
+def address_of(server: StreamServer) -> str:
+    """Return IP:PORT of a server that listens."""
+    return f"{server.server_host}:{server.server_port}"
+
+
 class OctetClaim:
     """Hold a second octet of 127.0.0.0/8 that no other deployment uses.
 
--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -4,7 +4,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-LOOPBACK = "127.0.0.1"
+from fakes.addresses import LOOPBACK, address_of
+
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 EVENTS = 4
 COPY_SECONDS = 0.1  # after an answer, until its copy
@@ -41,7 +42,7 @@
     @property
     def address(self) -> str:
         """Return IP:PORT."""
-        return f"{self._server.server_host}:{self._server.server_port}"
+        return address_of(self._server)
 
     def stop(self) -> None:
         """Refuse connections."""
--- a/fakes/gateway_platform.py
+++ b/fakes/gateway_platform.py
@@ -7,7 +7,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from fakes.gateway_endpoint import LOOPBACK
+from fakes.addresses import LOOPBACK, address_of
 from fakes.gateway_rows import MemoryRows
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
 from rattanwick.internal.gateway.interfaces import HistoryLost, RowPage, StoredRow
@@ -43,7 +43,7 @@
     @property
     def address(self) -> str:
         """Return IP:PORT."""
-        return f"{self._server.server_host}:{self._server.server_port}"
+        return address_of(self._server)
 
     def start(self) -> None:
         """Listen."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,7 +7,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from fakes.gateway_endpoint import LOOPBACK, reset_connection
+from fakes.addresses import LOOPBACK, address_of
+from fakes.gateway_endpoint import reset_connection
 
 READ_BYTES = 65_536
 HOLD_SECONDS = 0.02  # between looks at a cut that may have healed
@@ -48,7 +49,7 @@
     @property
     def address(self) -> str:
         """Return IP:PORT."""
-        return f"{self._server.server_host}:{self._server.server_port}"
+        return address_of(self._server)
 
     def heal(self) -> None:
         """Switch all lasting faults off."""
--- a/tests/unit/test_lab_and_account.py
+++ b/tests/unit/test_lab_and_account.py
@@ -11,10 +11,10 @@
 
 from bench.attribute import show, take_account
 from bench.capacity_lab import (
+    FixedFleet,
     GatewayPolicy,
     OraclePolicy,
     Play,
-    Policy,
     Ranges,
     draw_day,
     set_constants,
@@ -38,7 +38,7 @@
         for seed in range(self.DEPLOYMENTS):
             day = draw_day(seed, Ranges(), SECONDS)
             plan = Play(day).run(GatewayPolicy).worth(day)
-            better += plan > Play(day).run(Policy).worth(day)
+            better += plan > Play(day).run(FixedFleet).worth(day)
         self.assertGreaterEqual(better, 0.9 * self.DEPLOYMENTS)
 
     def test_foresight_costs_less(self):
