--- a/bench/capacity_lab.py
+++ b/bench/capacity_lab.py
@@ -15,6 +15,7 @@
 from random import Random
 from statistics import mean
 
+from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.errors import Conflict
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.gateway import capacity, endpoint_orders
@@ -27,9 +28,8 @@
     ScalingSpec,
     Service,
 )
-from rattanwick.internal.gateway.node_state import NodeState, make_node_state
+from rattanwick.internal.gateway.node_state import make_node_state
 from rattanwick.internal.gateway.prefill import PrefillSpeed
-from rattanwick.internal.gateway.settings import Bounds, GatewaySettings
 from rattanwick.platform.wire import PlatformWire
 
 SERVICE = "engine"
@@ -46,33 +46,6 @@
 LEARNED_SIZES = (500, 4_000, 16_000)  # prompt tokens
 LEARNED_EVENTS = 200
 PROMPT_TOKENS = 4_000  # of a usual prompt
-NOWHERE = ("127.0.0.1", 0)  # nothing is called
-SETTINGS = GatewaySettings(
-    node_id="n1",
-    data_centre=CENTRES[0],
-    ip=NOWHERE[0],
-    callers=NOWHERE,
-    readiness=NOWHERE,
-    entry=NOWHERE,
-    peer_port=0,
-    metrics_port=0,
-    store=NOWHERE,
-    cloud=None,
-    first_start=True,
-    reports_usage=False,
-    orders_endpoints=True,
-    bounds=Bounds(
-        grace=8.0,
-        retry_share=0.2,
-        retry_window=10.0,
-        retry_slack=50.0,
-        lease=3.0,
-        usage_window=5.0,
-        usage_late=10.0,
-        address_lifetime=5.0,
-        limit_slack=0.0,
-    ),
-)
 
 
 @dataclass(slots=True, frozen=True)
@@ -306,7 +279,8 @@
 
     def __init__(self, day: Day, market: Market, timers: ManualTimerService):
         super().__init__(day, market, timers)
-        self._state: NodeState = make_node_state(SETTINGS, timers, PlatformWire())
+        settings = make_settings()
+        self._state = make_node_state(settings, timers, PlatformWire())
         scaling = ScalingSpec(1, day.most, day.price, dict.fromkeys(CENTRES, 1.0))
         service = Service(SERVICE, 1, EngineSpec(64, 400_000), scaling)
         self._state.configuration = Configuration(
--- a/tests/failure/test_gateway_duties.py
+++ b/tests/failure/test_gateway_duties.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from fakes.gateway_rows import MemoryRows
+from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.errors import Conflict, TimedOut
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.gateway.endpoint_orders import EndpointOrders
@@ -14,7 +15,6 @@
 from tests.gateway_case import (
     make_configuration,
     make_route,
-    make_settings,
     make_state,
     make_view,
 )
--- a/tests/failure/test_table_copies.py
+++ b/tests/failure/test_table_copies.py
@@ -8,12 +8,15 @@
 from msgpack import packb
 
 from fakes.gateway_rows import MemoryRows
+from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.timers import GeventTimerService
 from rattanwick.internal.gateway.interfaces import StoredRow
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.table_copies import TableCopies
 from rattanwick.internal.gateway.table_watch import TableWatch
-from tests.gateway_case import make_settings, make_state
+from tests.gateway_case import (
+    make_state,
+)
 
 TABLE = "servers"
 LIMIT_SECONDS = 4.0
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -6,6 +6,7 @@
 from gevent import socket
 
 from fakes.gateway_endpoint import FakeGatewayEndpoint
+from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.timers import GeventTimerService, ManualTimerService
 from rattanwick.internal.gateway.caller_server import CallerServer
 from rattanwick.internal.gateway.engine_view import EndpointView
@@ -25,44 +26,13 @@
 )
 from rattanwick.internal.gateway.node_state import NodeState, make_node_state
 from rattanwick.internal.gateway.relay import Relay
-from rattanwick.internal.gateway.settings import Bounds, GatewaySettings
+from rattanwick.internal.gateway.settings import GatewaySettings
 from rattanwick.platform.wire import PlatformWire
 
 KEY = "key-1"
 LIMITS = CallerLimits(
     header_bytes=4096, body_bytes=100_000, header_seconds=1.0, idle_seconds=2.0
 )
-BOUNDS = Bounds(
-    grace=8.0,
-    retry_share=0.2,
-    retry_window=10.0,
-    retry_slack=52.0,
-    lease=3.0,
-    usage_window=5.0,
-    usage_late=10.0,
-    address_lifetime=5.0,
-    limit_slack=0.0,
-)
-
-
-def make_settings(node_id: str = "front-1", ip: str = "127.0.0.1") -> GatewaySettings:
-    """Return settings of a node on loopback."""
-    return GatewaySettings(
-        node_id=node_id,
-        data_centre="a",
-        ip=ip,
-        callers=(ip, 0),
-        readiness=(ip, 0),
-        entry=(ip, 0),
-        peer_port=0,
-        metrics_port=0,
-        store=(ip, 1),
-        cloud=None,
-        first_start=True,
-        reports_usage=True,
-        orders_endpoints=True,
-        bounds=BOUNDS,
-    )
 
 
 def make_route(
