--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
+from rattanwick.internal.gateway.endpoint_limits import Permit
 from rattanwick.internal.gateway.model import (
     Call,
     Headers,
@@ -67,6 +68,8 @@
     last_event_id: str = ""
     placed: Placed | None = None
     not_placed: NotPlaced | None = None
+    permit: Permit | None = None  # to send to the endpoint, if that one is limited
+    limited_endpoints: int = 0  # passed over at the last choice for want of a permit
     # From the request's arrival to the first event, or to a response that is no stream.
     first_event_seconds: float | None = None
     last_event_at: float | None = None  # monotonic seconds
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -8,6 +8,7 @@
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.gateway.active_request import ActiveRequest, ResponseWriter
 from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.internal.gateway.crash_check import check_crash
 from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import CallKind, ForwardContext, ResponseHead
@@ -40,8 +41,6 @@
 # Share of the connections that an endpoint accepts. All nodes together keep at most
 # this share idle.
 MAX_IDLE_SHARE = 0.5
-# Wait for a new connection to an endpoint that closed the connection of a request.
-CRASH_CHECK_TIMEOUT_SECONDS = 0.5
 
 
 class Attempt:
@@ -99,21 +98,23 @@
             )
         except ConnectionLost as exc:
             view.note_unreachable(self._now())
-            return NotRun(f"no connection: {exc.reason}", sent=False)
+            return self._not_sent(f"no connection: {exc.reason}")
+        if not self._state.endpoint_limits.may_send(view.endpoint, request.permit):
+            return self._not_sent("the permit expired before the request was sent")
         self._sent_at = self._now()
         self._responded_before = view.responded_recently(self._sent_at)
         try:
             self._send()
         except ProtocolError as exc:
-            return NotRun(exc.reason, sent=False)
+            return self._not_sent(exc.reason)
         except ConnectionLost as exc:
             if exc.sent:
                 request.may_have_run = True
                 return Lost(exc.reason, disconnected=True)
-            return NotRun(f"connection was already closed: {exc.reason}", sent=False)
+            return self._not_sent(f"connection was already closed: {exc.reason}")
         request.attempts += 1
         request.may_have_run = True
-        self._state.endpoint_limits.note_sent(view)
+        self._state.endpoint_limits.count_sent(request.permit)
         objective = request.route.objective
         self._state.note_prompt(request.service.name, self._pending_tokens, objective)
         self._view.prefill.add(self._pending_tokens, self._now())
@@ -121,6 +122,12 @@
             return self._relay_stream()
         return self._relay_response()
 
+    def _not_sent(self, reason: str) -> NotRun:
+        """Return the outcome of a request of which no byte was sent."""
+        if self._request.permit is not None:
+            self._state.endpoint_limits.give_back(self._request.permit)
+        return NotRun(reason, sent=False)
+
     def _send(self) -> None:
         request, call = self._request, self._request.call
         org = request.organisation
@@ -361,33 +368,13 @@
         if isinstance(outcome, Lost) and outcome.disconnected:
             self._view.last_response_at = None
             if not endpoint.leaving:
-                gevent.spawn(self._check_crash)
-
-    def _check_crash(self) -> None:
-        """Count a crash if the endpoint no longer accepts connections.
-
-        No crash is counted if the endpoint had not responded recently: it may have been
-        down already, behind a proxy that accepts connections for it.
-        """
-        endpoint, now = self._view.endpoint, self._now()
-        try:
-            self._state.connections.connect(
-                endpoint, CRASH_CHECK_TIMEOUT_SECONDS
-            ).close()
-        except ConnectionLost:
-            self._view.note_unreachable(now)
-            if self._responded_before:
-                self._state.crash_guard.note_crash(
-                    self._request.fingerprint, endpoint.id, now
+                gevent.spawn(
+                    check_crash,
+                    self._state,
+                    self._view,
+                    self._request,
+                    self._responded_before,
                 )
-            log.warning(
-                "endpoint closed the connection of a request and accepts no new one",
-                extra={
-                    "request": self._request.call.id,
-                    "endpoint": endpoint.id,
-                    "counted": self._responded_before,
-                },
-            )
 
     def _now(self) -> float:
         return self._state.timers.now()
--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -1,53 +1,389 @@
-"""Limits of requests per second that endpoints name in their responses."""
+"""Limits of requests per second that endpoints name, held by all nodes together.
+
+An endpoint in need names the requests per second that it takes from all nodes. One
+node, its grantor, then keeps a token bucket for it, and the other nodes ask the grantor
+for permits, each for one request. Every node chooses the grantor from the live members
+by the same rank, so no agreement is needed; a node that does not rank itself first
+grants nothing. While members are silent, the grantor uses only the share of the live
+ones, so that the parts of a divided deployment together stay within the limit.
+
+Shares of the limit per node would be fractions of a request at hundreds of nodes, and
+counts that nodes send each other arrive after many of them have sent a request.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from functools import lru_cache
+from hashlib import blake2b
+
+from gevent.event import Event
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter, gauge
-from rattanwick.internal.gateway.endpoint_view import EndpointView
-from rattanwick.internal.gateway.model import ResponseHead
+from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.gateway.endpoint_view import EndpointView, RecentRate
+from rattanwick.internal.gateway.limit_messages import Ask, Grant, LimitNews, PeerLimits
+from rattanwick.internal.gateway.members import Members
+from rattanwick.internal.gateway.model import Endpoint, ResponseHead
+from rattanwick.internal.gateway.permit_bucket import PermitBucket
+from rattanwick.internal.state.boot_clock import boot_seconds
 
 log = get_logger("limits")
 
 limited_endpoints = gauge(
     "limited_endpoints", "Endpoints known to limit their requests per second"
 )
-limited_requests_total = counter(
-    "limited_requests", "Requests sent to endpoints that limit them", ()
+endpoint_permits_total = counter(
+    "endpoint_permits",
+    "Permits to send a request to a limited endpoint, by what became of them",
+    ("outcome",),
 )
 
+# A permit may be used until this long after it was asked for. An unused one must not
+# be added to those that its grantor, or the next one, grants later.
+PERMIT_SECONDS = 0.5
+ASK_TIMEOUT_SECONDS = 0.25  # a grantor that has not replied by then is asked again
+MAX_PERMITS_PER_ASK = 8
+# Share of a permit's validity for which a node asks for permits in advance.
+PERMITS_AHEAD_SHARE = 0.5
+# Permits per second at an endpoint that names a lower limit, or 0. Its next response
+# is the only sign that the limit has ended.
+MIN_RATE = 0.25
+# Peers are told at once of a limit that differs by more than this share.
+NEWS_CHANGE_SHARE = 0.1
+MEMBERS_REFRESH_SECONDS = 0.2
+# A silent member counts as part of the deployment for this long.
+SILENT_MEMBER_SECONDS = 20.0
+# A limit that has ended, or whose endpoint is not registered, is remembered this long,
+# since older news of it may still arrive.
+RETENTION_SECONDS = 30.0
+
+EndpointKey = tuple[str, int]  # id and start (``born_ms``) of an endpoint's process
+
+
+class Access(Enum):
+    """Whether a request may be sent to an endpoint now."""
+
+    OPEN = auto()  # it names no limit, or a permit is at hand
+    ASKABLE = auto()  # a permit may be asked for
+    ASKED = auto()  # a permit was asked for, and the reply has not arrived
+    CLOSED = auto()  # the grantor had no permit left
+
+
+@dataclass(slots=True, frozen=True)
+class Permit:
+    """Permission to send one request to an endpoint."""
+
+    key: EndpointKey
+    valid_until: float  # seconds since boot
+
+
+@dataclass(slots=True)
+class _Limit:
+    """What this node knows about the limit of one endpoint process."""
+
+    rate: float | None  # requests per second; None once the endpoint names no limit
+    noted_at: float  # time of the response that named it, in seconds since boot
+    bucket: PermitBucket
+    permits: deque[float] = field(default_factory=deque)  # ends of their validity
+    ask_number: int = 0
+    asked_at: float | None = None  # None if no reply is expected
+    next_ask_at: float = 0.0
+    used: RecentRate = field(default_factory=RecentRate)  # permits of this node
+
+    def drop_expired(self, now: float) -> None:
+        while self.permits and self.permits[0] <= now:
+            self.permits.popleft()
+            endpoint_permits_total.labels("expired").inc()
+
 
 class EndpointLimits:
-    """Limits that endpoints have named, by endpoint id."""
+    """Limits that endpoints have named, and this node's permits to send to them.
+
+    ``transmit`` sends a message to a member. Times are in seconds since boot, which
+    also pass while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        members: Members,
+        timers: TimerService,
+        first_ask_number: int = 0,
+        clock: Callable[[], float] = boot_seconds,
+    ):
+        """``first_ask_number`` differs between processes of the node."""
+        self._node_id = node_id
+        self._members = members
+        self._timers = timers  # whose time members were last heard at
+        self._clock = clock
+        self._ask_number = first_ask_number
+        self._limits: dict[EndpointKey, _Limit] = {}
+        self._malformed: dict[str, str] = {}  # last malformed value, by endpoint id
+        self._candidates: list[str] = [node_id]  # nodes that may be grantors
+        self._share = 1.0
+        self._refreshed_at = float("-inf")
+        self.eligible = True  # whether this node may be a grantor
+        self.transmit: Callable[[str, PeerLimits], None] = lambda node_id, message: None
+        self.changed = Event()  # set when peers must be told of a limit
+        self._unsent: set[EndpointKey] = set()
+
+    def any_named(self) -> bool:
+        """Return whether any endpoint has named a limit recently."""
+        return bool(self._limits)
+
+    def rate_of(self, endpoint: Endpoint) -> float | None:
+        """Return the requests per second that an endpoint takes; None if unlimited."""
+        limit = self._limits.get(_key(endpoint))
+        return limit.rate if limit else None
+
+    def access(self, endpoint: Endpoint) -> Access:
+        """Return whether a request may be sent to an endpoint now."""
+        limit = self._limits.get(_key(endpoint))
+        if limit is None or limit.rate is None:
+            return Access.OPEN
+        now = self._clock()
+        limit.drop_expired(now)
+        if limit.permits:
+            return Access.OPEN
+        if limit.asked_at is not None and now - limit.asked_at < ASK_TIMEOUT_SECONDS:
+            return Access.ASKED
+        return Access.CLOSED if now < limit.next_ask_at else Access.ASKABLE
+
+    def ask(self, endpoint: Endpoint) -> None:
+        """Ask for permits; this node's own bucket replies at once."""
+        key = _key(endpoint)
+        limit = self._limits[key]
+        now = self._clock()
+        if limit.asked_at is not None:
+            endpoint_permits_total.labels("unanswered").inc()
+        self._ask_number += 1
+        limit.ask_number, limit.asked_at = self._ask_number, now
+        # Besides the one that is needed now, those that are likely to be used in time.
+        more = limit.used.per_second(now) * PERMIT_SECONDS * PERMITS_AHEAD_SHARE
+        count = min(1 + int(more), MAX_PERMITS_PER_ASK)
+        ask = Ask(*key, self._ask_number, count)
+        grantor = self._grantor_of(endpoint.id, now)
+        if grantor == self._node_id:
+            self._apply_grant(self._grant(ask, self._node_id, now), now)
+        else:
+            news = [self._news_of(key, limit, now)]
+            self.transmit(grantor, PeerLimits(limits=news, asks=[ask]))
+
+    def take(self, endpoint: Endpoint) -> Permit | None:
+        """Return a permit for an endpoint, or None if it needs or has none."""
+        key = _key(endpoint)
+        limit = self._limits.get(key)
+        if limit is None or limit.rate is None or not limit.permits:
+            return None
+        limit.used.add(1.0, self._clock())
+        return Permit(key, limit.permits.popleft())
 
-    def __init__(self):
-        self._rates: dict[str, float] = {}
+    def give_back(self, permit: Permit) -> None:
+        """Keep a permit whose request was not sent."""
+        limit = self._limits.get(permit.key)
+        if limit is not None and limit.rate is not None:
+            limit.permits.appendleft(permit.valid_until)
+
+    def may_send(self, endpoint: Endpoint, permit: Permit | None) -> bool:
+        """Return whether a request may be sent now; a permit may have expired."""
+        if self.rate_of(endpoint) is None:
+            return True
+        return permit is not None and self._clock() < permit.valid_until
+
+    def count_sent(self, permit: Permit | None) -> None:
+        """Count a request that was sent with a permit."""
+        if permit is not None:
+            endpoint_permits_total.labels("used").inc()
+
+    def retry_after(self, endpoints: Iterable[Endpoint]) -> float:
+        """Return the seconds until a permit for one of the endpoints may be had."""
+        now = self._clock()
+        times = [
+            limit.next_ask_at - now
+            for endpoint in endpoints
+            if (limit := self._limits.get(_key(endpoint))) and limit.rate is not None
+        ]
+        return max(min(times, default=0.0), 0.0)
 
     def note_response(self, view: EndpointView, head: ResponseHead) -> None:
-        """Record whether a response names a limit, and log a change."""
+        """Record whether an endpoint's response names a limit.
+
+        A malformed value changes nothing: the next response counts.
+        """
         endpoint = view.endpoint
         if head.malformed_rate_limit:
-            log.warning(
-                "malformed limit ignored",
-                extra={"endpoint": endpoint.id, "value": head.malformed_rate_limit},
-            )
+            if self._malformed.get(endpoint.id) != head.malformed_rate_limit:
+                self._malformed[endpoint.id] = head.malformed_rate_limit
+                log.warning(
+                    "malformed limit ignored",
+                    extra={"endpoint": endpoint.id, "value": head.malformed_rate_limit},
+                )
+            if head.rate_limit is None:
+                return
+        key = _key(endpoint)
+        former = self.rate_of(endpoint)
+        self._merge(key, head.rate_limit, self._clock(), "response")
+        if _differs(former, head.rate_limit):
+            self._unsent.add(key)
+            self.changed.set()
+
+    def receive(self, node_id: str, message: PeerLimits) -> PeerLimits | None:
+        """Apply a peer's message and return the reply, if any."""
+        now = self._clock()
+        for news in message.limits:
+            key = news.endpoint_id, news.born_ms
+            self._merge(key, news.rate, now - news.age, node_id)
+        for grant in message.grants:
+            self._apply_grant(grant, now)
+        if not message.asks:
+            return None
+        asked_rates = {(n.endpoint_id, n.born_ms): (n.rate,) for n in message.limits}
+        reply = PeerLimits()
+        for ask in message.asks:
+            reply.grants.append(self._grant(ask, node_id, now))
+            key = ask.endpoint_id, ask.born_ms
+            limit = self._limits.get(key)
+            if limit is not None and limit.rate not in asked_rates.get(key, ()):
+                reply.limits.append(self._news_of(key, limit, now))
+        return reply
+
+    def take_unsent_news(self) -> list[LimitNews]:
+        """Return the limits that peers have not been told of, once."""
+        now = self._clock()
+        keys, self._unsent = self._unsent & self._limits.keys(), set()
+        return [self._news_of(key, self._limits[key], now) for key in sorted(keys)]
+
+    def granted_news(self) -> list[LimitNews]:
+        """Return the limits for which this node is the grantor."""
+        now = self._clock()
+        return [
+            self._news_of(key, limit, now)
+            for key, limit in self._limits.items()
+            if self._grantor_of(key[0], now) == self._node_id
+        ]
+
+    def forget(self, registered: Iterable[Endpoint]) -> None:
+        """Forget limits that have ended or whose endpoints are not registered."""
+        known = {_key(endpoint) for endpoint in registered}
+        oldest = self._clock() - RETENTION_SECONDS
+        for key, limit in list(self._limits.items()):
+            ended = limit.rate is None or key not in known
+            if ended and limit.noted_at < oldest:
+                del self._limits[key]
+        ids = {endpoint_id for endpoint_id, _ in known}
+        for endpoint_id in self._malformed.keys() - ids:
+            del self._malformed[endpoint_id]
+
+    def _merge(
+        self, key: EndpointKey, rate: float | None, noted_at: float, source: str
+    ) -> None:
+        """Apply what a response said, unless a later response is known."""
+        limit = self._limits.get(key)
+        if limit is None:
+            if rate is None:
+                return
+            limit = _Limit(None, noted_at, PermitBucket(self._clock()))
+            self._limits[key] = limit
+        elif noted_at <= limit.noted_at:
             return
-        known = self._rates.get(endpoint.id)
-        if head.rate_limit == known:
+        former, limit.rate, limit.noted_at = limit.rate, rate, noted_at
+        if former == rate:
             return
-        if head.rate_limit is None:
-            del self._rates[endpoint.id]
-        else:
-            self._rates[endpoint.id] = head.rate_limit
-        limited_endpoints.set(len(self._rates))
+        if former is None:
+            limit.bucket = PermitBucket(self._clock())
+        if rate is None:
+            limit.permits.clear()
+            limit.asked_at, limit.next_ask_at = None, 0.0
+        limited_endpoints.set(
+            sum(other.rate is not None for other in self._limits.values())
+        )
         log.info(
             "limit changed",
             extra={
-                "endpoint": endpoint.id,
-                "requests_per_s": head.rate_limit,
-                "former": known,
+                "endpoint": key[0],
+                "requests_per_s": rate,
+                "former": former,
+                "source": source,
             },
         )
 
-    def note_sent(self, view: EndpointView) -> None:
-        """Count a request sent to an endpoint, if it has named a limit."""
-        if view.endpoint.id in self._rates:
-            limited_requests_total.inc()
+    def _grant(self, ask: Ask, node_id: str, now: float) -> Grant:
+        """Return the reply to an ask; only the grantor of the endpoint has permits."""
+        limit = self._limits.get((ask.endpoint_id, ask.born_ms))
+        granted, wait = 0, MEMBERS_REFRESH_SECONDS
+        if (
+            limit is not None
+            and limit.rate is not None
+            and self._grantor_of(ask.endpoint_id, now) == self._node_id
+        ):
+            count = min(ask.count, MAX_PERMITS_PER_ASK)
+            rate = max(limit.rate, MIN_RATE) * self._share
+            granted, wait = limit.bucket.grant(node_id, count, rate, now)
+        return Grant(ask.endpoint_id, ask.born_ms, ask.number, granted, wait)
+
+    def _apply_grant(self, grant: Grant, now: float) -> None:
+        limit = self._limits.get((grant.endpoint_id, grant.born_ms))
+        if (
+            limit is None
+            or limit.asked_at is None
+            or grant.number != limit.ask_number
+            or limit.rate is None
+        ):
+            return  # the reply is late, or the endpoint is not limited any more
+        valid_until = limit.asked_at + PERMIT_SECONDS
+        limit.asked_at = None
+        if now >= valid_until:
+            return
+        if grant.count > 0:
+            endpoint_permits_total.labels("granted").inc(grant.count)
+            limit.permits.extend([valid_until] * min(grant.count, MAX_PERMITS_PER_ASK))
+        else:
+            endpoint_permits_total.labels("refused").inc()
+        limit.next_ask_at = now + grant.wait
+
+    def _news_of(self, key: EndpointKey, limit: _Limit, now: float) -> LimitNews:
+        return LimitNews(*key, limit.rate, max(now - limit.noted_at, 0.0))
+
+    def _grantor_of(self, endpoint_id: str, now: float) -> str:
+        if now - self._refreshed_at >= MEMBERS_REFRESH_SECONDS:
+            self._refresh_members()
+            self._refreshed_at = now
+        return min(self._candidates, key=lambda node: _rank(endpoint_id, node))
+
+    def _refresh_members(self) -> None:
+        """Determine which nodes may be grantors, and the share of live nodes."""
+        members, now = self._members, self._timers.now()
+        live = members.live(now)
+        silent = [
+            member
+            for member in members.all()
+            if not member.leaving
+            and member.last_state_at > 0
+            and not member.is_live(now)
+            and now - member.last_heard_at < SILENT_MEMBER_SECONDS
+        ]
+        self._share = (1 + len(live)) / (1 + len(live) + len(silent))
+        candidates = [member.node_id for member in live if not member.standby]
+        if self.eligible or not candidates:
+            candidates.append(self._node_id)
+        self._candidates = candidates
+
+
+def _key(endpoint: Endpoint) -> EndpointKey:
+    return endpoint.id, endpoint.born_ms
+
+
+@lru_cache(maxsize=65_536)
+def _rank(endpoint_id: str, node_id: str) -> bytes:
+    """Return a hash by which all nodes choose the same grantor of an endpoint."""
+    return blake2b(f"{endpoint_id} {node_id}".encode(), digest_size=8).digest()
+
+
+def _differs(former: float | None, rate: float | None) -> bool:
+    """Return whether peers must be told of a change at once."""
+    if former is None or rate is None:
+        return former is not rate
+    return abs(rate - former) > NEWS_CHANGE_SHARE * former
--- /dev/null
+++ b/src/rattanwick/internal/gateway/limit_exchange.py
@@ -0,0 +1,88 @@
+"""Exchange between nodes of the limits that endpoints name, and of permits."""
+
+from collections.abc import Callable
+from math import ceil
+
+import gevent
+
+from rattanwick.internal.gateway.limit_messages import LimitNews, PeerLimits
+from rattanwick.internal.gateway.members import Member
+from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.peer_messages import encode_limits
+from rattanwick.internal.gateway.send_rotation import SendRotation
+
+NEWS_ROUND_SECONDS = 2.0  # time in which each active member is sent the limits again
+MAX_NEWS_PER_DATAGRAM = 100  # of about 50 bytes each
+# Shortest time between two broadcasts, for each member that they are sent to.
+BROADCAST_PAUSE_SECONDS_PER_PEER = 0.004
+
+
+class LimitExchange:
+    """Sender and receiver of limits and permits.
+
+    Nothing is sent while no endpoint names a limit.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        boot: int,
+        send: Callable[[bytes, list[Member]], None],
+        reply: Callable[[bytes, tuple[str, int]], None],
+    ):
+        """``send`` and ``reply`` send a datagram, to members and to an address."""
+        self._state = state
+        self._limits = state.endpoint_limits
+        self._boot = boot
+        self._send = send
+        self._reply = reply
+        self._rotation = SendRotation()
+        self._limits.transmit = self._transmit
+
+    def start(self) -> None:
+        """Start sending limits when they change."""
+        gevent.spawn(self._broadcast_changes)
+
+    def update(self, interval: float) -> None:
+        """Apply this node's role, and repeat the limits for which it is the grantor.
+
+        The members that are next in rotation may be new, or may have missed the
+        broadcast of a change. ``interval`` is the time between two calls, in seconds.
+        """
+        state, limits = self._state, self._limits
+        limits.eligible = not (state.leaving or state.standby)
+        if not limits.any_named():
+            return
+        limits.forget(view.endpoint for view in state.endpoints.all())
+        members = state.members.active()
+        count = ceil(len(members) * interval / NEWS_ROUND_SECONDS)
+        recipients = self._rotation.next_members(members, count)
+        self._rotation.forget({member.node_id for member in members})
+        self._send_news(limits.granted_news(), recipients)
+
+    def receive(self, message: PeerLimits, address: tuple[str, int]) -> None:
+        """Apply a peer's message and reply to the address that it came from."""
+        reply = self._limits.receive(message.node_id, message)
+        if reply is not None:
+            self._reply(self._encode(reply), address)
+
+    def _transmit(self, node_id: str, message: PeerLimits) -> None:
+        member = self._state.members.get(node_id)
+        if member is not None:
+            self._send(self._encode(message), [member])
+
+    def _broadcast_changes(self) -> None:
+        while True:
+            self._limits.changed.wait()
+            self._limits.changed.clear()
+            members = self._state.members.active()
+            self._send_news(self._limits.take_unsent_news(), members)
+            self._state.timers.sleep(BROADCAST_PAUSE_SECONDS_PER_PEER * len(members))
+
+    def _send_news(self, news: list[LimitNews], members: list[Member]) -> None:
+        for start in range(0, len(news), MAX_NEWS_PER_DATAGRAM):
+            part = news[start : start + MAX_NEWS_PER_DATAGRAM]
+            self._send(self._encode(PeerLimits(limits=part)), members)
+
+    def _encode(self, message: PeerLimits) -> bytes:
+        return encode_limits(self._state.settings.node_id, self._boot, message)
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -1,5 +1,6 @@
 """State of a node that its components share."""
 
+import time
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -191,14 +192,17 @@
 ) -> NodeState:
     """Return the initial state of a node."""
     bounds = settings.bounds
+    members = Members(settings.node_id)
     return NodeState(
         settings=settings,
         timers=timers,
-        members=Members(settings.node_id),
+        members=members,
         endpoints=EndpointDirectory(codec, timers),
         connections=ConnectionPool(),
         limits=SharedRateLimiter(settings.first_start, bounds.limit_slack),
-        endpoint_limits=EndpointLimits(),
+        endpoint_limits=EndpointLimits(
+            settings.node_id, members, timers, int(time.time() * 1000)
+        ),
         retry_budget=RetryBudget(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window
         ),
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -8,6 +8,8 @@
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.endpoint_view import PeerLoad
+from rattanwick.internal.gateway.limit_exchange import LimitExchange
+from rattanwick.internal.gateway.limit_messages import PeerLimits
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.peer_messages import (
@@ -24,6 +26,7 @@
     make_brief,
     placements_after,
 )
+from rattanwick.internal.gateway.send_rotation import SendRotation
 from rattanwick.internal.gateway.table_copies import TableCopies
 from rattanwick.internal.gateway.table_watch import TableWatch
 
@@ -68,6 +71,7 @@
         address = (settings.ip, settings.peer_port)
         self._datagrams = DatagramServer(address, self._receive)
         self._copies = TableCopies(state, watches, self._send)
+        self._limits = LimitExchange(state, self._boot, self._send, self._send_to)
 
     @property
     def boot(self) -> int:
@@ -78,6 +82,7 @@
         """Start receiving from peers and sending to them."""
         self._datagrams.start()
         self._copies.start()
+        self._limits.start()
         self._state.timers.subscribe(
             "peers.tell", SEND_INTERVAL_SECONDS, self.send_state
         )
@@ -93,6 +98,7 @@
         live_count = 1 + len(state.members.live(now))
         state.limits.set_share(live_count, state.members.count_nodes(), now)
         own_state = self._own_state(now)
+        self._limits.update(SEND_INTERVAL_SECONDS)
         if state.standby:
             self._send_in_rotation(make_brief(own_state), state.members.all())
         else:
@@ -160,14 +166,16 @@
 
     def _send(self, data: bytes, members: list[Member]) -> None:
         for member in members:
-            try:
-                self._datagrams.socket.sendto(data, member.address)
-            except OSError as exc:
-                # The next datagram holds the same values, so one failure is harmless.
-                log.debug(
-                    "datagram not sent",
-                    extra={"peer": member.node_id, "error": str(exc)},
-                )
+            self._send_to(data, member.address)
+
+    def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._datagrams.socket.sendto(data, address)
+        except OSError as exc:
+            # Later datagrams replace this one, so one failure is harmless.
+            log.debug(
+                "datagram not sent", extra={"peer": address[0], "error": str(exc)}
+            )
 
     def _own_loads(self, now: float) -> Loads:
         loads = {}
@@ -239,6 +247,9 @@
             return
         if not self._is_from_known_address(message, address[0]):
             return
+        if isinstance(message, PeerLimits):
+            self._limits.receive(message, address)
+            return
         peer = (message.node_id, message.boot)
         if message.sequence <= self._last_sequence.get(peer, 0):
             return
@@ -253,7 +264,9 @@
         else:
             self._apply_state(peer, message, address[0])
 
-    def _is_from_known_address(self, message: PeerState | PeerLoads, ip: str) -> bool:
+    def _is_from_known_address(
+        self, message: PeerState | PeerLoads | PeerLimits, ip: str
+    ) -> bool:
         """Return True unless the sender's process is known by another address.
 
         Without this check, a high sequence number sent from elsewhere would make this
@@ -357,36 +370,3 @@
         * peers
         * max(peers / MAX_PEERS_AT_FULL_LOAD_RATE, 1.0)
     )
-
-
-class SendRotation:
-    """Rotation of members: those to which this node sent longest ago are next.
-
-    Members join and leave between intervals. A rotation by position in the list of
-    members left some of them out for seconds.
-    """
-
-    __slots__ = ("_interval", "_last_sent")
-
-    def __init__(self):
-        self._interval = 0
-        self._last_sent: dict[str, int] = {}
-
-    def next_members(self, members: list[Member], count: int) -> list[Member]:
-        """Return the next ``count`` members, or all if there are no more than that."""
-        self._interval += 1
-        if len(members) > count:
-            last_sent = self._last_sent
-            members = sorted(
-                members, key=lambda member: last_sent.get(member.node_id, 0)
-            )
-            members = members[:count]
-        for member in members:
-            self._last_sent[member.node_id] = self._interval
-        return members
-
-    def forget(self, known: set[str]) -> None:
-        """Remove the members whose ids are not in ``known``."""
-        self._last_sent = {
-            key: at for key, at in self._last_sent.items() if key in known
-        }
--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 from msgpack import packb, unpackb
 
 from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.limit_messages import PeerLimits, limits_from_fields
 from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.node_state import Placement
 from rattanwick.internal.gateway.shapes import Shape, matches
@@ -28,6 +29,7 @@
     STATE = 1
     LOADS = 2
     CHANGES = 3
+    LIMITS = 4
 
 
 LOAD_SHAPE = (int, int, int, int)
@@ -178,6 +180,19 @@
     return packb([PROTOCOL_VERSION, DatagramKind.CHANGES, node_id, packed])
 
 
+def encode_limits(node_id: str, boot: int, message: PeerLimits) -> bytes:
+    """Return the datagram that holds limits of endpoints, asks and grants."""
+    fields = [node_id, boot, message.to_fields()]
+    return packb([PROTOCOL_VERSION, DatagramKind.LIMITS, *fields])
+
+
+def _decode_limits(node_id: str, boot: int, fields: list) -> PeerLimits:
+    for name, value in (("node_id", node_id), ("boot", boot)):
+        if not matches(value, FIELD_SHAPES[name]):
+            raise ValueError(f"datagram: {name} has the wrong shape")
+    return replace(limits_from_fields(fields), node_id=node_id, boot=boot)
+
+
 def _decode_changes(node_id: str, packed: bytes) -> tuple[str, TableChanges]:
     fields = unpack_compressed(packed, "changes")
     if not matches(node_id, FIELD_SHAPES["node_id"]):
@@ -186,7 +201,9 @@
     return node_id, replace(changes, rows=tuple(StoredRow(*r) for r in changes.rows))
 
 
-def decode_datagram(data: bytes) -> PeerState | PeerLoads | tuple[str, TableChanges]:
+def decode_datagram(
+    data: bytes,
+) -> PeerState | PeerLoads | PeerLimits | tuple[str, TableChanges]:
     """Return the message in a datagram; raise ValueError if it is malformed."""
     try:
         version, kind, *fields = unpackb(data, strict_map_key=False)
@@ -196,6 +213,8 @@
             return _check_shapes(PeerLoads(*fields))
         if kind == DatagramKind.CHANGES:
             return _decode_changes(*fields)
+        if kind == DatagramKind.LIMITS:
+            return _decode_limits(*fields)
         if kind != DatagramKind.STATE:
             raise ValueError(f"unknown datagram kind {kind!r}")
         return _check_shapes(PeerState(*fields))
--- a/src/rattanwick/internal/gateway/placement.py
+++ b/src/rattanwick/internal/gateway/placement.py
@@ -47,6 +47,8 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_FULL = "endpoints_full"
     TOO_LATE = "first_event_too_late"
+    ENDPOINTS_LIMITED = "endpoints_limited"
+    PERMIT_PENDING = "permit_pending"
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -11,7 +11,6 @@
 )
 from rattanwick.internal.gateway.attempts import Attempt
 from rattanwick.internal.gateway.crash_guard import call_fingerprint
-from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import (
     Call,
@@ -31,25 +30,18 @@
 from rattanwick.internal.gateway.placement import (
     MIN_RETRY_AFTER_SECONDS,
     NotPlaced,
-    Placed,
-    RefusalReason,
     choose_target,
-    place_on_engine,
-    place_on_service,
-    sample_engines,
-    sample_service_endpoints,
 )
 from rattanwick.internal.gateway.rate_limits import cost_of
 from rattanwick.internal.gateway.request_log import log_request_end, requests_total
+from rattanwick.internal.gateway.request_placement import (
+    MIN_TIME_LEFT_SECONDS,
+    RequestPlacement,
+)
 
 log = get_logger("relay")
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
-# Longest wait for a free endpoint, as a share of the route's objective. A wait of up to
-# an eighth of the objective costs a caller less than a refusal.
-MAX_PLACEMENT_WAIT_SHARE = 0.125
-PLACEMENT_RETRY_INTERVAL_SECONDS = 0.01
-MIN_TIME_LEFT_SECONDS = 0.02  # with less time left, no endpoint could begin in time
 MAX_MISDIRECTED_ATTEMPTS = 2  # attempts that reached a reused address (status 421)
 ROUTE_PRIORITY_LEVELS = 3  # route priorities within each organisation priority
 MAX_URGENCY = 9
@@ -61,6 +53,7 @@
     def __init__(self, state: NodeState, codec: MessageCodec):
         self._state = state
         self._codec = codec
+        self._placement = RequestPlacement(state)
 
     def serve(self, call: Call, response: ResponseWriter) -> bool:
         """Answer a request and return whether its connection may carry another one.
@@ -138,7 +131,7 @@
     def _run(self, request: ActiveRequest, response: ResponseWriter) -> None:
         """Send a request to endpoints, one after the other, until it is answered."""
         while True:
-            placed = self._place(request)
+            placed = self._placement.place(request)
             if isinstance(placed, NotPlaced):
                 self._end_unplaced(request, response, placed)
                 return
@@ -175,64 +168,6 @@
                     self._end_expired(request, response, reason)
                     return
 
-    def _place(self, request: ActiveRequest) -> Placed | NotPlaced:
-        """Return an endpoint for a request, after a short wait if none is free.
-
-        The wait is limited by MAX_PLACEMENT_WAIT_SHARE.
-        """
-        max_wait = MAX_PLACEMENT_WAIT_SHARE * request.route.objective
-        started = self._state.timers.now()
-        while True:
-            now = self._state.timers.now()
-            request.age_seconds = now - request.call.arrived
-            if request.deadline - now < MIN_TIME_LEFT_SECONDS:
-                return NotPlaced(RefusalReason.TOO_LATE, 0.0)
-            placed = self._choose_endpoint(request, now)
-            full = isinstance(placed, NotPlaced) and placed.reason is not (
-                RefusalReason.TOO_LATE
-            )
-            if not full or now - started >= max_wait:
-                return placed
-            self._state.timers.sleep(PLACEMENT_RETRY_INTERVAL_SECONDS)
-
-    def _choose_endpoint(
-        self, request: ActiveRequest, now: float
-    ) -> Placed | NotPlaced:
-        name = request.service.name
-        views = [
-            view
-            for view in self._state.endpoints.of_service(name)
-            if view.endpoint.id not in request.tried
-        ]
-        node_id, nodes = self._state.settings.node_id, self._state.count_active_nodes()
-        if request.service.engine is None:
-            sample = sample_service_endpoints(views, request.call, node_id, nodes, now)
-        else:
-            sample = sample_engines(views, request.call, node_id, nodes)
-        placed = self._place_among(request, sample, now)
-        if isinstance(placed, NotPlaced) and len(sample) < len(views):
-            # A request is not refused while an endpoint outside the sample is free.
-            return self._place_among(request, views, now)
-        return placed
-
-    def _place_among(
-        self, request: ActiveRequest, views: list[EndpointView], now: float
-    ) -> Placed | NotPlaced:
-        if request.service.engine is None:
-            data_centre = self._state.settings.data_centre
-            connected = self._state.connections.endpoints_with_idle_connection()
-            return place_on_service(request.route, views, data_centre, now, connected)
-        return place_on_engine(
-            request.call,
-            request.route,
-            views,
-            self._state.settings.data_centre,
-            self._state.prefill_estimator.for_service(request.service.name),
-            request.age_seconds,
-            now,
-            self._state.connections.endpoints_with_idle_connection(),
-        )
-
     def _may_retry_not_run(self, request: ActiveRequest, outcome: NotRun) -> bool:
         """Return whether a request that certainly did not run may be sent again.
 
--- a/src/rattanwick/internal/gateway/request_log.py
+++ b/src/rattanwick/internal/gateway/request_log.py
@@ -49,6 +49,8 @@
             "read_tokens": placed.prefill_tokens if placed else None,
             "backlog_tokens": placed.backlog if placed else None,
             "usable_endpoints": not_placed.usable if not_placed else None,
+            "limited_endpoints": request.limited_endpoints or None,
+            "permit": request.permit is not None or None,
             "soonest_ms": _to_ms(not_placed.expected_seconds) if not_placed else None,
             "configuration": request.configuration_version,
             "endpoints_version": state.endpoints.version,
--- a/tests/scenario/test_gateway_endpoint_limits.py
+++ b/tests/scenario/test_gateway_endpoint_limits.py
@@ -22,12 +22,17 @@
 # The platform allows half as many again, and five more, from 3 s after it was named.
 MAX_REQUESTS = 1.5 * LIMIT * LIMIT_WINDOW_SECONDS + 5
 SETTLE_SECONDS = 3.0
-LOAD_SECONDS = 10.0
+USE_SECONDS = 7.0  # time after that in which the endpoint's use is measured
+LOAD_SECONDS = SETTLE_SECONDS + USE_SECONDS
+MIN_USED_SHARE = 0.7  # of the limit, while there are more requests than it allows
 CALL_INTERVAL_SECONDS = 0.1  # of each node's caller
 
 
 class EndpointLimitTests(unittest.TestCase):
-    """Guard against nodes that together exceed the limit named by an endpoint."""
+    """Guard against nodes that together exceed the limit named by an endpoint.
+
+    Guard also against an endpoint that is not used up to its limit.
+    """
 
     def test_engines_get_no_more_requests_than_they_take(self):
         self.check_limit("/stream/x", stream=True)
@@ -57,6 +62,8 @@
         settled = started + SETTLE_SECONDS
         busiest = busiest_window(limited.arrivals, settled)
         self.assertLessEqual(busiest, MAX_REQUESTS)
+        used = sum(arrival >= settled for arrival in limited.arrivals)
+        self.assertGreaterEqual(used, MIN_USED_SHARE * LIMIT * USE_SECONDS)
         statuses = [status for caller in callers for status in caller.value]
         self.assertEqual(set(statuses), {200})
 
--- /dev/null
+++ b/tests/unit/test_gateway_endpoint_limits.py
@@ -0,0 +1,568 @@
+"""Limits that endpoints name, held by many nodes over a simulated network."""
+
+import heapq
+import itertools
+import random
+import unittest
+from collections import deque
+
+from fakes.gateway_endpoint import LIMIT_WINDOW_SECONDS
+from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.gateway.endpoint_limits import (
+    MIN_RATE,
+    PERMIT_SECONDS,
+    SILENT_MEMBER_SECONDS,
+    Access,
+    EndpointLimits,
+)
+from rattanwick.internal.gateway.limit_exchange import NEWS_ROUND_SECONDS
+from rattanwick.internal.gateway.limit_messages import PeerLimits, limits_from_fields
+from rattanwick.internal.gateway.members import Member, Members
+from rattanwick.internal.gateway.model import ResponseHead
+from rattanwick.internal.gateway.peer_messages import decode_datagram, encode_limits
+from rattanwick.internal.gateway.permit_bucket import MIN_BURST
+from tests.gateway_case import make_view
+
+# The platform allows half as many requests again, and five more, in each window.
+EXCESS_SHARE, EXCESS_REQUESTS = 1.5, 5
+STATE_INTERVAL_SECONDS = 0.8  # between two states that a node sends to each other one
+# After a restart, freeze or cut, a node has this long to be in contact with the others.
+CONTACT_SECONDS = 3.0
+DATAGRAM_HEADER_BYTES = 28  # IP and UDP
+# What a node may spend on control traffic, sent and received.
+CONTROL_BYTES_PER_SECOND = 9_000
+
+
+def make_head(rate: float | None, malformed: str = "") -> ResponseHead:
+    """Return the head of a response that names a limit."""
+    return ResponseHead(200, [], "call-1", True, False, None, None, rate, malformed)
+
+
+def allowed(rate: float) -> float:
+    """Return the requests that the platform allows in a window."""
+    return EXCESS_SHARE * rate * LIMIT_WINDOW_SECONDS + EXCESS_REQUESTS
+
+
+class Node:
+    """A node of the simulation."""
+
+    def __init__(self, network: "Network", node_id: str, timers: ManualTimerService):
+        self.id = node_id
+        self.members = Members(node_id)
+        self.limits = EndpointLimits(
+            node_id, self.members, timers, first_ask_number=1, clock=timers.now
+        )
+        self.limits.transmit = lambda target, message: network.send(
+            self.id, target, message
+        )
+        self.frozen_until = 0.0
+        self.news_at: dict[Node, float] = {}  # of the next news, by recipient
+
+
+class Network:
+    """Nodes that exchange states and limits with delays, in virtual time."""
+
+    def __init__(self, count: int, seed: int = 1, loss: float = 0.0):
+        self.random = random.Random(seed)
+        self.timers = ManualTimerService()
+        self.loss = loss
+        self.nodes: dict[str, Node] = {}
+        self.cut: set[str] = set()  # nodes that reach no other
+        self.events: list = []
+        self._order = itertools.count()
+        self.bytes = dict.fromkeys((f"n{n}" for n in range(count)), 0)
+        self.view = make_view("i-1")
+        self.rate: float | None = None  # that the endpoint names now
+        self.arrivals: list[tuple[float, str]] = []
+        self.passed_on = 0  # requests for which there was no permit
+        # Node, start and end of a time in which its requests are not counted.
+        self.excused: list[tuple[str, float, float]] = []
+        for number in range(count):
+            self.add(f"n{number}")
+
+    @property
+    def now(self) -> float:
+        return self.timers.now()
+
+    def at(self, when: float, action) -> None:
+        heapq.heappush(self.events, (when, next(self._order), action))
+
+    def add(self, node_id: str, boot: int = 1) -> Node:
+        """Add a node that sends its state to all others in turn."""
+        node = self.nodes[node_id] = Node(self, node_id, self.timers)
+        self.bytes.setdefault(node_id, 0)
+        self.at(
+            self.now + self.random.uniform(0, 0.2),
+            lambda: self._send_states(node, boot),
+        )
+        return node
+
+    def _send_states(self, node: Node, boot: int) -> None:
+        """Mark a node as live at all nodes that it reaches, as its state would."""
+        if self.nodes.get(node.id) is not node:
+            return  # the process has ended
+        self.at(
+            self.now + STATE_INTERVAL_SECONDS, lambda: self._send_states(node, boot)
+        )
+        if self.now < node.frozen_until:
+            return
+        node.limits.forget([self.view.endpoint])
+        now = self.now
+        news = node.limits.granted_news()
+        for target, peer in self.nodes.items():
+            if target == node.id or now < peer.frozen_until:
+                continue
+            if self._is_cut(node.id, target):
+                continue
+            known = peer.members.get(node.id)
+            if known is not None and known.boot == boot:
+                known.last_heard_at = now
+            else:
+                member = Member(node.id, boot, ("127.0.0.1", 1), "", "a", now, now)
+                member.ready = True
+                peer.members.put(member)
+            # New processes come first in the rotation.
+            if news and now >= node.news_at.get(peer, 0.0):
+                node.news_at[peer] = now + NEWS_ROUND_SECONDS
+                self.send(node.id, target, PeerLimits(limits=news))
+
+    def _is_cut(self, sender: str, target: str) -> bool:
+        return sender in self.cut or target in self.cut
+
+    def send(self, sender: str, target: str, message: PeerLimits) -> None:
+        """Deliver a message after a delay, encoded as in a datagram."""
+        data = encode_limits(sender, 1, message)
+        self.bytes[sender] += len(data) + DATAGRAM_HEADER_BYTES
+        if self._is_cut(sender, target) or self.random.random() < self.loss:
+            return
+        delay = self.random.uniform(0.001, 0.008)
+        self.at(self.now + delay, lambda: self._receive(target, data))
+
+    def _receive(self, target: str, data: bytes) -> None:
+        node = self.nodes.get(target)
+        if node is None:
+            return
+        if self.now < node.frozen_until:
+            self.at(node.frozen_until, lambda: self._receive(target, data))
+            return
+        self.bytes[target] += len(data) + DATAGRAM_HEADER_BYTES
+        message = decode_datagram(data)
+        reply = node.limits.receive(message.node_id, message)
+        if reply is not None:
+            self.send(target, message.node_id, reply)
+
+    def load(self, per_second: float, node_ids=None) -> None:
+        """Send requests for ever, each to a random node."""
+
+        def arrive():
+            self.at(self.now + self.random.expovariate(per_second), arrive)
+            node = self.nodes[self.random.choice(list(node_ids or self.nodes))]
+            if self.now >= node.frozen_until:
+                self.try_send(node)
+
+        self.at(self.now, arrive)
+
+    def try_send(self, node: Node, patience: float = 0.03) -> None:
+        """Send a request to the endpoint, or pass it on if no permit arrives."""
+        endpoint, limits = self.view.endpoint, node.limits
+        deadline = self.now + patience
+
+        def attempt():
+            if limits.access(endpoint) is Access.ASKABLE:
+                limits.ask(endpoint)
+            if limits.access(endpoint) is Access.OPEN:
+                permit = limits.take(endpoint)
+                self.at(self.now + 0.002, lambda: self._send_request(node, permit))
+            elif limits.access(endpoint) is Access.ASKED and self.now < deadline:
+                self.at(self.now + 0.003, attempt)
+            else:
+                self.passed_on += 1
+
+        attempt()
+
+    def _send_request(self, node: Node, permit) -> None:
+        if self.now < node.frozen_until:
+            self.at(node.frozen_until, lambda: self._send_request(node, permit))
+            return
+        if not node.limits.may_send(self.view.endpoint, permit):
+            return
+        self.arrivals.append((self.now, node.id))
+        rate = self.rate
+        self.at(self.now + 0.1, lambda: self._respond(node, rate))
+
+    def _respond(self, node: Node, rate: float | None) -> None:
+        if self.nodes.get(node.id) is not node:
+            return
+        node.limits.note_response(self.view, make_head(rate))
+        if node.limits.changed.is_set():
+            node.limits.changed.clear()
+            news = node.limits.take_unsent_news()
+            for target in self.nodes:
+                if target != node.id:
+                    self.send(node.id, target, PeerLimits(limits=news))
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            when, _, action = heapq.heappop(self.events)
+            self.timers.advance(max(when - self.now, 0.0))
+            action()
+        self.timers.advance(end - self.now)
+
+    def disturb(self, node_id: str, seconds: float = 0.0) -> None:
+        """Note a restart, freeze or cut, which excuses a node until its contact."""
+        self.excused.append((node_id, self.now, self.now + seconds + CONTACT_SECONDS))
+
+    def _is_excused(self, when: float, node_id: str) -> bool:
+        return any(
+            node_id == excused and start <= when < end
+            for excused, start, end in self.excused
+        )
+
+    def busiest(self, since: float) -> int:
+        """Return the most requests that arrived in a window after a time.
+
+        Requests of excused nodes are not counted.
+        """
+        window: deque[float] = deque()
+        most = 0
+        for when, node_id in self.arrivals:
+            if when < since or self._is_excused(when, node_id):
+                continue
+            window.append(when)
+            while window[0] <= when - LIMIT_WINDOW_SECONDS:
+                window.popleft()
+            most = max(most, len(window))
+        return most
+
+    def count(self, since: float) -> int:
+        """Return the requests that arrived after a time."""
+        return sum(when >= since for when, _ in self.arrivals)
+
+
+class SharedLimitTests(unittest.TestCase):
+    """Guard against nodes that together send more, or much less, than a limit."""
+
+    def check(self, nodes: int, rate: float, load: float, **options) -> Network:
+        """Check a limit and its use under a load above it; return the network."""
+        network = Network(nodes, **options)
+        network.run(2.0)
+        network.rate = rate
+        network.load(load)
+        network.run(3.0)
+        since = network.now
+        network.run(20.0)
+        self.assertLessEqual(network.busiest(since), allowed(rate))
+        self.assertGreaterEqual(network.count(since), 0.8 * rate * 20.0)
+        return network
+
+    def test_nodes_hold_a_limit_and_use_it(self):
+        for nodes, rate, load in (
+            (3, 1.0, 20.0),
+            (3, 40.0, 200.0),
+            (6, 2.1, 40.0),
+            (63, 1.0, 60.0),
+            (63, 20.0, 300.0),
+            (390, 1.0, 100.0),
+            (390, 30.0, 300.0),
+        ):
+            with self.subTest(nodes=nodes, rate=rate):
+                self.check(nodes, rate, load)
+
+    def test_a_limit_holds_although_one_in_ten_messages_is_lost(self):
+        for nodes in (3, 63):
+            with self.subTest(nodes=nodes):
+                self.check(nodes, 5.0, 60.0, loss=0.1)
+
+    def test_messages_about_a_limit_stay_within_the_budget_of_a_node(self):
+        """Guard against traffic that grows with the number of asking nodes."""
+        network = Network(63)
+        network.run(2.0)
+        network.rate = 2.0
+        network.load(300.0)
+        network.run(3.0)
+        before = dict(network.bytes)
+        network.run(10.0)
+        busiest = max(network.bytes[node] - before[node] for node in before)
+        self.assertLess(busiest / 10.0, CONTROL_BYTES_PER_SECOND)
+
+    def test_nothing_is_sent_while_no_endpoint_names_a_limit(self):
+        network = Network(63)
+        network.load(300.0)
+        network.run(10.0)
+        self.assertEqual(sum(network.bytes.values()), 0)
+        self.assertEqual(network.passed_on, 0)
+
+    def test_a_limit_that_has_ended_is_forgotten_by_all_nodes_soon(self):
+        for nodes in (3, 63):
+            with self.subTest(nodes=nodes):
+                network = self.check(nodes, 2.0, 60.0)
+                network.rate = None
+                network.run(1.5)
+                passed_on, since = network.passed_on, network.now
+                network.run(5.0)
+                self.assertEqual(network.passed_on, passed_on)
+                self.assertGreater(network.count(since), 0.8 * 60.0 * 5.0)
+
+    def test_an_endpoint_that_takes_no_requests_is_still_asked_now_and_then(self):
+        """Guard against a limit of 0 that no response can ever lift."""
+        network = Network(6)
+        network.run(2.0)
+        network.rate = 0.0
+        network.load(40.0)
+        network.run(20.0)
+        self.assertLessEqual(network.busiest(5.0), EXCESS_REQUESTS)
+        self.assertGreater(network.count(5.0), 0.5 * MIN_RATE * 15.0)
+        network.rate = None
+        network.run(8.0)
+        since = network.now
+        network.run(5.0)
+        self.assertGreater(network.count(since), 0.8 * 40.0 * 5.0)
+
+    def test_a_lower_limit_counts_at_once(self):
+        network = self.check(6, 40.0, 200.0)
+        network.rate = 2.0
+        network.run(3.0)
+        since = network.now
+        network.run(10.0)
+        self.assertLessEqual(network.busiest(since), allowed(2.0))
+
+
+class FailingPeerTests(unittest.TestCase):
+    """Guard against limits that are exceeded, or unused, while nodes come and go."""
+
+    RATE, LOAD = 10.0, 100.0
+
+    def setUp(self):
+        self.network = Network(6)
+        self.network.run(2.0)
+        self.network.rate = self.RATE
+        self.network.load(self.LOAD)
+        self.network.run(3.0)
+        self.since = self.network.now
+        node = next(iter(self.network.nodes.values()))
+        self.grantor = node.limits._grantor_of("i-1", self.network.now)
+
+    def check(self, used_share: float = 0.6) -> None:
+        """Check that the limit held and that this share of it was used."""
+        network = self.network
+        self.assertLessEqual(network.busiest(self.since), allowed(self.RATE))
+        least = used_share * self.RATE * (network.now - self.since)
+        self.assertGreaterEqual(network.count(self.since), least)
+
+    def test_while_the_grantor_is_killed_and_starts_again(self):
+        boot = 1
+        for _ in range(4):
+            boot += 1
+            del self.network.nodes[self.grantor]
+            self.network.run(1.0)
+            self.network.disturb(self.grantor)
+            self.network.add(self.grantor, boot)
+            self.network.run(5.0)
+        self.check()
+
+    def test_while_nodes_freeze_one_after_the_other(self):
+        for node in list(self.network.nodes.values()):
+            node.frozen_until = self.network.now + 4.0
+            self.network.run(6.0)
+        self.check()
+
+    def test_while_nodes_are_added(self):
+        for number in range(6, 30):
+            self.network.add(f"n{number}")
+            self.network.run(0.5)
+        self.check()
+
+    def test_while_the_grantor_is_cut_off(self):
+        """The nodes on both sides of a partition together stay within the limit."""
+        self.network.cut = {self.grantor}
+        self.network.run(15.0)
+        self.network.cut = set()
+        self.network.run(5.0)
+        self.check()
+
+    def test_all_of_a_limit_is_used_again_after_a_node_was_lost_for_good(self):
+        del self.network.nodes[self.grantor]
+        self.network.run(SILENT_MEMBER_SECONDS + 2.0)
+        since = self.network.now
+        self.network.run(10.0)
+        self.assertGreater(self.network.count(since), 0.9 * self.RATE * 10.0)
+        self.check()
+
+    def test_while_everything_happens_at_random(self):
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self.shake(random.Random(seed))
+                self.check(used_share=0.4)
+
+    def shake(self, rng: random.Random) -> None:
+        """Kill, start, freeze and cut random nodes for a minute."""
+        network, boot = self.network, 1
+        for _ in range(60):
+            node_id = rng.choice(sorted(network.nodes))
+            boot += 1
+            match rng.choice(("kill", "freeze", "cut", "heal", "add", "none")):
+                case "kill":
+                    network.disturb(node_id)
+                    del network.nodes[node_id]
+                    network.add(node_id, boot)
+                case "freeze":
+                    node = network.nodes[node_id]
+                    seconds = rng.uniform(0.3, 4.0)
+                    network.disturb(node_id, seconds)
+                    node.frozen_until = network.now + seconds
+                case "cut":
+                    self.heal()
+                    network.cut = {node_id}
+                    self.cut_at = network.now
+                case "heal":
+                    self.heal()
+                case "add":
+                    node_id = f"n{len(network.nodes)}"
+                    network.disturb(node_id)
+                    network.add(node_id)
+            network.run(rng.uniform(0.2, 1.8))
+
+    def heal(self) -> None:
+        """End a cut; the node was excused since its start."""
+        network = self.network
+        for node_id in network.cut:
+            end = network.now + CONTACT_SECONDS
+            network.excused.append((node_id, self.cut_at, end))
+        network.cut = set()
+
+
+class PermitTests(unittest.TestCase):
+    """Guard against permits that are used late, twice or by the wrong process."""
+
+    def setUp(self):
+        self.network = Network(2)
+        self.network.run(2.0)
+        self.nodes = self.network.nodes
+        self.view, self.endpoint = self.network.view, self.network.view.endpoint
+        grantor = self.nodes["n0"].limits._grantor_of("i-1", self.network.now)
+        self.asker = next(n for key, n in self.nodes.items() if key != grantor)
+        self.grantor = self.nodes[grantor]
+        for node in self.nodes.values():
+            node.limits.note_response(self.view, make_head(4.0))
+        self.network.run(1.0)
+
+    def test_a_permit_is_not_used_after_a_pause(self):
+        limits = self.asker.limits
+        limits.ask(self.endpoint)
+        self.network.run(0.1)
+        permit = limits.take(self.endpoint)
+        self.assertTrue(limits.may_send(self.endpoint, permit))
+        self.network.run(PERMIT_SECONDS)
+        self.assertFalse(limits.may_send(self.endpoint, permit))
+
+    def test_a_request_placed_before_the_limit_was_known_needs_a_permit(self):
+        self.assertFalse(self.asker.limits.may_send(self.endpoint, None))
+
+    def test_a_permit_that_was_not_used_serves_the_next_request(self):
+        limits = self.asker.limits
+        limits.ask(self.endpoint)
+        self.network.run(0.1)
+        permit = limits.take(self.endpoint)
+        self.assertIsNot(limits.access(self.endpoint), Access.OPEN)
+        limits.give_back(permit)
+        self.assertIs(limits.access(self.endpoint), Access.OPEN)
+
+    def test_a_late_or_repeated_reply_gives_no_permit(self):
+        limits = self.asker.limits
+        sent = []
+        limits.transmit = lambda target, message: sent.append(message)
+        limits.ask(self.endpoint)
+        reply = self.grantor.limits.receive(self.asker.id, sent[0])
+        self.assertEqual(reply.grants[0].count, 1)
+        self.network.timers.advance(PERMIT_SECONDS)
+        limits.receive(self.grantor.id, reply)
+        self.assertIsNot(limits.access(self.endpoint), Access.OPEN)
+        limits.ask(self.endpoint)
+        reply = self.grantor.limits.receive(self.asker.id, sent[1])
+        limits.receive(self.grantor.id, reply)
+        limits.receive(self.grantor.id, reply)
+        self.assertIsNotNone(limits.take(self.endpoint))
+        self.assertIsNone(limits.take(self.endpoint))
+
+    def test_a_node_that_is_not_the_grantor_grants_nothing(self):
+        sent = []
+        self.grantor.limits.transmit = lambda target, message: sent.append(message)
+        self.grantor.members = None
+        self.asker.limits.transmit = lambda target, message: sent.append(message)
+        self.asker.limits.ask(self.endpoint)
+        # The question reaches the node that asked it.
+        reply = self.asker.limits.receive("n9", sent[0])
+        self.assertEqual(reply.grants[0].count, 0)
+
+    def test_a_grantor_that_wakes_from_a_pause_has_saved_no_permits(self):
+        self.network.run(60.0)
+        self.grantor.limits.ask(self.endpoint)
+        taken = 0
+        for _ in range(20):
+            if self.grantor.limits.access(self.endpoint) is Access.ASKABLE:
+                self.grantor.limits.ask(self.endpoint)
+            taken += self.grantor.limits.take(self.endpoint) is not None
+        self.assertLessEqual(taken, MIN_BURST)
+
+
+class LimitKnowledgeTests(unittest.TestCase):
+    """Guard against limits that stay, vanish or are invented."""
+
+    def setUp(self):
+        self.timers = ManualTimerService()
+        self.limits = EndpointLimits(
+            "n0", Members("n0"), self.timers, clock=self.timers.now
+        )
+        self.view = make_view("i-1")
+
+    def note(self, rate: float | None, malformed: str = "") -> float | None:
+        self.timers.advance(0.1)
+        self.limits.note_response(self.view, make_head(rate, malformed))
+        return self.limits.rate_of(self.view.endpoint)
+
+    def test_a_malformed_value_neither_sets_nor_lifts_a_limit(self):
+        self.assertIsNone(self.note(None, "nan"))
+        self.assertEqual(self.note(2.0), 2.0)
+        self.assertEqual(self.note(None, "-1"), 2.0)
+        self.assertIsNone(self.note(None))
+
+    def test_older_news_does_not_replace_a_later_response(self):
+        key = self.view.endpoint.id, self.view.endpoint.born_ms
+        self.note(2.0)
+        self.note(None)
+        message = limits_from_fields([[[*key, 2.0, 5.0]], [], []])
+        self.limits.receive("n1", message)
+        self.assertIsNone(self.limits.rate_of(self.view.endpoint))
+
+    def test_a_limit_ends_with_the_process_of_its_endpoint(self):
+        self.note(2.0)
+        restarted = make_view("i-1")
+        object.__setattr__(restarted.endpoint, "born_ms", 99)
+        self.assertIsNone(self.limits.rate_of(restarted.endpoint))
+
+    def test_limits_of_endpoints_that_left_are_dropped(self):
+        self.note(2.0)
+        self.timers.advance(60.0)
+        self.limits.forget([self.view.endpoint])
+        self.assertTrue(self.limits.any_named())
+        self.limits.forget([])
+        self.assertFalse(self.limits.any_named())
+
+    def test_messages_with_strange_values_are_errors(self):
+        """Guard against a node that ends, or divides by zero, by a peer's message."""
+        for fields in (
+            [],
+            [[], []],
+            [[["i-1", 1, -1.0, 0.0]], [], []],
+            [[["i-1", 1, float("nan"), 0.0]], [], []],
+            [[["i-1", 1, float("inf"), 0.0]], [], []],
+            [[], [["i-1", 1, 1, -5]], []],
+            [[], [["i-1", 1, 1, 1.5]], []],
+            [[], [], [["i-1", 1, 1, 1, float("nan")]]],
+            [[], [], [[b"i-1", 1, 1, 1, 0.0]]],
+        ):
+            with self.subTest(fields=fields), self.assertRaises(ValueError):
+                limits_from_fields(fields)
