Order endpoints for those that limit their requests

An engine that takes 0.1 requests a second counted as a whole one, so no replacement was ordered for it, and requests beyond its limit found the others busy. The plan now counts what the limits leave of each engine, by the mean prompt and the speed that nodes have seen. What the limits take away is kept in the orders, since an order states all endpoints of a class, takes up its room in a data centre, and is replaced where there is room. The log line of an order names it (unusable).

--- a/src/rattanwick/internal/gateway/autoscaler.py
+++ b/src/rattanwick/internal/gateway/autoscaler.py
@@ -1,5 +1,6 @@
 """Orders for endpoints according to the load, made by the leader."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,7 @@
     ReclaimableAvailability,
     engines_needed,
     keep_live_endpoints,
+    limited_share,
     live_by_class,
     plan_capacity,
 )
@@ -53,6 +55,7 @@
 
     needed: int  # engines
     serving: int  # engines that are not leaving
+    unusable: int  # of them, hardly usable because of the limits that they name
     load: float | None  # prompt tokens per second; None before it is known
     rate: float  # prefill rate of an engine, in prompt tokens per second
     utilisation: float  # target utilisation of that rate, between 0 and 1
@@ -150,14 +153,16 @@
         nodes = self._state.members.count_nodes()
         needed = engines_needed(load_ahead, rate, utilisation, nodes)
         idle = load is None and self._state.settings.first_start
+        unusable = self._count_unusable(service.name, rate * utilisation)
         plan = plan_capacity(
-            needed, service.scaling, counts, self._availability, now, idle
+            needed, service.scaling, counts, self._availability, now, idle, unusable
         )
         if load is None and not idle:
             # A leader that has just started does not know the load yet.
             plan = keep_live_endpoints(plan, counts)
         live = live_by_class(counts)
-        demand = Demand(needed, live.total(), load, rate, utilisation)
+        serving = live.total()
+        demand = Demand(needed, serving, unusable.total(), load, rate, utilisation)
         # Orders that add endpoints come first, so that no endpoint is removed before
         # its replacement is ordered.
         plan.sort(key=lambda d: d.count <= live[d.data_centre, d.reclaimable])
@@ -183,6 +188,25 @@
                 live[key] = live.get(key, 0) + 1
         return [ClassCount(*key, count) for key, count in live.items()]
 
+    def _count_unusable(
+        self, service: str, tokens_per_second: float
+    ) -> Counter[tuple[str, bool]]:
+        """Return how many engines request limits amount to, by class.
+
+        ``tokens_per_second`` is what an engine without a limit serves.
+        """
+        mean_tokens = self._state.utilisation_targets.mean_tokens(service)
+        requests_per_engine = tokens_per_second / max(mean_tokens, 1.0)
+        lost: dict[tuple[str, bool], float] = {}
+        for view in self._state.endpoints.of_service(service):
+            endpoint = view.endpoint
+            if not endpoint.leaving:
+                limit = self._state.endpoint_limits.rate_of(endpoint)
+                key = (endpoint.data_centre, endpoint.reclaimable)
+                share = limited_share(limit, requests_per_engine)
+                lost[key] = lost.get(key, 0.0) + 1.0 - share
+        return Counter({key: round(engines) for key, engines in lost.items()})
+
     def _should_order(
         self, order_key: OrderKey, desired: int, present: int, now: float
     ) -> bool:
@@ -251,6 +275,7 @@
                 "count": order.count,
                 "needed": demand.needed,
                 "serving": demand.serving,
+                "unusable": demand.unusable,
                 "load_tokens_per_s": demand.load and round(demand.load),
                 "engine_tokens_per_s": round(demand.rate),
                 "utilisation": round(demand.utilisation, 2),
--- a/src/rattanwick/internal/gateway/capacity.py
+++ b/src/rattanwick/internal/gateway/capacity.py
@@ -122,28 +122,36 @@
     availability: ReclaimableAvailability,
     now: float,
     idle: bool = False,
+    unusable: Counter[tuple[str, bool]] | None = None,
 ) -> list[DesiredCount]:
     """Return the desired counts of all data centres and classes.
 
     A few full-price endpoints survive any reclaim. The others are reclaimable while
     such endpoints are available, and full-price otherwise. ``idle`` means that no
     request has arrived yet: full-price endpoints then need not serve while the
-    reclaimable ones boot.
+    reclaimable ones boot. ``unusable`` endpoints, by data centre and whether
+    reclaimable, take up room but serve nothing.
     """
+    unusable = unusable or Counter()
     prices = scaling.data_centre_prices
     centres = sorted(prices, key=lambda name: (prices[name], name))
+    room = {
+        name: scaling.max_endpoints - unusable[name, False] - unusable[name, True]
+        for name in centres
+    }
     live = Counter({c.data_centre: c.live for c in counts if c.reclaimable})
+    live.subtract({name: unusable[name, True] for name in centres})
     # Reclaimable endpoints that do not serve yet are no capacity. Until they do, the
     # full-price ones that replace them count against a data centre's limit.
     serving = sum(live.values())
     if now < availability.wave_until:
         serving = int(RECLAIM_WAVE_SHARE * serving)
-    full_price_counts = _min_full_price_counts(scaling, centres)
+    full_price_counts = _min_full_price_counts(scaling, centres, room)
     if not idle:
         # Reclaimable endpoints that serve are kept: their replacements would need
         # seconds to boot.
-        room = {name: scaling.max_endpoints - live[name] for name in centres}
-        _add_full_price(full_price_counts, needed - serving, centres, prices, room)
+        left = {name: room[name] - live[name] for name in centres}
+        _add_full_price(full_price_counts, needed - serving, centres, prices, left)
     reclaimable_counts = dict.fromkeys(centres, 0)
     if scaling.reclaimable_price is not None:
         is_expensive = scaling.reclaimable_price > EXPENSIVE_PRICE_SHARE
@@ -156,14 +164,14 @@
             centres,
             full_price_counts,
             reclaimable_counts,
-            scaling.max_endpoints,
+            room,
             availability,
             now,
         )
     growing = [name for name in centres if reclaimable_counts[name] > live[name]]
     postponed = set(growing) - set(availability.centres_to_try(growing, now))
     return [
-        DesiredCount(name, reclaimable, count[name])
+        DesiredCount(name, reclaimable, count[name] + unusable[name, reclaimable])
         for reclaimable, count in (
             (False, full_price_counts),
             (True, reclaimable_counts),
@@ -186,19 +194,31 @@
     ]
 
 
+def limited_share(rate: float | None, requests_per_engine: float) -> float:
+    """Return the share of an engine's capacity that its request limit leaves.
+
+    ``rate`` is the limit, None for none; ``requests_per_engine`` is what an engine
+    without a limit serves. Both are in requests per second.
+    """
+    if rate is None or requests_per_engine <= 0:
+        return 1.0
+    return min(rate / requests_per_engine, 1.0)
+
+
 def live_by_class(counts: list[ClassCount]) -> Counter[tuple[str, bool]]:
     """Return the endpoints that serve, by data centre and whether reclaimable."""
     return Counter({(c.data_centre, c.reclaimable): c.live for c in counts})
 
 
-def _min_full_price_counts(scaling: ScalingSpec, centres: list[str]) -> dict[str, int]:
+def _min_full_price_counts(
+    scaling: ScalingSpec, centres: list[str], room: dict[str, int]
+) -> dict[str, int]:
     """Return the full-price endpoints that are always ordered, by data centre."""
     if scaling.reclaimable_price is None:
-        return {name: max(scaling.min_endpoints, 1) for name in centres}
-    return {
-        name: int(index < MIN_FULL_PRICE_ENDPOINTS)
-        for index, name in enumerate(centres)
-    }
+        least = max(scaling.min_endpoints, 1)
+        return {name: min(least, room[name]) for name in centres}
+    chosen = [name for name in centres if room[name] > 0][:MIN_FULL_PRICE_ENDPOINTS]
+    return {name: int(name in chosen) for name in centres}
 
 
 def _add_full_price(
@@ -223,20 +243,20 @@
     centres: list[str],
     full_price_counts: dict[str, int],
     reclaimable_counts: dict[str, int],
-    max_endpoints: int,
+    room: dict[str, int],
     availability: ReclaimableAvailability,
     now: float,
 ) -> None:
     """Add reclaimable endpoints evenly, so that one reclaim takes few of them."""
     while wanted > 0:
-        room = [
+        free = [
             name
             for name in centres
             if availability.is_available(name, now)
-            and full_price_counts[name] + reclaimable_counts[name] < max_endpoints
+            and full_price_counts[name] + reclaimable_counts[name] < room[name]
         ]
-        if not room:
+        if not free:
             return
-        name = min(room, key=lambda item: reclaimable_counts[item])
+        name = min(free, key=lambda item: reclaimable_counts[item])
         reclaimable_counts[name] += 1
         wanted -= 1
--- a/src/rattanwick/internal/gateway/utilisation.py
+++ b/src/rattanwick/internal/gateway/utilisation.py
@@ -42,6 +42,11 @@
         mean.shares += tokens * seconds / objective - DECAY_SHARE * mean.shares
         mean.tokens += tokens - DECAY_SHARE * mean.tokens
 
+    def mean_tokens(self, service: str) -> float:
+        """Return the mean uncached prompt tokens of a service's requests."""
+        mean = self._means.get(service) or _Mean()
+        return mean.tokens * DECAY_SHARE
+
     def for_service(self, service: str) -> float:
         """Return the target utilisation of a service's engines, between 0 and 1."""
         mean = self._means.get(service) or _Mean()
--- a/tests/failure/test_gateway_leadership.py
+++ b/tests/failure/test_gateway_leadership.py
@@ -11,8 +11,10 @@
 from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder
 from rattanwick.internal.gateway.leadership import Leadership
 from rattanwick.internal.gateway.members import Member
+from rattanwick.internal.gateway.model import ResponseHead
 from rattanwick.internal.gateway.usage_reports import UsageReports
 from tests.gateway_case import (
+    SCALING,
     make_configuration,
     make_route,
     make_state,
@@ -297,6 +299,53 @@
         }
         self.assertTrue(all(count >= 6 for count in full.values()), full)
 
+    def latest_orders(self) -> dict[tuple[str, bool], int]:
+        """Run the autoscaler for some seconds; return counts by data centre and class.
+
+        The load is low. Time passes, so that lower orders are made too.
+        """
+        tokens = self.first.state.prompt_tokens
+        for _ in range(20):
+            tokens["engine"] = tokens.get("engine", 0) + 500
+            self.first.autoscaler.step()
+            self.timers.advance(0.5)
+        return {
+            (order.data_centre, order.reclaimable): order.count
+            for _, order in self.cloud.orders
+        }
+
+    def test_endpoints_are_ordered_for_those_that_limit_their_requests(self):
+        """Guard against engines at their limits that count as free capacity.
+
+        Replacements are ordered while the limit lasts, and given up after it.
+        """
+        limits = self.first.state.endpoint_limits
+        before = self.latest_orders()
+        for number in range(0, 9, 3):
+            view = self.first.state.endpoints.get(f"i-{number}")
+            head = ResponseHead(200, [], "c", True, False, None, None, 0.1)
+            limits.note_response(view, head)
+        with self.assertLogs("rattanwick.orders", "INFO") as logs:
+            during = self.latest_orders()
+        self.assertEqual(logs.records[-1].unusable, 3)
+        self.assertGreater(sum(during.values()), sum(before.values()))
+        for name in "abc":
+            total = during[name, False] + during[name, True]
+            self.assertLessEqual(total, SCALING.max_endpoints)
+        for number in range(0, 9, 3):
+            view = self.first.state.endpoints.get(f"i-{number}")
+            head = ResponseHead(200, [], "c", True, False, None, None, None)
+            limits.note_response(view, head)
+        self.assertEqual(self.latest_orders(), before)
+
+    def test_a_limit_above_what_an_engine_serves_orders_nothing(self):
+        limits = self.first.state.endpoint_limits
+        before = self.latest_orders()
+        for view in self.first.state.endpoints.all():
+            head = ResponseHead(200, [], "c", True, False, None, None, 1000.0)
+            limits.note_response(view, head)
+        self.assertEqual(self.latest_orders(), before)
+
     def test_a_lack_of_reclaimable_endpoints_does_not_end_leadership(self):
         self.cloud.reclaimable_unavailable = True
         self.first.autoscaler.step()
--- a/tests/unit/test_gateway_capacity.py
+++ b/tests/unit/test_gateway_capacity.py
@@ -1,6 +1,7 @@
 """Capacity plans under load, during reclaims and without reclaimable endpoints."""
 
 import unittest
+from collections import Counter
 from dataclasses import replace
 
 from rattanwick.internal.gateway.autoscaler import LoadMeter
@@ -122,6 +123,27 @@
             total = desired[name, False] + desired[name, True]
             self.assertLessEqual(total, SCALING.max_endpoints)
 
+    def test_endpoints_at_their_limits_are_replaced_where_there_is_room(self):
+        """Endpoints that hardly serve still count against a data centre's limit."""
+        limit = SCALING.max_endpoints
+        counts = [ClassCount("a", False, limit), ClassCount("b", True, 2)]
+        unusable = Counter({("a", False): limit})
+        desired = plan_capacity(
+            4,
+            SCALING,
+            counts,
+            ReclaimableAvailability(),
+            NOW,
+            unusable=unusable,
+        )
+        counted = {(item.data_centre, item.reclaimable): item.count for item in desired}
+        for name in "abc":
+            total = counted[name, False] + counted[name, True]
+            self.assertLessEqual(total, limit)
+        self.assertEqual(counted["a", False], limit)
+        elsewhere = sum(n for (name, _), n in counted.items() if name != "a")
+        self.assertGreaterEqual(elsewhere, 4)
+
     def test_one_data_centre_at_a_time_is_tried_while_orders_are_declined(self):
         """All three were tried at once every 3 s, and none for 14 s after a reclaim.
 
