Explain refusals because of endpoints' limits

explain had no meaning for endpoints_limited and did not show the lines of the limits. The end of a request now names the endpoints that it was not sent to for want of a permit (8 at most), and explain shows when each of them named its limit and what it was.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -69,7 +69,8 @@
     placed: Placed | None = None
     not_placed: NotPlaced | None = None
     permit: Permit | None = None  # to send to the endpoint, if that one is limited
-    limited_endpoints: int = 0  # passed over at the last choice for want of a permit
+    # Ids of the endpoints passed over at the last choice for want of a permit.
+    limited_endpoints: tuple[str, ...] = ()
     # From the request's arrival to the first event, or to a response that is no stream.
     first_event_seconds: float | None = None
     last_event_at: float | None = None  # monotonic seconds
--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -9,6 +9,7 @@
 RELATED_SECONDS = 10.0
 # Events of a node that may explain the end of any of its requests.
 NODE_MESSAGES = ("lost", "regained", "started", "stopping", "copy fetched")
+ENDPOINT_LOGGERS = ("endpoints:", "limits:")  # whose lines each concern one endpoint
 
 # Meaning of each outcome or reason, by its prefix.
 OUTCOME_MEANINGS = {
@@ -17,6 +18,8 @@
     "refused: first_event_too_late": "every engine had so many waiting prompts that "
     "the first event would have missed the objective",
     "refused: endpoints_full": "the slots and queues of all endpoints were full",
+    "refused: endpoints_limited": "the endpoints that were not full had reached the "
+    "limits of requests per second that they name; the related lines show each limit",
     "refused: no_endpoint": "the node knew no endpoint of the service",
     "refused: endpoint declined": "the endpoint stated that it did not run the request",
     "expired": "the endpoint did not answer before the request's deadline",
@@ -91,6 +94,8 @@
     begin, end = request_lines[0].time, request_lines[-1].time
     nodes = {line.node for line in request_lines}
     endpoints = {line.fields.get("endpoint") for line in request_lines} - {None}
+    for line in request_lines:
+        endpoints.update(line.fields.get("limited_endpoints") or ())
     versions = {line.fields.get("configuration") for line in request_lines} - {None}
     related_lines = [
         line
@@ -102,7 +107,7 @@
                 and begin - RELATED_SECONDS <= line.time <= end
             )
             or (
-                line.message.startswith("endpoints:")
+                line.message.startswith(ENDPOINT_LOGGERS)
                 and line.fields.get("endpoint") in endpoints
                 and line.time <= end + RELATED_SECONDS
             )
--- a/src/rattanwick/internal/gateway/request_log.py
+++ b/src/rattanwick/internal/gateway/request_log.py
@@ -19,6 +19,8 @@
     (0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0),
 )
 
+MAX_LOGGED_ENDPOINTS = 8
+
 
 def log_request_end(
     state: NodeState, request: ActiveRequest, outcome: str, status: int
@@ -49,7 +51,8 @@
             "read_tokens": placed.prefill_tokens if placed else None,
             "backlog_tokens": placed.backlog if placed else None,
             "usable_endpoints": not_placed.usable if not_placed else None,
-            "limited_endpoints": request.limited_endpoints or None,
+            "limited_endpoints": request.limited_endpoints[:MAX_LOGGED_ENDPOINTS]
+            or None,
             "permit": request.permit is not None or None,
             "soonest_ms": _to_ms(not_placed.expected_seconds) if not_placed else None,
             "configuration": request.configuration_version,
--- a/src/rattanwick/internal/gateway/request_placement.py
+++ b/src/rattanwick/internal/gateway/request_placement.py
@@ -100,7 +100,7 @@
         later serves the next request.
         """
         limits = self._state.endpoint_limits
-        request.limited_endpoints = 0
+        request.limited_endpoints = ()
         if not limits.any_named():
             return self._best(request, views, now)
         access = {view.endpoint.id: limits.access(view.endpoint) for view in views}
@@ -119,15 +119,16 @@
         if not may_await_permit or access[endpoint.id] is Access.CLOSED:
             other = self._best(request, _without(views, limited), now)
             if isinstance(other, Placed):
-                request.limited_endpoints = len(limited)
+                request.limited_endpoints = _ids(limited)
                 return other
+        request.limited_endpoints = _ids(limited)
         return NotPlaced(RefusalReason.PERMIT_PENDING, MIN_RETRY_AFTER_SECONDS)
 
     def _explain_limited(
         self, request: ActiveRequest, refusal: NotPlaced, closed: list[EndpointView]
     ) -> NotPlaced:
         """Return a refusal that names the limits if endpoints were passed over."""
-        request.limited_endpoints = len(closed)
+        request.limited_endpoints = _ids(closed)
         if not closed or refusal.reason is RefusalReason.TOO_LATE:
             return refusal
         retry_after = self._state.endpoint_limits.retry_after(
@@ -162,5 +163,9 @@
 def _without(
     views: list[EndpointView], excluded: list[EndpointView]
 ) -> list[EndpointView]:
-    ids = {view.endpoint.id for view in excluded}
+    ids = frozenset(_ids(excluded))
     return [view for view in views if view.endpoint.id not in ids]
+
+
+def _ids(views: list[EndpointView]) -> tuple[str, ...]:
+    return tuple(view.endpoint.id for view in views)
--- a/tests/failure/test_gateway_limited_endpoints.py
+++ b/tests/failure/test_gateway_limited_endpoints.py
@@ -53,7 +53,7 @@
             # A token comes every 4 s.
             self.assertGreater(float(answer.headers["retry-after"]), 1.0)
             (ended,) = [record for record in logs.records if "ended" in record.msg]
-            self.assertEqual(ended.limited_endpoints, 1)
+            self.assertEqual(ended.limited_endpoints, ("i-1",))
         self.assertEqual(len(self.endpoints[0].executed_requests), ran)
 
     def test_a_second_attempt_needs_a_permit_too(self):
--- a/tests/unit/test_gateway_explanation.py
+++ b/tests/unit/test_gateway_explanation.py
@@ -51,6 +51,23 @@
         )
         self.assertIn("result is not known", found.cause)
 
+    def test_a_refusal_because_of_limits_shows_the_limit_of_each_endpoint(self):
+        refused = line(
+            9.0,
+            "relay: ended",
+            request="r",
+            outcome="refused: endpoints_limited",
+            limited_endpoints=["i-1"],
+        )
+        limits = [
+            line(5.0, "limits: limit changed", endpoint=name, requests_per_s=2.1)
+            for name in ("i-1", "i-2")
+        ]
+        found = explain("r", read_lines([refused, *limits])[0])
+        named = [item.fields["endpoint"] for item in found.related_lines]
+        self.assertEqual(named, ["i-1"])
+        self.assertIn("requests per second", found.cause)
+
     def test_unreadable_lines_are_counted_and_left_out(self):
         texts = [*self.TEXTS, self.TEXTS[0][:40], "no line", "", '["a"]']
         lines, unreadable = read_lines(texts)
