Let endpoints name limits in the soak

Nothing in soak or tests of processes named a limit, so neither could show that limits were ignored. One endpoint after the other names a limit for 4 to 9 s, sometimes a malformed one, beside all other faults. The check compares what each endpoint got in any 4 s with what the platform allows, without the requests of nodes in an outage. The limits have a random generator of their own, so that known seeds give the same other faults as before.

--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -46,7 +46,8 @@
         self.work_seconds = 0.0  # time before a response that is not streamed
         # Sent with every response: the requests per second that it takes, as text.
         self.rate_limit = ""
-        self.arrivals: list[float] = []  # monotonic seconds of each request
+        # Arrival of each request, in monotonic seconds, and its id.
+        self.arrivals: list[tuple[float, str]] = []
         self.declined = 0
         self.bodies: list[bytes] = []
         self.event_seconds = 0.0
@@ -91,7 +92,7 @@
             return self._send_response(
                 sock, "400 No id", headers, b"", {"X-Not-Run": "1"}
             )
-        self.arrivals.append(time.monotonic())
+        self.arrivals.append((time.monotonic(), headers["x-request-id"]))
         fault = self.fault if self.faults_left > 0 else ""
         self.faults_left -= bool(fault)
         if fault == "shed":
@@ -212,12 +213,12 @@
         return True
 
 
-def busiest_window(arrivals: list[float], since: float) -> int:
+def busiest_window(times: list[float], since: float) -> int:
     """Return the most requests in any LIMIT_WINDOW_SECONDS that begin after a time."""
-    times = [arrival for arrival in sorted(arrivals) if arrival >= since]
+    times = [arrived for arrived in sorted(times) if arrived >= since]
     return max(
         (
-            sum(start <= arrival < start + LIMIT_WINDOW_SECONDS for arrival in times)
+            sum(start <= arrived < start + LIMIT_WINDOW_SECONDS for arrived in times)
             for start in times
         ),
         default=0,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,15 +6,20 @@
 from collections import Counter
 from pathlib import Path
 
-from fakes.gateway_endpoint import EVENTS
+from fakes.gateway_endpoint import EVENTS, LIMIT_WINDOW_SECONDS, busiest_window
 from rattanwick.internal.gateway.explanation import read_lines
 from soak.callers import DEADLINE_SECONDS, CallResult
-from soak.system import NodeOutage
+from soak.system import NamedLimit, NodeOutage
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Time that a response may take beyond its deadline. Timers fire late on a busy
 # machine, and the response still has to reach the caller.
 LATENESS_TOLERANCE_SECONDS = 0.5
+# What the platform allows beyond the limit that an endpoint names, and the time until
+# it binds a node.
+EXCESS_RATIO = 1.5
+EXCESS_REQUESTS = 5
+CONTACT_SECONDS = 3.0
 MAX_RUNS = 2  # of a repeatable request; its routes allow two attempts
 CONFIGURATION_EVENT = "node: configuration"
 STARTED_EVENT = "node: started"
@@ -95,6 +100,36 @@
     return violations
 
 
+def check_limits(
+    limits: list[NamedLimit], results: list[CallResult], outages: list[NodeOutage]
+) -> list[str]:
+    """Return the endpoints that got more requests than their limits allow.
+
+    Requests of a node are passed over during its outage and until the node is in
+    contact with the others again.
+    """
+    nodes = {result.id: result.node for result in results}
+    violations = []
+    for limit in limits:
+        times = [
+            arrived
+            for arrived, request_id in limit.endpoint.arrivals
+            if arrived < limit.ended
+            and not any(
+                nodes.get(request_id) == outage.node
+                and outage.started <= arrived < outage.ended + CONTACT_SECONDS
+                for outage in outages
+            )
+        ]
+        most = busiest_window(times, limit.started + CONTACT_SECONDS)
+        if most > limit.rate * EXCESS_RATIO * LIMIT_WINDOW_SECONDS + EXCESS_REQUESTS:
+            violations.append(
+                f"{limit.endpoint.id} got {most} requests in {LIMIT_WINDOW_SECONDS} s, "
+                f"with a limit of {limit.rate} a second"
+            )
+    return violations
+
+
 def check_recovery(results: list[CallResult]) -> list[str]:
     """Return the requests that failed after the system had recovered."""
     return [
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,9 @@
     "truncated",
     "unframed",
 )
+# Requests per second, as text; the last ones are malformed.
+LIMITS = ("0.5", "2", "2", "8", "nan", "-1")
+LIMIT_SECONDS = (4.0, 9.0)  # shortest and longest duration of a limit
 STREAM_FAULTS = (*RESPONSE_FAULTS[:7], "cut_in_event", "cut_between_events")
 
 
@@ -190,6 +193,21 @@
         return f"{endpoint.fault} {endpoint.id}"
 
 
+class EndpointLimit(Fault):
+    """Makes an endpoint name a limit of requests per second for a while."""
+
+    name = "endpoint limit"
+
+    def inject(self) -> str:
+        """Let a random endpoint name a limit, or a malformed one."""
+        endpoint_id = self._random_endpoint()
+        rate = self._random.choice(LIMITS)
+        with self._system.record_limit(endpoint_id, rate) as free:
+            if free:
+                gevent.sleep(self._random.uniform(*LIMIT_SECONDS))
+        return f"{rate} {endpoint_id}"
+
+
 class EndpointRestart(Fault):
     """Crashes an endpoint and starts it again, sometimes at another address."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,8 +10,19 @@
 import gevent
 
 from soak.callers import Caller, CallResult
-from soak.checks import check_answers, check_log, check_recovery, check_response_times
-from soak.faults import EXIT_TIMEOUT_SECONDS, FAULTS, MAX_FAULT_SECONDS
+from soak.checks import (
+    check_answers,
+    check_limits,
+    check_log,
+    check_recovery,
+    check_response_times,
+)
+from soak.faults import (
+    EXIT_TIMEOUT_SECONDS,
+    FAULTS,
+    MAX_FAULT_SECONDS,
+    EndpointLimit,
+)
 from soak.system import SoakSystem
 
 # The platform requires that the system recovers in this time after the last fault.
@@ -65,6 +76,8 @@
 
     def __init__(self, seed: int, size: SoakSize, folder: Path):
         self._random = random.Random(seed)
+        # A generator of its own, so that earlier seeds give the same other faults.
+        self._limit_random = random.Random(f"{seed} limits")
         self._size = size
         self._report = SoakReport(seed)
         self._system = SoakSystem(folder, size.nodes, size.engines, size.plain)
@@ -98,7 +111,7 @@
         """
         self._started_at = time.monotonic()
         limit = self._started_at + self._size.seconds
-        running = []
+        running = [gevent.spawn(self._inject_limits, limit)]
         while time.monotonic() < limit:
             kind = self._random.choice(FAULTS)
             fault = kind(self._system, random.Random(self._random.getrandbits(32)))
@@ -109,6 +122,11 @@
         if not all(task.ready() for task in running):
             self._report.failures.append(f"a fault did not end within {max_seconds} s")
 
+    def _inject_limits(self, until: float) -> None:
+        """Let endpoints name limits, one after the other."""
+        while time.monotonic() < until:
+            self._inject(EndpointLimit(self._system, self._limit_random))
+
     def _inject(self, fault) -> None:
         offset_seconds = time.monotonic() - self._started_at
         description = fault.inject()
@@ -152,6 +170,7 @@
             for request in system.unidentified_requests
         ]
         report.failures += check_response_times(results, system.outages)
+        report.failures += check_limits(system.limits, results, system.outages)
         report.failures += check_recovery(
             [result for result in results if result.started >= recovered_at]
         )
--- a/soak/system.py
+++ b/soak/system.py
@@ -14,6 +14,7 @@
     GatewayDeployment,
     make_configuration,
 )
+from fakes.gateway_endpoint import FakeGatewayEndpoint
 from soak.proxy import LoopbackProxy
 
 EVENT_INTERVAL_SECONDS = 0.02  # between the events of a stream
@@ -37,6 +38,16 @@
     ended: float
 
 
+@dataclass(slots=True)
+class NamedLimit:
+    """Time for which an endpoint named a limit of requests per second."""
+
+    endpoint: FakeGatewayEndpoint
+    rate: float  # infinite if the value is malformed
+    started: float  # monotonic seconds
+    ended: float
+
+
 class SoakSystem:
     """The deployment, the proxies in it, and a record of the outages."""
 
@@ -44,6 +55,7 @@
         self.names = [f"front-a-{number}" for number in range(1, nodes + 1)]
         self.deployment = GatewayDeployment(folder, tuple(self.names))
         self.outages: list[NodeOutage] = []
+        self.limits: list[NamedLimit] = []
         self.failures: list[str] = []
         self.store_proxies: dict[str, LoopbackProxy] = {}
         self.endpoint_proxies: dict[str, LoopbackProxy] = {}
@@ -85,7 +97,7 @@
         rows = self.deployment.platform.rows
         rows.down, rows.lose_answers = False, 0
         for endpoint in self.deployment.endpoints.values():
-            endpoint.fault = ""
+            endpoint.fault = endpoint.rate_limit = ""
 
     def start_node(self, name: str) -> None:
         """Start a node behind its store proxy and wait until it listens.
@@ -127,6 +139,26 @@
             outage.ended = time.monotonic() + OUTAGE_MARGIN_SECONDS
             self._nodes_in_outage.discard(name)
 
+    @contextmanager
+    def record_limit(self, endpoint_id: str, rate: str) -> Iterator[bool]:
+        """Let an endpoint name a limit for the time of the context, and record it.
+
+        Yield False, and change nothing, if the endpoint names one already.
+        """
+        endpoint = self.deployment.endpoints[endpoint_id]
+        if endpoint.rate_limit:
+            yield False
+            return
+        endpoint.rate_limit = rate
+        per_second = float(rate) if rate.replace(".", "").isdigit() else float("inf")
+        limit = NamedLimit(endpoint, per_second, time.monotonic(), float("inf"))
+        self.limits.append(limit)
+        try:
+            yield True
+        finally:
+            endpoint.rate_limit = ""
+            limit.ended = time.monotonic()
+
     def change_configuration(self) -> int:
         """Write the next version of the configuration and return its number."""
         self.version += 1
--- a/tests/scenario/test_gateway_endpoint_limits.py
+++ b/tests/scenario/test_gateway_endpoint_limits.py
@@ -60,9 +60,10 @@
         callers = [gevent.spawn(self.call, deployment, name, path) for name in NODES]
         gevent.joinall(callers, raise_error=True)
         settled = started + SETTLE_SECONDS
-        busiest = busiest_window(limited.arrivals, settled)
+        times = [arrived for arrived, _ in limited.arrivals]
+        busiest = busiest_window(times, settled)
         self.assertLessEqual(busiest, MAX_REQUESTS)
-        used = sum(arrival >= settled for arrival in limited.arrivals)
+        used = sum(arrived >= settled for arrived in times)
         self.assertGreaterEqual(used, MIN_USED_SHARE * LIMIT * USE_SECONDS)
         statuses = [status for caller in callers for status in caller.value]
         self.assertEqual(set(statuses), {200})
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -13,11 +13,12 @@
     CONFIGURATION_EVENT,
     STARTED_EVENT,
     check_answers,
+    check_limits,
     check_log,
     check_recovery,
     check_response_times,
 )
-from soak.system import NodeOutage
+from soak.system import NamedLimit, NodeOutage
 
 NODE = ("127.0.0.1", 1)
 EVENTS = b"".join(b"id: %d\ndata: c-1 %d\n\n" % (n, n) for n in range(1, 5))
@@ -133,3 +134,31 @@
         """Guard against exceptions that a node only logs."""
         line = {"message": "node: duty failed", "exc_info": "Traceback"}
         self.assertIn("Traceback", self.check(line))
+
+
+class LimitCheckTests(unittest.TestCase):
+    """Guard against a soak that misses, or invents, a limit that was exceeded."""
+
+    class Endpoint:
+        """Endpoint that got a request every tenth of a second for ten seconds."""
+
+        id = "e-1"
+        arrivals = [(10.0 + number / 10, "c-1") for number in range(100)]
+
+    def check(self, rate: float, outages=()) -> list[str]:
+        """Return what the check finds at a limit that lasted from 10 to 20 s."""
+        limit = NamedLimit(self.Endpoint, rate, 10.0, 20.0)
+        return check_limits([limit], [make_result()], list(outages))
+
+    def test_requests_beyond_the_allowed_excess_are_found(self):
+        self.assertEqual(len(self.check(5.0)), 1)
+        self.assertEqual(self.check(6.0), [])
+
+    def test_requests_of_a_node_in_an_outage_are_passed_over(self):
+        outage = NodeOutage(NODE, 12.0, 18.0)
+        self.assertEqual(self.check(1.0, [outage]), [])
+        other = NodeOutage(("127.0.0.9", 1), 12.0, 18.0)
+        self.assertEqual(len(self.check(1.0, [other])), 1)
+
+    def test_a_malformed_limit_allows_everything(self):
+        self.assertEqual(self.check(float("inf")), [])
