Give up on an endpoint that sends interim responses without end

Callers got no answer at all: a node read responses of status 100 for as long as an endpoint sent them, past the request's deadline, and used a whole core for it. Only the waits were counted against the deadline, and data was always there.

After 16 interim responses the response counts as malformed (502), and the time of one read is measured to a deadline. The test got no answer within 3 s at a deadline of 1.5 s before; now 502 at once.

--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -12,6 +12,7 @@
 EVENTS = 4
 DUPLICATE_DELAY_SECONDS = 0.1  # from a response to its duplicate
 FILLER = b"x" * 16_384
+INTERIM_RESPONSES = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
 LIMIT_WINDOW_SECONDS = 4.0  # time in which the platform counts requests beside a limit
 
 
@@ -23,7 +24,7 @@
     - not run: shed (503 with X-Not-Run), misdirected (421)
     - run, error status: error (500), busy (503)
     - head: unsigned (no X-Server-Stamp), other_request (id of another request),
-      endless_head
+      endless_head, endless_interim (responses of status 100 without end)
     - body: truncated, unframed (no Content-Length), extra (bytes of a second response),
       late_copy (a duplicate response follows), endless_body
     - stream: cut_in_event, cut_between_events, trickle (comment bytes for ever)
@@ -115,6 +116,10 @@
             return False
         if fault == "endless_head":
             return self._send_without_end(sock, headers, b"X-Junk: ")
+        if fault == "endless_interim":
+            while True:
+                sock.sendall(INTERIM_RESPONSES)
+                gevent.sleep(0)
         if fault == "endless_body":
             return self._send_without_end(sock, headers, b"\r\n")
         if self.stream:
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.6  # gives up after two lost SYN packets
 READ_BYTES = 65_536
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# Responses of status 1xx before the final one. An endpoint that sends them without end
+# never sends the final one.
+MAX_INTERIM_RESPONSES = 16
 # Data up to this size fits into the buffers of a connection, so that sending it does
 # not block if the endpoint responds before it reads the body.
 DIRECT_SEND_BYTES = 16_384
@@ -117,6 +120,8 @@
         Raises TimedOut after ``timeout`` seconds, ConnectionLost if the connection
         ends, and ProtocolError if the response is malformed.
         """
+        deadline = time.monotonic() + timeout
+        interim_responses = 0
         while True:
             try:
                 event = self._http.next_event()
@@ -124,16 +129,19 @@
                 raise ProtocolError("receive", self.pool_key, str(exc))
             if event is not h11.NEED_DATA:
                 if isinstance(event, h11.InformationalResponse):
+                    interim_responses += 1
+                    if interim_responses > MAX_INTERIM_RESPONSES:
+                        reason = f"more than {MAX_INTERIM_RESPONSES} interim responses"
+                        raise ProtocolError("receive", self.pool_key, reason)
                     continue
                 if isinstance(event, h11.ConnectionClosed):
                     reason = "connection closed before the end of the response"
                     raise ConnectionLost("receive", self.pool_key, reason, True)
                 return event
-            if timeout <= 0:
+            left = deadline - time.monotonic()
+            if left <= 0:
                 raise TimedOut("receive", self.pool_key, "deadline has passed")
-            started = time.monotonic()
-            self._http.receive_data(self._receive(timeout))
-            timeout -= time.monotonic() - started
+            self._http.receive_data(self._receive(left))
 
     def _receive(self, timeout: float) -> bytes:
         self._sock.settimeout(timeout)
--- a/tests/failure/test_gateway_faulty_endpoints.py
+++ b/tests/failure/test_gateway_faulty_endpoints.py
@@ -62,6 +62,10 @@
     def test_an_endless_head_is_not_forwarded(self):
         self.check_rejected_in_time("endless_head", "/unsafe/x", 502)
 
+    def test_interim_responses_without_end_are_not_waited_for(self):
+        """A node read them until the endpoint stopped, long after the deadline."""
+        self.check_rejected_in_time("endless_interim", "/unsafe/x", 502)
+
     def test_an_endless_body_is_not_forwarded(self):
         self.check_rejected_in_time("endless_body", "/unsafe/x", 502)
 
