Avoid an endpoint at once whose address another one uses

A status of 421 says that another endpoint has the address. It was counted as one failure among others, so further requests went there until the failure rate had ejected the endpoint; each cost a round trip and a retry of the budget. Now the first one ejects it, as a refused connection does.

--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -196,6 +196,8 @@
             self._request.may_have_run = self._may_have_run_before
             if head.status == 421:
                 self._request.misdirected += 1
+                # The address stays wrong until the endpoint's entry changes.
+                self._view.note_unreachable(self._now())
             return NotRun(f"endpoint declined with {head.status}", sent=True)
         self._note_began()
         if head.status >= 500 or head.status in (408, 429):
--- a/tests/failure/test_gateway_relay.py
+++ b/tests/failure/test_gateway_relay.py
@@ -148,6 +148,16 @@
             (len(first.executed_requests), len(second.executed_requests)), (0, 1)
         )
 
+    def test_an_address_that_another_endpoint_uses_is_avoided_at_once(self):
+        """Guard against further requests to it until the endpoint was ejected."""
+        first, second = self.add_endpoint("i-1"), self.add_endpoint("i-2")
+        first.fault = "misdirected"
+        for number in range(4):
+            self.prefer("i-1")
+            answer = self.ask("/unsafe/x", method="POST", call_id=f"c-{number}")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(first.declined, 1)
+
     def test_a_request_that_ran_at_no_endpoint_gets_503(self):
         # Sent twice: to an address that another endpoint uses now, and to a full one.
         first, second = self.add_endpoint("i-1"), self.add_endpoint("i-2")
