Deliver an endpoint's error response if its retry finds no place

A repeatable request that an endpoint had answered with 500 was kept for a retry; if no endpoint could take it, the caller got 502 with an unknown result in place of the answer. With endpoints at their limits that is no rare case any more. The complete answer of the last attempt is now delivered. The test got 502 before, now 500.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -11,6 +11,7 @@
     Route,
     Service,
 )
+from rattanwick.internal.gateway.outcomes import FailedAnswer
 from rattanwick.internal.gateway.placement import NotPlaced, Placed
 
 
@@ -66,6 +67,8 @@
     age_seconds: float = 0.0  # from its arrival to the last choice of an endpoint
     tried: set[str] = field(default_factory=set)  # ids of endpoints
     last_event_id: str = ""
+    # Error response of an earlier attempt, if that was the last outcome.
+    failed_answer: FailedAnswer | None = None
     placed: Placed | None = None
     not_placed: NotPlaced | None = None
     permit: Permit | None = None  # to send to the endpoint, if that one is limited
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -135,7 +135,7 @@
             if isinstance(placed, NotPlaced):
                 self._end_unplaced(request, response, placed)
                 return
-            request.placed = placed
+            request.placed, request.failed_answer = placed, None
             outcome = Attempt(self._state, self._codec, request, response).run()
             match outcome:
                 case Answered(status):
@@ -151,6 +151,7 @@
                     return
                 case FailedAnswer(head, body):
                     if self._may_retry(request):
+                        request.failed_answer = outcome
                         continue
                     self._send_failure(request, response, head, body)
                     return
@@ -198,6 +199,11 @@
         self, request: ActiveRequest, response: ResponseWriter, placed: NotPlaced
     ) -> None:
         request.not_placed = placed
+        if request.failed_answer is not None:
+            # No endpoint can take the retry. The answer that is there is complete.
+            failed = request.failed_answer
+            self._send_failure(request, response, failed.head, failed.body)
+            return
         self._end_not_run(request, response, str(placed.reason), placed.retry_after)
 
     def _end_not_run(
--- a/tests/failure/test_gateway_limited_endpoints.py
+++ b/tests/failure/test_gateway_limited_endpoints.py
@@ -68,6 +68,17 @@
             self.assertEqual(answer.status, 502)
         self.assertEqual(len(limited.executed_requests), 1)
 
+    def test_an_error_response_is_delivered_if_the_retry_finds_no_place(self):
+        """The caller got 502, although an endpoint had answered."""
+        failing, limited = self.add_endpoint("i-1"), self.add_endpoint("i-2")
+        limited.rate_limit = SCARCE
+        self.prefer("i-2")
+        self.assertEqual(self.ask("/safe/x", call_id="c-0").status, 200)
+        failing.fault = "error"
+        self.prefer("i-1")
+        answer = self.ask("/safe/x", call_id="c-1")
+        self.assertEqual((answer.status, answer.body), (500, b"no"))
+
     def test_a_resumed_stream_needs_a_permit_too(self):
         ids = "i-1", "i-2"
         failing, limited = self.replace_endpoints(*ids, service="engine")
