Tell peers of a limit at once only if it has changed much

An endpoint that names a slightly different limit in each response caused a log line and a broadcast for each. Both now follow changes of more than a tenth since the last one; the exact value still counts at once and goes out with each question. A wait that a peer states is cut at 4 s, so that an absurd one cannot close an endpoint for good.

--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -27,7 +27,7 @@
 from rattanwick.internal.gateway.limit_messages import Ask, Grant, LimitNews, PeerLimits
 from rattanwick.internal.gateway.members import Members
 from rattanwick.internal.gateway.model import Endpoint, ResponseHead
-from rattanwick.internal.gateway.permit_bucket import PermitBucket
+from rattanwick.internal.gateway.permit_bucket import MAX_WAIT_SECONDS, PermitBucket
 from rattanwick.internal.state.boot_clock import boot_seconds
 
 log = get_logger("limits")
@@ -87,6 +87,7 @@
     rate: float | None  # requests per second; None once the endpoint names no limit
     noted_at: float  # time of the response that named it, in seconds since boot
     bucket: PermitBucket
+    told_rate: float | None = None  # as last logged and sent to peers at once
     permits: deque[float] = field(default_factory=deque)  # ends of their validity
     ask_number: int = 0
     asked_at: float | None = None  # None if no reply is expected
@@ -224,9 +225,7 @@
             if head.rate_limit is None:
                 return
         key = _key(endpoint)
-        former = self.rate_of(endpoint)
-        self._merge(key, head.rate_limit, self._clock(), "response")
-        if _differs(former, head.rate_limit):
+        if self._merge(key, head.rate_limit, self._clock(), "response"):
             self._unsent.add(key)
             self.changed.set()
 
@@ -279,24 +278,27 @@
 
     def _merge(
         self, key: EndpointKey, rate: float | None, noted_at: float, source: str
-    ) -> None:
-        """Apply what a response said, unless a later response is known."""
+    ) -> bool:
+        """Apply what a response said, unless a later response is known.
+
+        Returns whether the limit has changed so much that peers must be told at once.
+        """
         limit = self._limits.get(key)
         if limit is None:
             if rate is None:
-                return
+                return False
             limit = _Limit(None, noted_at, PermitBucket(self._clock()))
             self._limits[key] = limit
         elif noted_at <= limit.noted_at:
-            return
+            return False
         former, limit.rate, limit.noted_at = limit.rate, rate, noted_at
-        if former == rate:
-            return
-        if former is None:
+        if former is None and rate is not None:
             limit.bucket = PermitBucket(self._clock())
         if rate is None:
             limit.permits.clear()
             limit.asked_at, limit.next_ask_at = None, 0.0
+        if not _differs(limit.told_rate, rate):
+            return False
         limited_endpoints.set(
             sum(other.rate is not None for other in self._limits.values())
         )
@@ -305,10 +307,12 @@
             extra={
                 "endpoint": key[0],
                 "requests_per_s": rate,
-                "former": former,
+                "former": limit.told_rate,
                 "source": source,
             },
         )
+        limit.told_rate = rate
+        return True
 
     def _grant(self, ask: Ask, node_id: str, now: float) -> Grant:
         """Return the reply to an ask; only the grantor of the endpoint has permits."""
@@ -342,7 +346,7 @@
             limit.permits.extend([valid_until] * min(grant.count, MAX_PERMITS_PER_ASK))
         else:
             endpoint_permits_total.labels("refused").inc()
-        limit.next_ask_at = now + grant.wait
+        limit.next_ask_at = now + min(grant.wait, MAX_WAIT_SECONDS)
 
     def _news_of(self, key: EndpointKey, limit: _Limit, now: float) -> LimitNews:
         return LimitNews(*key, limit.rate, max(now - limit.noted_at, 0.0))
--- a/tests/failure/test_gateway_relay.py
+++ b/tests/failure/test_gateway_relay.py
@@ -150,7 +150,7 @@
 
     def test_an_address_that_another_endpoint_uses_is_avoided_at_once(self):
         """Guard against further requests to it until the endpoint was ejected."""
-        first, second = self.add_endpoint("i-1"), self.add_endpoint("i-2")
+        first, _ = self.add_endpoint("i-1"), self.add_endpoint("i-2")
         first.fault = "misdirected"
         for number in range(4):
             self.prefer("i-1")
--- a/tests/unit/test_gateway_endpoint_limits.py
+++ b/tests/unit/test_gateway_endpoint_limits.py
@@ -6,6 +6,8 @@
 import unittest
 from collections import deque
 
+from hypothesis import given, strategies as st
+
 from fakes.gateway_endpoint import LIMIT_WINDOW_SECONDS
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.gateway.endpoint_limits import (
@@ -16,11 +18,20 @@
     EndpointLimits,
 )
 from rattanwick.internal.gateway.limit_exchange import NEWS_ROUND_SECONDS
-from rattanwick.internal.gateway.limit_messages import PeerLimits, limits_from_fields
+from rattanwick.internal.gateway.limit_messages import (
+    Grant,
+    PeerLimits,
+    limits_from_fields,
+)
 from rattanwick.internal.gateway.members import Member, Members
 from rattanwick.internal.gateway.model import ResponseHead
 from rattanwick.internal.gateway.peer_messages import decode_datagram, encode_limits
-from rattanwick.internal.gateway.permit_bucket import MIN_BURST
+from rattanwick.internal.gateway.permit_bucket import (
+    BURST_SECONDS,
+    MAX_WAIT_SECONDS,
+    MIN_BURST,
+    PermitBucket,
+)
 from tests.gateway_case import make_view
 
 # The platform allows half as many requests again, and five more, in each window.
@@ -508,6 +519,32 @@
         self.assertLessEqual(taken, MIN_BURST)
 
 
+class PermitBucketTests(unittest.TestCase):
+    """Guard against buckets that grant more than their rate and burst."""
+
+    @given(
+        st.floats(0.25, 200.0),
+        st.lists(
+            st.tuples(st.floats(0.0, 3.0), st.integers(0, 8), st.integers(0, 3)),
+            max_size=60,
+        ),
+    )
+    def test_no_time_has_more_permits_than_its_tokens(self, rate, asks):
+        bucket, now, granted = PermitBucket(0.0), 0.0, []
+        for pause, count, node in asks:
+            now += pause
+            permits, wait = bucket.grant(f"n{node}", count, rate, now)
+            self.assertGreaterEqual(permits, 0)
+            self.assertTrue(0.0 <= wait <= MAX_WAIT_SECONDS)
+            granted.append((now, permits))
+        burst = max(MIN_BURST, BURST_SECONDS * rate)
+        for index, (start, _) in enumerate(granted):
+            total = 0
+            for when, permits in granted[index:]:
+                total += permits
+                self.assertLessEqual(total, (when - start) * rate + burst + 1e-6)
+
+
 class LimitKnowledgeTests(unittest.TestCase):
     """Guard against limits that stay, vanish or are invented."""
 
@@ -529,6 +566,29 @@
         self.assertEqual(self.note(None, "-1"), 2.0)
         self.assertIsNone(self.note(None))
 
+    def test_small_changes_of_a_limit_count_but_are_not_sent_at_once(self):
+        """Guard against a broadcast, and a log line, for each response."""
+        self.note(10.0)
+        self.assertEqual(len(self.limits.take_unsent_news()), 1)
+        for rate in (10.1, 10.2, 10.3):
+            self.assertEqual(self.note(rate), rate)
+        self.assertEqual(self.limits.take_unsent_news(), [])
+        self.note(12.0)
+        self.assertEqual(len(self.limits.take_unsent_news()), 1)
+
+    def test_an_absurd_wait_of_a_peer_is_cut(self):
+        self.note(10.0)
+        endpoint = self.view.endpoint
+        self.limits._apply_grant(self.limits_reply(endpoint, 1e12), self.timers.now())
+        self.timers.advance(MAX_WAIT_SECONDS)
+        self.assertIs(self.limits.access(endpoint), Access.ASKABLE)
+
+    def limits_reply(self, endpoint, wait: float) -> Grant:
+        """Ask for a permit and return a reply without one."""
+        limit = self.limits._limits[endpoint.id, endpoint.born_ms]
+        limit.ask_number, limit.asked_at = 7, self.timers.now()
+        return Grant(endpoint.id, endpoint.born_ms, 7, 0, wait)
+
     def test_older_news_does_not_replace_a_later_response(self):
         key = self.view.endpoint.id, self.view.endpoint.born_ms
         self.note(2.0)
