Ignore loads of endpoints with absurd figures

A load of inf requests in an endpoint's response raised an exception, so that the caller got no answer; a slowdown of nan made every other endpoint look no better, so that the endpoint got all requests. Found while looking for answers of endpoints that go unheeded or do harm.

--- a/src/rattanwick/platform/messages.py
+++ b/src/rattanwick/platform/messages.py
@@ -200,7 +200,7 @@
     """
     valid = [float(value) for value in values if DECIMAL.fullmatch(value.strip())]
     malformed = [value for value in values if not DECIMAL.fullmatch(value.strip())]
-    text = malformed[0].decode("latin-1") if malformed else ""
+    text = (malformed[0].decode("latin-1") or "(empty)") if malformed else ""
     return min(valid, default=None), text[:MAX_LOGGED_VALUE_CHARACTERS]
 
 
@@ -208,12 +208,12 @@
     """Decode ``running,waiting,slots[,slowdown in percent]``; None if malformed."""
     if value is None:
         return None
-    try:
-        figures = [float(item) for item in value.split(b",")]
-        slowdown = figures[3] / NORMAL_SLOWDOWN_PERCENT if len(figures) > 3 else 1.0
-        return LoadReport(int(figures[0]), int(figures[1]), int(figures[2]), slowdown)
-    except (ValueError, IndexError):
+    items = [item.strip() for item in value.split(b",")]
+    if len(items) < 3 or not all(map(DECIMAL.fullmatch, items)):
         return None
+    running, queued, slots, *rest = map(float, items)
+    slowdown = rest[0] / NORMAL_SLOWDOWN_PERCENT if rest else 1.0
+    return LoadReport(int(running), int(queued), int(slots), slowdown)
 
 
 def _decode_keep_alive(value: bytes) -> float | None:
