Refuse absurd numbers in callers' headers

Token counts, length hints and prompt parts of more than 4,300 digits raised an exception in place of a 400, and the caller got no answer. Whole numbers now have nine digits at most, as the deadline had.

--- a/src/rattanwick/platform/messages.py
+++ b/src/rattanwick/platform/messages.py
@@ -66,6 +66,7 @@
 PROTECTED_HEADERS = frozenset((REQUEST_ID, b"host", b"x-model", TOKENS, PROMPT))
 # A plain decimal number. float() would also accept "nan", "inf" and "1_0".
 DECIMAL = re.compile(rb"\d{1,12}(\.\d{0,12})?|\.\d{1,12}")
+MAX_DIGITS = 9  # of a whole number; int() raises an error above 4,300 digits
 MAX_LOGGED_VALUE_CHARACTERS = 40
 NORMAL_SLOWDOWN_PERCENT = 100.0  # in the load header; a higher value means slower
 
@@ -107,10 +108,15 @@
     )
 
 
+def _is_whole_number(value: bytes | str) -> bool:
+    """Return whether a value has only digits, and not more than MAX_DIGITS."""
+    return value.isdigit() and len(value) <= MAX_DIGITS
+
+
 def _decode_timeout(value: bytes | None) -> float | None:
     if value is None:
         return None
-    if not value.isdigit() or len(value) > 9:
+    if not _is_whole_number(value):
         raise InvalidRequest(
             400, "x-deadline-ms: must be a whole number of milliseconds"
         )
@@ -120,15 +126,15 @@
 def _decode_tokens(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
         return None
-    parts = value.split(b",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) != 2 or not all(map(_is_whole_number, parts)):
         raise InvalidRequest(400, "x-token-counts: must be two whole numbers")
     return int(parts[0]), int(parts[1])
 
 
 def _expected_output_tokens(hint: bytes | None, tokens: tuple[int, int] | None) -> int:
     max_tokens = tokens[1] if tokens else 0
-    if hint is None or not hint.strip().isdigit():
+    if hint is None or not _is_whole_number(hint.strip()):
         return max_tokens
     return min(int(hint), max_tokens) if max_tokens else int(hint)
 
@@ -137,7 +143,7 @@
     parts = []
     for item in value.decode("latin-1").split(","):
         part_id, _, tokens = item.strip().partition(":")
-        if part_id and tokens.isdigit():
+        if part_id and tokens.isascii() and _is_whole_number(tokens):
             parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -193,6 +193,58 @@
         self.assertNotIn(b"Transfer-Encoding", [name for name, _ in head.headers])
         self.assertIsNone(decode_response_head(200, [(b"X-Worker-Load", b"odd")]).load)
 
+    def test_a_load_with_absurd_figures_is_ignored(self):
+        """Guard against a response that ends a request, or attracts all of them.
+
+        An infinite count raised an exception. A slowdown of nan made each endpoint
+        after the first in the list look no better than it.
+        """
+        for value in (b"inf,0,8", b"nan,0,8", b"1,0,8,nan", b"1,0,8,inf", b"-1,0,8"):
+            with self.subTest(value=value):
+                head = decode_response_head(200, [(b"X-Worker-Load", value)])
+                self.assertIsNone(head.load)
+
+    def test_a_limit_is_a_plain_decimal_number(self):
+        for value, rate in (
+            (b"2.1", 2.1),
+            (b" 1 ", 1.0),
+            (b"0", 0.0),
+            (b".5", 0.5),
+            (b"12.", 12.0),
+        ):
+            with self.subTest(value=value):
+                head = decode_response_head(200, [(b"Server-Limit", value)])
+                found = head.rate_limit, head.malformed_rate_limit
+                self.assertEqual(found, (rate, ""))
+        for value in (b"", b"-1", b"nan", b"inf", b"1e3", b"1_0", b"1,2", b"9" * 400):
+            with self.subTest(value=value):
+                head = decode_response_head(200, [(b"Server-Limit", value)])
+                self.assertIsNone(head.rate_limit)
+                self.assertNotEqual(head.malformed_rate_limit, "")
+        self.assertIsNone(decode_response_head(200, []).rate_limit)
+
+    def test_the_lowest_of_several_limits_counts(self):
+        headers = [(b"Server-Limit", b"3"), (b"server-limit", b"2"), (b"Host", b"x")]
+        self.assertEqual(decode_response_head(200, headers).rate_limit, 2.0)
+
+    def test_absurd_numbers_of_callers_are_refused(self):
+        """Guard against an exception for numbers of thousands of digits."""
+        for name in (b"X-Token-Counts", b"X-Length-Hint", b"X-Prompt-Prefix"):
+            value = {
+                b"X-Token-Counts": b"9" * 5000 + b",1",
+                b"X-Length-Hint": b"9" * 5000,
+                b"X-Prompt-Prefix": b"ab:" + b"9" * 5000,
+            }[name]
+            kept = [header for header in HEADERS if header[0] != name]
+            with self.subTest(name):
+                try:
+                    call = self.decode((name, value), headers=kept)
+                except InvalidRequest as exc:
+                    self.assertEqual(exc.status, 400)
+                else:
+                    self.assertLess(call.expected_output, 10**10)
+                    self.assertTrue(all(p.tokens < 10**10 for p in call.prompt))
+
 
 class NodeFileTests(unittest.TestCase):
     """Guard against a node that starts with settings it could not read."""
