Forget ended limits, and blame no endpoint for a missing permit

Responses without a limit renewed the entry of a limit that had ended, so it was kept, and repeated to peers, for as long as the endpoint answered. It is now dropped 30 s after its end. A request whose permit was missing when it was to be sent counted as a failure of its endpoint; it counts no more. The choice of the grantor moves to a module of its own.

--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -100,7 +100,9 @@
             view.note_unreachable(self._now())
             return self._not_sent(f"no connection: {exc.reason}")
         if not self._state.endpoint_limits.may_send(view.endpoint, request.permit):
-            return self._not_sent("the permit expired before the request was sent")
+            return self._not_sent(
+                "no valid permit when the request was to be sent", endpoint_failed=False
+            )
         self._sent_at = self._now()
         self._responded_before = view.responded_recently(self._sent_at)
         try:
@@ -122,11 +124,11 @@
             return self._relay_stream()
         return self._relay_response()
 
-    def _not_sent(self, reason: str) -> NotRun:
+    def _not_sent(self, reason: str, endpoint_failed: bool = True) -> NotRun:
         """Return the outcome of a request of which no byte was sent."""
         if self._request.permit is not None:
             self._state.endpoint_limits.give_back(self._request.permit)
-        return NotRun(reason, sent=False)
+        return NotRun(reason, sent=False, endpoint_failed=endpoint_failed)
 
     def _send(self) -> None:
         request, call = self._request, self._request.call
@@ -348,7 +350,10 @@
             return
         endpoint = self._view.endpoint
         ejected = False
-        if not isinstance(outcome, Interrupted) or not endpoint.leaving:
+        blameless = isinstance(outcome, NotRun) and not outcome.endpoint_failed
+        if not blameless and not (
+            isinstance(outcome, Interrupted) and endpoint.leaving
+        ):
             ejected = self._view.note_outcome(failed=True, now=self._now())
         log.info(
             "attempt failed",
--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -15,8 +15,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from functools import lru_cache
-from hashlib import blake2b
 
 from gevent.event import Event
 
@@ -24,6 +22,7 @@
 from rattanwick.internal.base.metrics import counter, gauge
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.gateway.endpoint_view import EndpointView, RecentRate
+from rattanwick.internal.gateway.grantor_choice import GrantorChoice
 from rattanwick.internal.gateway.limit_messages import Ask, Grant, LimitNews, PeerLimits
 from rattanwick.internal.gateway.members import Members
 from rattanwick.internal.gateway.model import Endpoint, ResponseHead
@@ -53,9 +52,8 @@
 MIN_RATE = 0.25
 # Peers are told at once of a limit that differs by more than this share.
 NEWS_CHANGE_SHARE = 0.1
-MEMBERS_REFRESH_SECONDS = 0.2
-# A silent member counts as part of the deployment for this long.
-SILENT_MEMBER_SECONDS = 20.0
+# Wait of a node that asks one which does not consider itself the grantor.
+NOT_GRANTOR_WAIT_SECONDS = 0.2
 # A limit that has ended, or whose endpoint is not registered, is remembered this long,
 # since older news of it may still arrive.
 RETENTION_SECONDS = 30.0
@@ -85,8 +83,9 @@
     """What this node knows about the limit of one endpoint process."""
 
     rate: float | None  # requests per second; None once the endpoint names no limit
-    noted_at: float  # time of the response that named it, in seconds since boot
+    noted_at: float  # time of the response that said so, in seconds since boot
     bucket: PermitBucket
+    changed_at: float = 0.0  # last time at which it began or ended
     told_rate: float | None = None  # as last logged and sent to peers at once
     permits: deque[float] = field(default_factory=deque)  # ends of their validity
     ask_number: int = 0
@@ -117,20 +116,19 @@
     ):
         """``first_ask_number`` differs between processes of the node."""
         self._node_id = node_id
-        self._members = members
-        self._timers = timers  # whose time members were last heard at
+        self._grantors = GrantorChoice(node_id, members, timers)
         self._clock = clock
         self._ask_number = first_ask_number
         self._limits: dict[EndpointKey, _Limit] = {}
         self._malformed: dict[str, str] = {}  # last malformed value, by endpoint id
-        self._candidates: list[str] = [node_id]  # nodes that may be grantors
-        self._share = 1.0
-        self._refreshed_at = float("-inf")
-        self.eligible = True  # whether this node may be a grantor
         self.transmit: Callable[[str, PeerLimits], None] = lambda node_id, message: None
         self.changed = Event()  # set when peers must be told of a limit
         self._unsent: set[EndpointKey] = set()
 
+    def set_eligible(self, eligible: bool) -> None:
+        """Set whether this node may be a grantor."""
+        self._grantors.eligible = eligible
+
     def any_named(self) -> bool:
         """Return whether any endpoint has named a limit recently."""
         return bool(self._limits)
@@ -166,7 +164,7 @@
         more = limit.used.per_second(now) * PERMIT_SECONDS * PERMITS_AHEAD_SHARE
         count = min(1 + int(more), MAX_PERMITS_PER_ASK)
         ask = Ask(*key, self._ask_number, count)
-        grantor = self._grantor_of(endpoint.id, now)
+        grantor = self._grantors.grantor_of(endpoint.id, now)
         if grantor == self._node_id:
             self._apply_grant(self._grant(ask, self._node_id, now), now)
         else:
@@ -261,7 +259,7 @@
         return [
             self._news_of(key, limit, now)
             for key, limit in self._limits.items()
-            if self._grantor_of(key[0], now) == self._node_id
+            if self._grantors.grantor_of(key[0], now) == self._node_id
         ]
 
     def forget(self, registered: Iterable[Endpoint]) -> None:
@@ -269,9 +267,10 @@
         known = {_key(endpoint) for endpoint in registered}
         oldest = self._clock() - RETENTION_SECONDS
         for key, limit in list(self._limits.items()):
-            ended = limit.rate is None or key not in known
-            if ended and limit.noted_at < oldest:
+            ended = limit.rate is None and limit.changed_at < oldest
+            if ended or (key not in known and limit.noted_at < oldest):
                 del self._limits[key]
+                self._count_limited()
         ids = {endpoint_id for endpoint_id, _ in known}
         for endpoint_id in self._malformed.keys() - ids:
             del self._malformed[endpoint_id]
@@ -292,16 +291,15 @@
         elif noted_at <= limit.noted_at:
             return False
         former, limit.rate, limit.noted_at = limit.rate, rate, noted_at
-        if former is None and rate is not None:
-            limit.bucket = PermitBucket(self._clock())
+        if (former is None) != (rate is None):
+            limit.changed_at = self._clock()
+            limit.bucket = PermitBucket(limit.changed_at)
         if rate is None:
             limit.permits.clear()
             limit.asked_at, limit.next_ask_at = None, 0.0
         if not _differs(limit.told_rate, rate):
             return False
-        limited_endpoints.set(
-            sum(other.rate is not None for other in self._limits.values())
-        )
+        self._count_limited()
         log.info(
             "limit changed",
             extra={
@@ -314,17 +312,22 @@
         limit.told_rate = rate
         return True
 
+    def _count_limited(self) -> None:
+        limited_endpoints.set(
+            sum(limit.rate is not None for limit in self._limits.values())
+        )
+
     def _grant(self, ask: Ask, node_id: str, now: float) -> Grant:
         """Return the reply to an ask; only the grantor of the endpoint has permits."""
         limit = self._limits.get((ask.endpoint_id, ask.born_ms))
-        granted, wait = 0, MEMBERS_REFRESH_SECONDS
+        granted, wait = 0, NOT_GRANTOR_WAIT_SECONDS
         if (
             limit is not None
             and limit.rate is not None
-            and self._grantor_of(ask.endpoint_id, now) == self._node_id
+            and self._grantors.grantor_of(ask.endpoint_id, now) == self._node_id
         ):
             count = min(ask.count, MAX_PERMITS_PER_ASK)
-            rate = max(limit.rate, MIN_RATE) * self._share
+            rate = max(limit.rate, MIN_RATE) * self._grantors.share
             granted, wait = limit.bucket.grant(node_id, count, rate, now)
         return Grant(ask.endpoint_id, ask.born_ms, ask.number, granted, wait)
 
@@ -351,41 +354,11 @@
     def _news_of(self, key: EndpointKey, limit: _Limit, now: float) -> LimitNews:
         return LimitNews(*key, limit.rate, max(now - limit.noted_at, 0.0))
 
-    def _grantor_of(self, endpoint_id: str, now: float) -> str:
-        if now - self._refreshed_at >= MEMBERS_REFRESH_SECONDS:
-            self._refresh_members()
-            self._refreshed_at = now
-        return min(self._candidates, key=lambda node: _rank(endpoint_id, node))
-
-    def _refresh_members(self) -> None:
-        """Determine which nodes may be grantors, and the share of live nodes."""
-        members, now = self._members, self._timers.now()
-        live = members.live(now)
-        silent = [
-            member
-            for member in members.all()
-            if not member.leaving
-            and member.last_state_at > 0
-            and not member.is_live(now)
-            and now - member.last_heard_at < SILENT_MEMBER_SECONDS
-        ]
-        self._share = (1 + len(live)) / (1 + len(live) + len(silent))
-        candidates = [member.node_id for member in live if not member.standby]
-        if self.eligible or not candidates:
-            candidates.append(self._node_id)
-        self._candidates = candidates
-
 
 def _key(endpoint: Endpoint) -> EndpointKey:
     return endpoint.id, endpoint.born_ms
 
 
-@lru_cache(maxsize=65_536)
-def _rank(endpoint_id: str, node_id: str) -> bytes:
-    """Return a hash by which all nodes choose the same grantor of an endpoint."""
-    return blake2b(f"{endpoint_id} {node_id}".encode(), digest_size=8).digest()
-
-
 def _differs(former: float | None, rate: float | None) -> bool:
     """Return whether peers must be told of a change at once."""
     if former is None or rate is None:
--- a/src/rattanwick/internal/gateway/limit_exchange.py
+++ b/src/rattanwick/internal/gateway/limit_exchange.py
@@ -50,7 +50,7 @@
         broadcast of a change. ``interval`` is the time between two calls, in seconds.
         """
         state, limits = self._state, self._limits
-        limits.eligible = not (state.leaving or state.standby)
+        limits.set_eligible(not (state.leaving or state.standby))
         if not limits.any_named():
             return
         limits.forget(view.endpoint for view in state.endpoints.all())
--- a/src/rattanwick/internal/gateway/outcomes.py
+++ b/src/rattanwick/internal/gateway/outcomes.py
@@ -18,6 +18,7 @@
 
     reason: str
     sent: bool  # the endpoint received the request and declined it
+    endpoint_failed: bool = True  # the reason is a failure of the endpoint
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rattanwick/internal/gateway/permit_bucket.py
+++ b/src/rattanwick/internal/gateway/permit_bucket.py
@@ -47,6 +47,6 @@
         due = now + (1.0 - self.level) / rate
         if self._due:
             due = max(due, max(self._due.values()) + 1.0 / (RETURN_RATE_RATIO * rate))
-        due = min(due, now + MAX_WAIT_SECONDS)
-        self._due[node_id] = due
-        return granted, due - now
+        wait = min(due - now, MAX_WAIT_SECONDS)
+        self._due[node_id] = now + wait
+        return granted, wait
--- a/tests/failure/test_gateway_limited_endpoints.py
+++ b/tests/failure/test_gateway_limited_endpoints.py
@@ -5,6 +5,7 @@
 import gevent
 
 from rattanwick.internal.gateway.endpoint_limits import MIN_RATE
+from rattanwick.internal.gateway.model import ResponseHead
 from tests.gateway_case import RelayCase
 
 # No permit comes within a test at such a limit.
@@ -111,6 +112,23 @@
                     answer = self.ask("/safe/x", call_id=f"c-{number}")
                     self.assertEqual((answer.status, answer.body), (200, b"whole"))
 
+    def test_a_limit_learned_while_connecting_holds_and_blames_no_endpoint(self):
+        """Guard against a send, or an ejection, because of a permit that is missing."""
+        endpoint = self.add_endpoint("i-1")
+        self.assertEqual(self.ask("/safe/x", call_id="c-0").status, 200)
+        view, limits = self.state.endpoints.get("i-1"), self.state.endpoint_limits
+        acquire = self.state.connections.acquire
+
+        def acquire_slowly(*args, **options):
+            head = ResponseHead(200, [], "c", True, False, None, None, MIN_RATE)
+            limits.note_response(view, head)
+            return acquire(*args, **options)
+
+        self.state.connections.acquire = acquire_slowly
+        self.assertEqual(self.ask("/safe/x", call_id="c-1").status, 503)
+        self.assertEqual(len(endpoint.executed_requests), 1)
+        self.assertEqual(view.failure_rate, 0.0)
+
     def test_a_permit_of_a_request_that_was_not_sent_is_used_by_the_next(self):
         gone, limited = self.add_endpoint("i-1"), self.add_endpoint("i-2")
         limited.rate_limit = "1000"
--- a/tests/unit/test_gateway_endpoint_limits.py
+++ b/tests/unit/test_gateway_endpoint_limits.py
@@ -13,10 +13,10 @@
 from rattanwick.internal.gateway.endpoint_limits import (
     MIN_RATE,
     PERMIT_SECONDS,
-    SILENT_MEMBER_SECONDS,
     Access,
     EndpointLimits,
 )
+from rattanwick.internal.gateway.grantor_choice import SILENT_MEMBER_SECONDS
 from rattanwick.internal.gateway.limit_exchange import NEWS_ROUND_SECONDS
 from rattanwick.internal.gateway.limit_messages import (
     Grant,
@@ -353,7 +353,7 @@
         self.network.run(3.0)
         self.since = self.network.now
         node = next(iter(self.network.nodes.values()))
-        self.grantor = node.limits._grantor_of("i-1", self.network.now)
+        self.grantor = node.limits._grantors.grantor_of("i-1", self.network.now)
 
     def check(self, used_share: float = 0.6) -> None:
         """Check that the limit held and that this share of it was used."""
@@ -453,7 +453,7 @@
         self.network.run(2.0)
         self.nodes = self.network.nodes
         self.view, self.endpoint = self.network.view, self.network.view.endpoint
-        grantor = self.nodes["n0"].limits._grantor_of("i-1", self.network.now)
+        grantor = self.nodes["n0"].limits._grantors.grantor_of("i-1", self.network.now)
         self.asker = next(n for key, n in self.nodes.items() if key != grantor)
         self.grantor = self.nodes[grantor]
         for node in self.nodes.values():
@@ -603,6 +603,14 @@
         object.__setattr__(restarted.endpoint, "born_ms", 99)
         self.assertIsNone(self.limits.rate_of(restarted.endpoint))
 
+    def test_a_limit_that_has_ended_is_dropped_although_responses_go_on(self):
+        """Guard against messages about an endpoint that has no limit any more."""
+        self.note(2.0)
+        for _ in range(400):
+            self.note(None)
+            self.limits.forget([self.view.endpoint])
+        self.assertFalse(self.limits.any_named())
+
     def test_limits_of_endpoints_that_left_are_dropped(self):
         self.note(2.0)
         self.timers.advance(60.0)
