Send the limits of endpoints to a node that has just started

A restarted node kept its place in the rotation of repeated limits, since the rotation goes by the node's name, and could send without permits for up to 2 s. Each grantor now sends its limits as soon as it hears of a new process, also those that the new process itself is to grant from then on. Tests with real datagrams on loopback: the limit reaches all nodes, so does its end, every node gets permits, and six nodes that start learn the limit; the last one timed out before.

--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -253,13 +253,16 @@
         keys, self._unsent = self._unsent & self._limits.keys(), set()
         return [self._news_of(key, self._limits[key], now) for key in sorted(keys)]
 
-    def granted_news(self) -> list[LimitNews]:
-        """Return the limits for which this node is the grantor."""
+    def granted_news(self, recipient: str = "") -> list[LimitNews]:
+        """Return the limits for which this node is the grantor.
+
+        Also return those for which the recipient, the id of a node, has taken over.
+        """
         now = self._clock()
         return [
             self._news_of(key, limit, now)
             for key, limit in self._limits.items()
-            if self._grantors.grantor_of(key[0], now) == self._node_id
+            if self._grantors.grantor_of(key[0], now, recipient) == self._node_id
         ]
 
     def forget(self, registered: Iterable[Endpoint]) -> None:
--- a/src/rattanwick/internal/gateway/grantor_choice.py
+++ b/src/rattanwick/internal/gateway/grantor_choice.py
@@ -27,15 +27,19 @@
         self.eligible = True  # whether this node may be a grantor
         self.share = 1.0  # live nodes of those that count as part of the deployment
 
-    def grantor_of(self, endpoint_id: str, now: float) -> str:
+    def grantor_of(self, endpoint_id: str, now: float, without: str = "") -> str:
         """Return the id of the node that grants the requests to an endpoint.
 
         ``now`` is in seconds since boot, which pass while the machine is suspended.
+        ``without`` is the id of a node that is left out.
         """
         if now - self._refreshed_at >= REFRESH_SECONDS:
             self._refresh()
             self._refreshed_at = now
-        return min(self._candidates, key=lambda node: _rank(endpoint_id, node))
+        candidates = [node for node in self._candidates if node != without]
+        return min(
+            candidates or [self._node_id], key=lambda node: _rank(endpoint_id, node)
+        )
 
     def _refresh(self) -> None:
         members, now = self._members, self._timers.now()
--- a/src/rattanwick/internal/gateway/limit_exchange.py
+++ b/src/rattanwick/internal/gateway/limit_exchange.py
@@ -30,7 +30,7 @@
         send: Callable[[bytes, list[Member]], None],
         reply: Callable[[bytes, tuple[str, int]], None],
     ):
-        """``send`` and ``reply`` send a datagram, to members and to an address."""
+        """``send`` sends a datagram to members, ``reply`` to an address."""
         self._state = state
         self._limits = state.endpoint_limits
         self._boot = boot
@@ -46,8 +46,8 @@
     def update(self, interval: float) -> None:
         """Apply this node's role, and repeat the limits for which it is the grantor.
 
-        The members that are next in rotation may be new, or may have missed the
-        broadcast of a change. ``interval`` is the time between two calls, in seconds.
+        The members that are next in rotation may have missed the broadcast of a change.
+        ``interval`` is the time between two calls, in seconds.
         """
         state, limits = self._state, self._limits
         limits.set_eligible(not (state.leaving or state.standby))
@@ -60,6 +60,11 @@
         self._rotation.forget({member.node_id for member in members})
         self._send_news(limits.granted_news(), recipients)
 
+    def inform(self, member: Member) -> None:
+        """Send a process that has just started the limits granted by this node."""
+        if self._limits.any_named():
+            self._send_news(self._limits.granted_news(member.node_id), [member])
+
     def receive(self, message: PeerLimits, address: tuple[str, int]) -> None:
         """Apply a peer's message and reply to the address that it came from."""
         reply = self._limits.receive(message.node_id, message)
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -287,25 +287,25 @@
         known = state.members.get(message.node_id)
         if known is not None and known.boot > message.boot:
             return
-        state.members.put(
-            Member(
-                node_id=message.node_id,
-                boot=message.boot,
-                address=(ip, message.port),
-                caller_address=message.callers,
-                data_centre=message.data_centre,
-                last_heard_at=now,
-                last_state_at=now,
-                ready=message.ready,
-                leaving=message.leaving,
-                standby=message.standby,
-                cores=message.cores,
-                request_rate=message.request_rate,
-                store_failing=message.store_failing,
-                fence=message.fence,
-                versions=message.versions,
-            )
+        member = Member(
+            node_id=message.node_id,
+            boot=message.boot,
+            address=(ip, message.port),
+            caller_address=message.callers,
+            data_centre=message.data_centre,
+            last_heard_at=now,
+            last_state_at=now,
+            ready=message.ready,
+            leaving=message.leaving,
+            standby=message.standby,
+            cores=message.cores,
+            request_rate=message.request_rate,
+            store_failing=message.store_failing,
+            fence=message.fence,
+            versions=message.versions,
         )
+        if state.members.put(member):
+            self._limits.inform(member)
         self._apply_spending(peer, message, now)
         self._prompt_tokens[peer] = message.prompt_tokens
         state.prefill_estimator.update_from_peer(message.node_id, message.prefill_seen)
