--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -23,7 +23,12 @@
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.gateway.endpoint_view import EndpointView, RecentRate
 from rattanwick.internal.gateway.grantor_choice import GrantorChoice
-from rattanwick.internal.gateway.limit_messages import Ask, Grant, LimitNews, PeerLimits
+from rattanwick.internal.gateway.limit_messages import (
+    LimitUpdate,
+    PeerLimits,
+    PermitGrant,
+    PermitRequest,
+)
 from rattanwick.internal.gateway.members import Members
 from rattanwick.internal.gateway.model import Endpoint, ResponseHead
 from rattanwick.internal.gateway.permit_bucket import MAX_WAIT_SECONDS, PermitBucket
@@ -43,19 +48,19 @@
 # A permit may be used until this long after it was asked for. An unused one must not
 # be added to those that its grantor, or the next one, grants later.
 PERMIT_SECONDS = 0.5
-ASK_TIMEOUT_SECONDS = 0.25  # a grantor that has not replied by then is asked again
-MAX_PERMITS_PER_ASK = 8
+REPLY_TIMEOUT_SECONDS = 0.25  # a grantor that has not replied by then is asked again
+MAX_PERMITS_PER_REQUEST = 8
 # Share of a permit's validity for which a node asks for permits in advance.
 PERMITS_AHEAD_SHARE = 0.5
 # Permits per second at an endpoint that names a lower limit, or 0. Its next response
 # is the only sign that the limit has ended.
 MIN_RATE = 0.25
 # Peers are told at once of a limit that differs by more than this share.
-NEWS_CHANGE_SHARE = 0.1
+MIN_BROADCAST_CHANGE_SHARE = 0.1
 # Wait of a node that asks one which does not consider itself the grantor.
 NOT_GRANTOR_WAIT_SECONDS = 0.2
 # A limit that has ended, or whose endpoint is not registered, is remembered this long,
-# since older news of it may still arrive.
+# since an older update about it may still arrive.
 RETENTION_SECONDS = 30.0
 
 EndpointKey = tuple[str, int]  # id and start (``born_ms``) of an endpoint's process
@@ -65,8 +70,8 @@
     """Whether a request may be sent to an endpoint now."""
 
     OPEN = auto()  # it names no limit, or a permit is at hand
-    ASKABLE = auto()  # a permit may be asked for
-    ASKED = auto()  # a permit was asked for, and the reply has not arrived
+    REQUESTABLE = auto()  # a permit may be asked for
+    REQUESTED = auto()  # a permit was asked for, and the reply has not arrived
     CLOSED = auto()  # the grantor had no permit left
 
 
@@ -88,9 +93,9 @@
     changed_at: float = 0.0  # last time at which it began or ended
     told_rate: float | None = None  # as last logged and sent to peers at once
     permits: deque[float] = field(default_factory=deque)  # ends of their validity
-    ask_number: int = 0
-    asked_at: float | None = None  # None if no reply is expected
-    next_ask_at: float = 0.0
+    request_number: int = 0
+    requested_at: float | None = None  # None if no reply is expected
+    next_request_at: float = 0.0
     used: RecentRate = field(default_factory=RecentRate)  # permits of this node
 
     def drop_expired(self, now: float) -> None:
@@ -111,14 +116,14 @@
         node_id: str,
         members: Members,
         timers: TimerService,
-        first_ask_number: int = 0,
+        first_request_number: int = 0,
         clock: Callable[[], float] = boot_seconds,
     ):
-        """``first_ask_number`` differs between processes of the node."""
+        """``first_request_number`` differs between processes of the node."""
         self._node_id = node_id
         self._grantors = GrantorChoice(node_id, members, timers)
         self._clock = clock
-        self._ask_number = first_ask_number
+        self._request_number = first_request_number
         self._limits: dict[EndpointKey, _Limit] = {}
         self._malformed: dict[str, str] = {}  # last malformed value, by endpoint id
         self.transmit: Callable[[str, PeerLimits], None] = lambda node_id, message: None
@@ -147,29 +152,29 @@
         limit.drop_expired(now)
         if limit.permits:
             return Access.OPEN
-        if limit.asked_at is not None and now - limit.asked_at < ASK_TIMEOUT_SECONDS:
-            return Access.ASKED
-        return Access.CLOSED if now < limit.next_ask_at else Access.ASKABLE
+        if limit.requested_at is not None and now - limit.requested_at < REPLY_TIMEOUT_SECONDS:
+            return Access.REQUESTED
+        return Access.CLOSED if now < limit.next_request_at else Access.REQUESTABLE
 
-    def ask(self, endpoint: Endpoint) -> None:
-        """Ask for permits; this node's own bucket replies at once."""
+    def request_permits(self, endpoint: Endpoint) -> None:
+        """Request permits; this node's own bucket replies at once."""
         key = _key(endpoint)
         limit = self._limits[key]
         now = self._clock()
-        if limit.asked_at is not None:
+        if limit.requested_at is not None:
             endpoint_permits_total.labels("unanswered").inc()
-        self._ask_number += 1
-        limit.ask_number, limit.asked_at = self._ask_number, now
+        self._request_number += 1
+        limit.request_number, limit.requested_at = self._request_number, now
         # Besides the one that is needed now, those that are likely to be used in time.
         more = limit.used.per_second(now) * PERMIT_SECONDS * PERMITS_AHEAD_SHARE
-        count = min(1 + int(more), MAX_PERMITS_PER_ASK)
-        ask = Ask(*key, self._ask_number, count)
+        count = min(1 + int(more), MAX_PERMITS_PER_REQUEST)
+        request = PermitRequest(*key, self._request_number, count)
         grantor = self._grantors.grantor_of(endpoint.id, now)
         if grantor == self._node_id:
-            self._apply_grant(self._grant(ask, self._node_id, now), now)
+            self._apply_grant(self._grant(request, self._node_id, now), now)
         else:
-            news = [self._news_of(key, limit, now)]
-            self.transmit(grantor, PeerLimits(limits=news, asks=[ask]))
+            updates = [self._update_of(key, limit, now)]
+            self.transmit(grantor, PeerLimits(limits=updates, requests=[request]))
 
     def take(self, endpoint: Endpoint) -> Permit | None:
         """Return a permit for an endpoint, or None if it needs or has none."""
@@ -201,7 +206,7 @@
         """Return the seconds until a permit for one of the endpoints may be had."""
         now = self._clock()
         times = [
-            limit.next_ask_at - now
+            limit.next_request_at - now
             for endpoint in endpoints
             if (limit := self._limits.get(_key(endpoint))) and limit.rate is not None
         ]
@@ -230,37 +235,37 @@
     def receive(self, node_id: str, message: PeerLimits) -> PeerLimits | None:
         """Apply a peer's message and return the reply, if any."""
         now = self._clock()
-        for news in message.limits:
-            key = news.endpoint_id, news.born_ms
-            self._merge(key, news.rate, now - news.age, node_id)
+        for update in message.limits:
+            key = update.endpoint_id, update.born_ms
+            self._merge(key, update.rate, now - update.age, node_id)
         for grant in message.grants:
             self._apply_grant(grant, now)
-        if not message.asks:
+        if not message.requests:
             return None
-        asked_rates = {(n.endpoint_id, n.born_ms): (n.rate,) for n in message.limits}
+        known_rates = {(n.endpoint_id, n.born_ms): (n.rate,) for n in message.limits}
         reply = PeerLimits()
-        for ask in message.asks:
-            reply.grants.append(self._grant(ask, node_id, now))
-            key = ask.endpoint_id, ask.born_ms
+        for request in message.requests:
+            reply.grants.append(self._grant(request, node_id, now))
+            key = request.endpoint_id, request.born_ms
             limit = self._limits.get(key)
-            if limit is not None and limit.rate not in asked_rates.get(key, ()):
-                reply.limits.append(self._news_of(key, limit, now))
+            if limit is not None and limit.rate not in known_rates.get(key, ()):
+                reply.limits.append(self._update_of(key, limit, now))
         return reply
 
-    def take_unsent_news(self) -> list[LimitNews]:
+    def take_unsent_updates(self) -> list[LimitUpdate]:
         """Return the limits that peers have not been told of, once."""
         now = self._clock()
         keys, self._unsent = self._unsent & self._limits.keys(), set()
-        return [self._news_of(key, self._limits[key], now) for key in sorted(keys)]
+        return [self._update_of(key, self._limits[key], now) for key in sorted(keys)]
 
-    def granted_news(self, recipient: str = "") -> list[LimitNews]:
+    def granted_limits(self, recipient: str = "") -> list[LimitUpdate]:
         """Return the limits for which this node is the grantor.
 
         Also return those for which the recipient, the id of a node, has taken over.
         """
         now = self._clock()
         return [
-            self._news_of(key, limit, now)
+            self._update_of(key, limit, now)
             for key, limit in self._limits.items()
             if self._grantors.grantor_of(key[0], now, recipient) == self._node_id
         ]
@@ -299,7 +304,7 @@
             limit.bucket = PermitBucket(limit.changed_at)
         if rate is None:
             limit.permits.clear()
-            limit.asked_at, limit.next_ask_at = None, 0.0
+            limit.requested_at, limit.next_request_at = None, 0.0
         if not _differs(limit.told_rate, rate):
             return False
         self._count_limited()
@@ -320,42 +325,42 @@
             sum(limit.rate is not None for limit in self._limits.values())
         )
 
-    def _grant(self, ask: Ask, node_id: str, now: float) -> Grant:
-        """Return the reply to an ask; only the grantor of the endpoint has permits."""
-        limit = self._limits.get((ask.endpoint_id, ask.born_ms))
+    def _grant(self, request: PermitRequest, node_id: str, now: float) -> PermitGrant:
+        """Return the reply to a request; only the grantor of the endpoint has permits."""
+        limit = self._limits.get((request.endpoint_id, request.born_ms))
         granted, wait = 0, NOT_GRANTOR_WAIT_SECONDS
         if (
             limit is not None
             and limit.rate is not None
-            and self._grantors.grantor_of(ask.endpoint_id, now) == self._node_id
+            and self._grantors.grantor_of(request.endpoint_id, now) == self._node_id
         ):
-            count = min(ask.count, MAX_PERMITS_PER_ASK)
+            count = min(request.count, MAX_PERMITS_PER_REQUEST)
             rate = max(limit.rate, MIN_RATE) * self._grantors.share
             granted, wait = limit.bucket.grant(node_id, count, rate, now)
-        return Grant(ask.endpoint_id, ask.born_ms, ask.number, granted, wait)
+        return PermitGrant(request.endpoint_id, request.born_ms, request.number, granted, wait)
 
-    def _apply_grant(self, grant: Grant, now: float) -> None:
+    def _apply_grant(self, grant: PermitGrant, now: float) -> None:
         limit = self._limits.get((grant.endpoint_id, grant.born_ms))
         if (
             limit is None
-            or limit.asked_at is None
-            or grant.number != limit.ask_number
+            or limit.requested_at is None
+            or grant.number != limit.request_number
             or limit.rate is None
         ):
             return  # the reply is late, or the endpoint is not limited any more
-        valid_until = limit.asked_at + PERMIT_SECONDS
-        limit.asked_at = None
+        valid_until = limit.requested_at + PERMIT_SECONDS
+        limit.requested_at = None
         if now >= valid_until:
             return
         if grant.count > 0:
             endpoint_permits_total.labels("granted").inc(grant.count)
-            limit.permits.extend([valid_until] * min(grant.count, MAX_PERMITS_PER_ASK))
+            limit.permits.extend([valid_until] * min(grant.count, MAX_PERMITS_PER_REQUEST))
         else:
             endpoint_permits_total.labels("refused").inc()
-        limit.next_ask_at = now + min(grant.wait, MAX_WAIT_SECONDS)
+        limit.next_request_at = now + min(grant.wait, MAX_WAIT_SECONDS)
 
-    def _news_of(self, key: EndpointKey, limit: _Limit, now: float) -> LimitNews:
-        return LimitNews(*key, limit.rate, max(now - limit.noted_at, 0.0))
+    def _update_of(self, key: EndpointKey, limit: _Limit, now: float) -> LimitUpdate:
+        return LimitUpdate(*key, limit.rate, max(now - limit.noted_at, 0.0))
 
 
 def _key(endpoint: Endpoint) -> EndpointKey:
@@ -366,4 +371,4 @@
     """Return whether peers must be told of a change at once."""
     if former is None or rate is None:
         return former is not rate
-    return abs(rate - former) > NEWS_CHANGE_SHARE * former
+    return abs(rate - former) > MIN_BROADCAST_CHANGE_SHARE * former
--- a/src/rattanwick/internal/gateway/limit_exchange.py
+++ b/src/rattanwick/internal/gateway/limit_exchange.py
@@ -5,14 +5,14 @@
 
 import gevent
 
-from rattanwick.internal.gateway.limit_messages import LimitNews, PeerLimits
+from rattanwick.internal.gateway.limit_messages import LimitUpdate, PeerLimits
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.peer_messages import encode_limits
 from rattanwick.internal.gateway.send_rotation import SendRotation
 
-NEWS_ROUND_SECONDS = 2.0  # time in which each active member is sent the limits again
-MAX_NEWS_PER_DATAGRAM = 100  # of about 50 bytes each
+UPDATE_ROUND_SECONDS = 2.0  # time in which each active member is sent the limits again
+MAX_UPDATES_PER_DATAGRAM = 100  # of about 50 bytes each
 # Shortest time between two broadcasts, for each member that they are sent to.
 BROADCAST_PAUSE_SECONDS_PER_PEER = 0.004
 
@@ -55,15 +55,15 @@
             return
         limits.forget(view.endpoint for view in state.endpoints.all())
         members = state.members.active()
-        count = ceil(len(members) * interval / NEWS_ROUND_SECONDS)
+        count = ceil(len(members) * interval / UPDATE_ROUND_SECONDS)
         recipients = self._rotation.next_members(members, count)
         self._rotation.forget({member.node_id for member in members})
-        self._send_news(limits.granted_news(), recipients)
+        self._send_updates(limits.granted_limits(), recipients)
 
     def inform(self, member: Member) -> None:
         """Send a process that has just started the limits granted by this node."""
         if self._limits.any_named():
-            self._send_news(self._limits.granted_news(member.node_id), [member])
+            self._send_updates(self._limits.granted_limits(member.node_id), [member])
 
     def receive(self, message: PeerLimits, address: tuple[str, int]) -> None:
         """Apply a peer's message and reply to the address that it came from."""
@@ -81,12 +81,12 @@
             self._limits.changed.wait()
             self._limits.changed.clear()
             members = self._state.members.active()
-            self._send_news(self._limits.take_unsent_news(), members)
+            self._send_updates(self._limits.take_unsent_updates(), members)
             self._state.timers.sleep(BROADCAST_PAUSE_SECONDS_PER_PEER * len(members))
 
-    def _send_news(self, news: list[LimitNews], members: list[Member]) -> None:
-        for start in range(0, len(news), MAX_NEWS_PER_DATAGRAM):
-            part = news[start : start + MAX_NEWS_PER_DATAGRAM]
+    def _send_updates(self, updates: list[LimitUpdate], members: list[Member]) -> None:
+        for start in range(0, len(updates), MAX_UPDATES_PER_DATAGRAM):
+            part = updates[start : start + MAX_UPDATES_PER_DATAGRAM]
             self._send(self._encode(PeerLimits(limits=part)), members)
 
     def _encode(self, message: PeerLimits) -> bytes:
--- a/src/rattanwick/internal/gateway/limit_messages.py
+++ b/src/rattanwick/internal/gateway/limit_messages.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LimitNews:
+class LimitUpdate:
     """Limit that a response of an endpoint's process named."""
 
     endpoint_id: str
@@ -16,18 +16,18 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Ask:
-    """Question for permits to send requests to an endpoint."""
+class PermitRequest:
+    """Request for permits to send requests to an endpoint."""
 
     endpoint_id: str
     born_ms: int
-    number: int  # of the asking process, repeated in the reply
+    number: int  # of the requesting process, repeated in the reply
     count: int  # permits wanted
 
 
 @dataclass(slots=True, frozen=True)
-class Grant:
-    """Reply to an Ask."""
+class PermitGrant:
+    """Reply to a PermitRequest."""
 
     endpoint_id: str
     born_ms: int
@@ -38,19 +38,19 @@
 
 @dataclass(slots=True)
 class PeerLimits:
-    """Limits, questions and replies that one datagram holds."""
+    """Limits, permit requests and grants that one datagram holds."""
 
     node_id: str = ""  # of the sender; set when the datagram is encoded
     boot: int = 0  # start of the sender's process, in Unix milliseconds
-    limits: list[LimitNews] = field(default_factory=list)
-    asks: list[Ask] = field(default_factory=list)
-    grants: list[Grant] = field(default_factory=list)
+    limits: list[LimitUpdate] = field(default_factory=list)
+    requests: list[PermitRequest] = field(default_factory=list)
+    grants: list[PermitGrant] = field(default_factory=list)
 
     def to_fields(self) -> list:
         """Return the message as lists of plain values."""
         return [
             [[getattr(item, name) for name in item.__slots__] for item in items]
-            for items in (self.limits, self.asks, self.grants)
+            for items in (self.limits, self.requests, self.grants)
         ]
 
 
@@ -72,9 +72,9 @@
         for item in items:
             if any(value is not None and value < 0 for value in item[1:]):
                 raise ValueError(f"limits: negative value for endpoint {item[0]!r}")
-    limits, asks, grants = fields
+    limits, requests, grants = fields
     return PeerLimits(
-        limits=[LimitNews(*item) for item in limits],
-        asks=[Ask(*item) for item in asks],
-        grants=[Grant(*item) for item in grants],
+        limits=[LimitUpdate(*item) for item in limits],
+        requests=[PermitRequest(*item) for item in requests],
+        grants=[PermitGrant(*item) for item in grants],
     )
--- a/src/rattanwick/internal/gateway/request_placement.py
+++ b/src/rattanwick/internal/gateway/request_placement.py
@@ -110,8 +110,8 @@
         if isinstance(best, NotPlaced):
             return self._explain_limited(request, best, closed)
         endpoint = best.view.endpoint
-        if access[endpoint.id] is Access.ASKABLE:
-            limits.ask(endpoint)
+        if access[endpoint.id] is Access.REQUESTABLE:
+            limits.request_permits(endpoint)
             access[endpoint.id] = limits.access(endpoint)
         if access[endpoint.id] is Access.OPEN:
             return best
--- a/tests/failure/test_gateway_limit_exchange.py
+++ b/tests/failure/test_gateway_limit_exchange.py
@@ -98,8 +98,8 @@
             endpoint = node.view.endpoint
 
             def has_permit(node=node, endpoint=endpoint) -> bool:
-                if node.limits.access(endpoint) is Access.ASKABLE:
-                    node.limits.ask(endpoint)
+                if node.limits.access(endpoint) is Access.REQUESTABLE:
+                    node.limits.request_permits(endpoint)
                 return node.limits.access(endpoint) is Access.OPEN
 
             self.wait_until(has_permit)
--- a/tests/unit/test_gateway_endpoint_limits.py
+++ b/tests/unit/test_gateway_endpoint_limits.py
@@ -17,10 +17,10 @@
     EndpointLimits,
 )
 from rattanwick.internal.gateway.grantor_choice import SILENT_MEMBER_SECONDS
-from rattanwick.internal.gateway.limit_exchange import NEWS_ROUND_SECONDS
+from rattanwick.internal.gateway.limit_exchange import UPDATE_ROUND_SECONDS
 from rattanwick.internal.gateway.limit_messages import (
-    Grant,
     PeerLimits,
+    PermitGrant,
     limits_from_fields,
 )
 from rattanwick.internal.gateway.members import Member, Members
@@ -61,13 +61,13 @@
         self.id = node_id
         self.members = Members(node_id)
         self.limits = EndpointLimits(
-            node_id, self.members, timers, first_ask_number=1, clock=timers.now
+            node_id, self.members, timers, first_request_number=1, clock=timers.now
         )
         self.limits.transmit = lambda target, message: network.send(
             self.id, target, message
         )
         self.frozen_until = 0.0
-        self.news_at: dict[Node, float] = {}  # of the next news, by recipient
+        self.updated_at: dict[Node, float] = {}  # of the next update, by recipient
 
 
 class Network:
@@ -119,7 +119,7 @@
             return
         node.limits.forget([self.view.endpoint])
         now = self.now
-        news = node.limits.granted_news()
+        updates = node.limits.granted_limits()
         for target, peer in self.nodes.items():
             if target == node.id or now < peer.frozen_until:
                 continue
@@ -133,9 +133,9 @@
                 member.ready = True
                 peer.members.put(member)
             # New processes come first in the rotation.
-            if news and now >= node.news_at.get(peer, 0.0):
-                node.news_at[peer] = now + NEWS_ROUND_SECONDS
-                self.send(node.id, target, PeerLimits(limits=news))
+            if updates and now >= node.updated_at.get(peer, 0.0):
+                node.updated_at[peer] = now + UPDATE_ROUND_SECONDS
+                self.send(node.id, target, PeerLimits(limits=updates))
 
     def _is_cut(self, sender: str, target: str) -> bool:
         return sender in self.cut or target in self.cut
@@ -179,12 +179,12 @@
         deadline = self.now + patience
 
         def attempt():
-            if limits.access(endpoint) is Access.ASKABLE:
-                limits.ask(endpoint)
+            if limits.access(endpoint) is Access.REQUESTABLE:
+                limits.request_permits(endpoint)
             if limits.access(endpoint) is Access.OPEN:
                 permit = limits.take(endpoint)
                 self.at(self.now + 0.002, lambda: self._send_request(node, permit))
-            elif limits.access(endpoint) is Access.ASKED and self.now < deadline:
+            elif limits.access(endpoint) is Access.REQUESTED and self.now < deadline:
                 self.at(self.now + 0.003, attempt)
             else:
                 self.passed_on += 1
@@ -207,10 +207,10 @@
         node.limits.note_response(self.view, make_head(rate))
         if node.limits.changed.is_set():
             node.limits.changed.clear()
-            news = node.limits.take_unsent_news()
+            updates = node.limits.take_unsent_updates()
             for target in self.nodes:
                 if target != node.id:
-                    self.send(node.id, target, PeerLimits(limits=news))
+                    self.send(node.id, target, PeerLimits(limits=updates))
 
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
@@ -287,7 +287,7 @@
                 self.check(nodes, 5.0, 60.0, loss=0.1)
 
     def test_messages_about_a_limit_stay_within_the_budget_of_a_node(self):
-        """Guard against traffic that grows with the number of asking nodes."""
+        """Guard against traffic that grows with the number of nodes."""
         network = Network(63)
         network.run(2.0)
         network.rate = 2.0
@@ -454,15 +454,15 @@
         self.nodes = self.network.nodes
         self.view, self.endpoint = self.network.view, self.network.view.endpoint
         grantor = self.nodes["n0"].limits._grantors.grantor_of("i-1", self.network.now)
-        self.asker = next(n for key, n in self.nodes.items() if key != grantor)
+        self.requester = next(n for key, n in self.nodes.items() if key != grantor)
         self.grantor = self.nodes[grantor]
         for node in self.nodes.values():
             node.limits.note_response(self.view, make_head(4.0))
         self.network.run(1.0)
 
     def test_a_permit_is_not_used_after_a_pause(self):
-        limits = self.asker.limits
-        limits.ask(self.endpoint)
+        limits = self.requester.limits
+        limits.request_permits(self.endpoint)
         self.network.run(0.1)
         permit = limits.take(self.endpoint)
         self.assertTrue(limits.may_send(self.endpoint, permit))
@@ -470,11 +470,11 @@
         self.assertFalse(limits.may_send(self.endpoint, permit))
 
     def test_a_request_placed_before_the_limit_was_known_needs_a_permit(self):
-        self.assertFalse(self.asker.limits.may_send(self.endpoint, None))
+        self.assertFalse(self.requester.limits.may_send(self.endpoint, None))
 
     def test_a_permit_that_was_not_used_serves_the_next_request(self):
-        limits = self.asker.limits
-        limits.ask(self.endpoint)
+        limits = self.requester.limits
+        limits.request_permits(self.endpoint)
         self.network.run(0.1)
         permit = limits.take(self.endpoint)
         self.assertIsNot(limits.access(self.endpoint), Access.OPEN)
@@ -482,17 +482,17 @@
         self.assertIs(limits.access(self.endpoint), Access.OPEN)
 
     def test_a_late_or_repeated_reply_gives_no_permit(self):
-        limits = self.asker.limits
+        limits = self.requester.limits
         sent = []
         limits.transmit = lambda target, message: sent.append(message)
-        limits.ask(self.endpoint)
-        reply = self.grantor.limits.receive(self.asker.id, sent[0])
+        limits.request_permits(self.endpoint)
+        reply = self.grantor.limits.receive(self.requester.id, sent[0])
         self.assertEqual(reply.grants[0].count, 1)
         self.network.timers.advance(PERMIT_SECONDS)
         limits.receive(self.grantor.id, reply)
         self.assertIsNot(limits.access(self.endpoint), Access.OPEN)
-        limits.ask(self.endpoint)
-        reply = self.grantor.limits.receive(self.asker.id, sent[1])
+        limits.request_permits(self.endpoint)
+        reply = self.grantor.limits.receive(self.requester.id, sent[1])
         limits.receive(self.grantor.id, reply)
         limits.receive(self.grantor.id, reply)
         self.assertIsNotNone(limits.take(self.endpoint))
@@ -502,19 +502,19 @@
         sent = []
         self.grantor.limits.transmit = lambda target, message: sent.append(message)
         self.grantor.members = None
-        self.asker.limits.transmit = lambda target, message: sent.append(message)
-        self.asker.limits.ask(self.endpoint)
+        self.requester.limits.transmit = lambda target, message: sent.append(message)
+        self.requester.limits.request_permits(self.endpoint)
         # The question reaches the node that asked it.
-        reply = self.asker.limits.receive("n9", sent[0])
+        reply = self.requester.limits.receive("n9", sent[0])
         self.assertEqual(reply.grants[0].count, 0)
 
     def test_a_grantor_that_wakes_from_a_pause_has_saved_no_permits(self):
         self.network.run(60.0)
-        self.grantor.limits.ask(self.endpoint)
+        self.grantor.limits.request_permits(self.endpoint)
         taken = 0
         for _ in range(20):
-            if self.grantor.limits.access(self.endpoint) is Access.ASKABLE:
-                self.grantor.limits.ask(self.endpoint)
+            if self.grantor.limits.access(self.endpoint) is Access.REQUESTABLE:
+                self.grantor.limits.request_permits(self.endpoint)
             taken += self.grantor.limits.take(self.endpoint) is not None
         self.assertLessEqual(taken, MIN_BURST)
 
@@ -569,25 +569,25 @@
     def test_small_changes_of_a_limit_count_but_are_not_sent_at_once(self):
         """Guard against a broadcast, and a log line, for each response."""
         self.note(10.0)
-        self.assertEqual(len(self.limits.take_unsent_news()), 1)
+        self.assertEqual(len(self.limits.take_unsent_updates()), 1)
         for rate in (10.1, 10.2, 10.3):
             self.assertEqual(self.note(rate), rate)
-        self.assertEqual(self.limits.take_unsent_news(), [])
+        self.assertEqual(self.limits.take_unsent_updates(), [])
         self.note(12.0)
-        self.assertEqual(len(self.limits.take_unsent_news()), 1)
+        self.assertEqual(len(self.limits.take_unsent_updates()), 1)
 
     def test_an_absurd_wait_of_a_peer_is_cut(self):
         self.note(10.0)
         endpoint = self.view.endpoint
         self.limits._apply_grant(self.limits_reply(endpoint, 1e12), self.timers.now())
         self.timers.advance(MAX_WAIT_SECONDS)
-        self.assertIs(self.limits.access(endpoint), Access.ASKABLE)
+        self.assertIs(self.limits.access(endpoint), Access.REQUESTABLE)
 
-    def limits_reply(self, endpoint, wait: float) -> Grant:
+    def limits_reply(self, endpoint, wait: float) -> PermitGrant:
         """Ask for a permit and return a reply without one."""
         limit = self.limits._limits[endpoint.id, endpoint.born_ms]
-        limit.ask_number, limit.asked_at = 7, self.timers.now()
-        return Grant(endpoint.id, endpoint.born_ms, 7, 0, wait)
+        limit.request_number, limit.requested_at = 7, self.timers.now()
+        return PermitGrant(endpoint.id, endpoint.born_ms, 7, 0, wait)
 
     def test_older_news_does_not_replace_a_later_response(self):
         key = self.view.endpoint.id, self.view.endpoint.born_ms
