--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -152,7 +152,8 @@
         limit.drop_expired(now)
         if limit.permits:
             return Access.OPEN
-        if limit.requested_at is not None and now - limit.requested_at < REPLY_TIMEOUT_SECONDS:
+        since = limit.requested_at
+        if since is not None and now - since < REPLY_TIMEOUT_SECONDS:
             return Access.REQUESTED
         return Access.CLOSED if now < limit.next_request_at else Access.REQUESTABLE
 
