--- a/src/rattanwick/internal/gateway/endpoint_limits.py
+++ b/src/rattanwick/internal/gateway/endpoint_limits.py
@@ -327,18 +327,19 @@
         )
 
     def _grant(self, request: PermitRequest, node_id: str, now: float) -> PermitGrant:
-        """Return the reply to a request; only the grantor of the endpoint has permits."""
-        limit = self._limits.get((request.endpoint_id, request.born_ms))
+        """Return the reply to a request; only an endpoint's grantor has permits."""
+        key = request.endpoint_id, request.born_ms
+        limit = self._limits.get(key)
         granted, wait = 0, NOT_GRANTOR_WAIT_SECONDS
         if (
             limit is not None
             and limit.rate is not None
-            and self._grantors.grantor_of(request.endpoint_id, now) == self._node_id
+            and self._grantors.grantor_of(key[0], now) == self._node_id
         ):
             count = min(request.count, MAX_PERMITS_PER_REQUEST)
             rate = max(limit.rate, MIN_RATE) * self._grantors.share
             granted, wait = limit.bucket.grant(node_id, count, rate, now)
-        return PermitGrant(request.endpoint_id, request.born_ms, request.number, granted, wait)
+        return PermitGrant(*key, request.number, granted, wait)
 
     def _apply_grant(self, grant: PermitGrant, now: float) -> None:
         limit = self._limits.get((grant.endpoint_id, grant.born_ms))
@@ -354,8 +355,9 @@
         if now >= valid_until:
             return
         if grant.count > 0:
-            endpoint_permits_total.labels("granted").inc(grant.count)
-            limit.permits.extend([valid_until] * min(grant.count, MAX_PERMITS_PER_REQUEST))
+            count = min(grant.count, MAX_PERMITS_PER_REQUEST)
+            endpoint_permits_total.labels("granted").inc(count)
+            limit.permits.extend([valid_until] * count)
         else:
             endpoint_permits_total.labels("refused").inc()
         limit.next_request_at = now + min(grant.wait, MAX_WAIT_SECONDS)
--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -181,7 +181,7 @@
 
 
 def encode_limits(node_id: str, boot: int, message: PeerLimits) -> bytes:
-    """Return the datagram that holds limits of endpoints, permit requests and grants."""
+    """Return the datagram that holds limits, permit requests and grants."""
     fields = [node_id, boot, message.to_fields()]
     return packb([PROTOCOL_VERSION, DatagramKind.LIMITS, *fields])
 
