Give the soak endpoints for the callers that it is asked for

There are now as many engines, and as many plain endpoints, as a quarter of the callers; with 8 callers there are two of each as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 from soak.run import SoakReport, SoakSize, run_soak  # noqa: E402
 
 DEFAULT_SIZE = SoakSize()
+CALLERS_PER_ENGINE = 4
 MAX_SEED_SECONDS = 300.0  # of one seed
 
 
@@ -78,7 +79,9 @@
         )
         print(f"{passed.count(False)} of {len(passed)} seeds failed")
         return 0 if all(passed) else 1
-    size = SoakSize(args.nodes, callers=args.callers, seconds=args.seconds)
+    # Otherwise the endpoints have too few slots for many callers, also without faults.
+    endpoints = max(DEFAULT_SIZE.engines, args.callers // CALLERS_PER_ENGINE)
+    size = SoakSize(args.nodes, endpoints, endpoints, args.callers, args.seconds)
     failed = 0
     for seed in seeds:
         report = run_soak(seed, size, args.logs)
