Move the simulation of shared limits from the test into a bench

The simulated network of nodes is now bench/limits_lab.py (make limits-lab), which prints them, and the tests use it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: capacity check-dist ci clean demo dist environment format gateway-incident \
-	incident lab lint prove soak test
+	incident lab limits-lab lint prove soak test
 
 environment: $(STAMP)
 
@@ -61,6 +61,10 @@
 lab: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.capacity_lab
 
+# Simulates nodes that share the limit of an endpoint, in half a minute.
+limits-lab: $(STAMP)
+	PYTHONPATH=src:. $(BIN)/python -m bench.limits_lab
+
 # About 12 minutes; starts up to 50 processes on loopback.
 capacity: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.capacity
