Answer a request whose deadline passes while a paused node connects

The caller's connection was closed without an answer: a node that had been paused while it connected to an endpoint set a negative timeout on the connection, which is an exception. The request was not sent, so it is now answered 503 as not run, and the endpoint is not blamed for the pause.

--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -10,6 +10,10 @@
 ENDPOINTS_DOWN_BEFORE = (
     "a read was blamed for crashing two endpoints that were down before it was sent"
 )
+PAUSED_WHILE_CONNECTING = (
+    "a node that was paused beyond a request's deadline while it connected to an"
+    " endpoint closed the caller's connection without an answer"
+)
 
 REGRESSIONS: dict[int, str] = {
     4: STOPPED_DURING_START,
@@ -19,4 +23,5 @@
     19: SAFE_READ_BLAMED,
     21: STOPPED_DURING_START,
     124: ENDPOINTS_DOWN_BEFORE,
+    250: PAUSED_WHILE_CONNECTING,
 }
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -90,15 +90,19 @@
     def _exchange(self) -> Outcome:
         request, view = self._request, self._view
         request.tried.add(view.endpoint.id)
+        timeout = self._time_left()
+        if timeout <= 0:
+            return self._not_sent("deadline has passed", endpoint_failed=False)
         try:
             self._connection = self._state.connections.acquire(
-                view.endpoint,
-                self._time_left(),
-                no_retry=not request.can_retry(1),
+                view.endpoint, timeout, no_retry=not request.can_retry(1)
             )
         except ConnectionLost as exc:
             view.note_unreachable(self._now())
             return self._not_sent(f"no connection: {exc.reason}")
+        # The process may have been paused while it connected.
+        if self._time_left() <= 0:
+            return self._not_sent("deadline has passed", endpoint_failed=False)
         if not self._state.endpoint_limits.may_send(view.endpoint, request.permit):
             return self._not_sent(
                 "no valid permit when the request was to be sent", endpoint_failed=False
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -20,6 +20,8 @@
 # Responses of status 1xx before the final one. An endpoint that sends them without end
 # never sends the final one.
 MAX_INTERIM_RESPONSES = 16
+# A negative timeout is an error; the deadline may pass just before a request is sent.
+MIN_SEND_TIMEOUT_SECONDS = 0.001
 # Data up to this size fits into the buffers of a connection, so that sending it does
 # not block if the endpoint responds before it reads the body.
 DIRECT_SEND_BYTES = 16_384
@@ -97,7 +99,7 @@
         except h11.LocalProtocolError as exc:
             raise ProtocolError("encode", self.pool_key, str(exc))
         data = head + remaining
-        self._sock.settimeout(timeout)
+        self._sock.settimeout(max(timeout, MIN_SEND_TIMEOUT_SECONDS))
         try:
             sent = self._sock.send(data[:DIRECT_SEND_BYTES])
         except OSError as exc:
--- a/tests/failure/test_gateway_relay.py
+++ b/tests/failure/test_gateway_relay.py
@@ -197,6 +197,33 @@
         self.assertEqual(answer.status, 504)
         self.assertLess(time.monotonic() - started, 0.4 + 0.5)
 
+    def test_a_pause_beyond_the_deadline_ends_a_request_as_not_run(self):
+        """A node that was paused while it connected closed the caller's connection.
+
+        Guard also against blaming the endpoint for the pause.
+        """
+        endpoint = self.add_endpoint("i-1")
+        pool = self.state.connections
+        acquire, connect = pool.acquire, pool.connect
+
+        def paused(call):
+            def pause_and_call(*args, **options):
+                gevent.sleep(0.3)
+                return call(*args, **options)
+
+            return pause_and_call
+
+        for name, call in (("acquire", acquire), ("connect", connect)):
+            with self.subTest(name):
+                setattr(pool, name, paused(call))
+                answer = self.ask(
+                    "/unsafe/x", method="POST", headers={"X-Deadline-Ms": "200"}
+                )
+                setattr(pool, name, call)
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(len(endpoint.executed_requests), 0)
+                self.assertEqual(self.state.endpoints.get("i-1").failure_rate, 0.0)
+
     def test_without_an_endpoint_a_request_is_refused_at_once(self):
         started = time.monotonic()
         answer = self.ask("/safe/x")
