Wait for a busy endpoint beside limited ones

A request was refused at once if the limited endpoints had no permit and the others had no free slot at that moment. Without limits it waits up to an eighth of its objective for a slot. It does so again; only if every usable endpoint is at its limit is it refused at once. The test got 503 before, now 200.

--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -18,8 +18,8 @@
     "refused: first_event_too_late": "every engine had so many waiting prompts that "
     "the first event would have missed the objective",
     "refused: endpoints_full": "the slots and queues of all endpoints were full",
-    "refused: endpoints_limited": "the endpoints that were not full had reached the "
-    "limits of requests per second that they name; the related lines show each limit",
+    "refused: endpoints_limited": "every usable endpoint had reached the limit of "
+    "requests per second that it names; the related lines show each limit",
     "refused: no_endpoint": "the node knew no endpoint of the service",
     "refused: endpoint declined": "the endpoint stated that it did not run the request",
     "expired": "the endpoint did not answer before the request's deadline",
--- a/src/rattanwick/internal/gateway/request_placement.py
+++ b/src/rattanwick/internal/gateway/request_placement.py
@@ -127,9 +127,9 @@
     def _explain_limited(
         self, request: ActiveRequest, refusal: NotPlaced, closed: list[EndpointView]
     ) -> NotPlaced:
-        """Return a refusal that names the limits if endpoints were passed over."""
+        """Return a refusal that names the limits if they leave no other endpoint."""
         request.limited_endpoints = _ids(closed)
-        if not closed or refusal.reason is RefusalReason.TOO_LATE:
+        if not closed or refusal.usable:
             return refusal
         retry_after = self._state.endpoint_limits.retry_after(
             view.endpoint for view in closed
@@ -137,7 +137,7 @@
         return NotPlaced(
             RefusalReason.ENDPOINTS_LIMITED,
             max(retry_after, MIN_RETRY_AFTER_SECONDS),
-            refusal.usable + len(closed),
+            len(closed),
         )
 
     def _best(
--- a/tests/failure/test_gateway_limited_endpoints.py
+++ b/tests/failure/test_gateway_limited_endpoints.py
@@ -40,6 +40,17 @@
                 self.assertEqual(len(limited.executed_requests), 1)
                 self.assertEqual(len(other.executed_requests), 5)
 
+    def test_a_request_waits_for_a_busy_endpoint_beside_a_limited_one(self):
+        """Guard against a refusal although a slot elsewhere is free within moments."""
+        limited, _ = self.add_endpoint("i-1"), self.add_endpoint("i-2")
+        limited.rate_limit = SCARCE
+        self.prefer("i-1")
+        self.assertEqual(self.ask("/safe/x", call_id="c-0").status, 200)
+        busy = self.state.endpoints.get("i-2")
+        busy.running = 1000
+        gevent.spawn_later(0.03, setattr, busy, "running", 0)
+        self.assertEqual(self.ask("/safe/x", call_id="c-1").status, 200)
+
     def test_without_a_place_left_a_request_is_refused_at_once_as_not_run(self):
         self.add_endpoint("i-1")
         self.learn_limit()
