Pair the calls of two timers by time in the test of shared wake-ups

The test paired the calls of two timers by number. Calls are now paired with the nearest one of the other timer; the bound of 0.02 s is as it was.

--- a/tests/unit/test_timers.py
+++ b/tests/unit/test_timers.py
@@ -48,7 +48,11 @@
         gevent.sleep(0.03)
         timers.subscribe("2", 0.1, lambda: calls["second"].append(timers.now()))
         gevent.sleep(0.55)
-        pairs = list(zip(calls["first"], calls["second"], strict=False))
-        self.assertGreaterEqual(len(pairs), 3)
-        time_differences = sorted(abs(first - second) for first, second in pairs)
+        # The second timer starts a period later if the process is paused for 20 ms
+        # between the subscriptions, so calls are paired by time and not by number.
+        self.assertGreaterEqual(min(map(len, calls.values())), 3)
+        time_differences = sorted(
+            min(abs(first - second) for first in calls["first"])
+            for second in calls["second"]
+        )
         self.assertLess(time_differences[len(time_differences) // 2], 0.02)
