--- a/tests/failure/test_gateway_limit_exchange.py
+++ b/tests/failure/test_gateway_limit_exchange.py
@@ -66,7 +66,7 @@
             node.stop()
 
     def add(self, node_id: str) -> Node:
-        """Add a node that knows the first one and is known by it."""
+        """Add a node; it and the others know each other at once."""
         ip = f"127.{self.octets.octet}.9.{len(self.nodes) + 1}"
         node = Node(node_id, ip)
         self.nodes.append(node)
