--- a/src/rattanwick/internal/gateway/permit_bucket.py
+++ b/src/rattanwick/internal/gateway/permit_bucket.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass, field
 
-# Permits that may be granted at once after a quiet time: this many, or those of this
-# time if that is more.
+# A bucket holds the permits of BURST_SECONDS, but at least MIN_BURST.
 MIN_BURST = 2.0
 BURST_SECONDS = 0.25
 MAX_WAIT_SECONDS = 4.0  # longest wait that a node is told before it asks again
@@ -22,7 +21,8 @@
 
     updated: float  # seconds of the clock that ``now`` is read from
     level: float = 0.0
-    _due: dict[str, float] = field(default_factory=dict)  # next ask expected, by node
+    # By node id: time at which the node was told to ask again.
+    _due: dict[str, float] = field(default_factory=dict)
 
     def grant(
         self, node_id: str, count: int, rate: float, now: float
