Correct two comments on limits of endpoints

A permit request that is not sent is repeated, not replaced by a later datagram, and the count of unusable engines is what the limits take away.

--- a/src/rattanwick/internal/gateway/autoscaler.py
+++ b/src/rattanwick/internal/gateway/autoscaler.py
@@ -191,7 +191,7 @@
     def _count_unusable(
         self, service: str, tokens_per_second: float
     ) -> Counter[tuple[str, bool]]:
-        """Return how many engines request limits amount to, by class.
+        """Return how many engines are lost to request limits, by class.
 
         ``tokens_per_second`` is what an engine without a limit serves.
         """
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -172,7 +172,7 @@
         try:
             self._datagrams.socket.sendto(data, address)
         except OSError as exc:
-            # Later datagrams replace this one, so one failure is harmless.
+            # State is sent again soon, and a request for permits is repeated.
             log.debug(
                 "datagram not sent", extra={"peer": address[0], "error": str(exc)}
             )
