Log the prompt parts of a request under which an endpoint crashed

The log could not tell whether crashes were counted under one key: a line named neither the fingerprint nor the parts.

--- a/src/rattanwick/internal/gateway/crash_check.py
+++ b/src/rattanwick/internal/gateway/crash_check.py
@@ -10,6 +10,7 @@
 
 # Wait for a new connection to an endpoint that closed the connection of a request.
 CRASH_CHECK_TIMEOUT_SECONDS = 0.5
+MAX_LOGGED_PARTS = 12  # of a prompt
 
 
 def check_crash(
@@ -36,5 +37,13 @@
                 "request": request.call.id,
                 "endpoint": endpoint.id,
                 "counted": responded_before,
+                "organisation": request.organisation.name
+                if request.organisation
+                else "",
+                "fingerprint": request.fingerprint,
+                "prompt_parts": [
+                    part.id for part in request.call.prompt[:MAX_LOGGED_PARTS]
+                ],
+                "began": request.first_event_seconds is not None,
             },
         )
