Block the parts of prompts that crash endpoints, at all nodes

Callers saw: requests that share a part of their prompt, no two of them alike, crashed one engine after the other, and each took the streams that ran beside it with it.

Cause: a request was known by the hash of its organisation, method, target and body, so nothing counted such requests together. A stream that had begun, and an endpoint that ended its connections with FIN, were not checked for a crash at all.

Now each node reports a crash with the prompts that it lost to all nodes at once. An answer to a request with a part clears that part, and is reported too if the part is under suspicion. A part that is left after three crashes in a row, each under a request sent after the one before (five if it had been answered earlier), is blocked: its requests are refused with 400, which callers do not repeat. Blocks are merged without regard to order, go to the store, and are compared by digest with each state. A node that has started or was out of contact asks for them before it sends.

Evidence: tests/scenario/test_gateway_crashing_parts.py failed before, with 25, 34 and 32 requests later than 3 s after the fifth crash, and passes.

--- a/src/rattanwick/internal/base/errors.py
+++ b/src/rattanwick/internal/base/errors.py
@@ -30,6 +30,10 @@
         self.sent = sent
 
 
+class ConnectionRefused(ConnectionLost):
+    """The peer's machine replied that nothing accepts connections there."""
+
+
 class Unavailable(StepError):
     """The peer cannot serve the step; the step did not run."""
 
--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -63,6 +63,9 @@
     configuration_version: int
     attempts: int = 0
     may_have_run: bool = False
+    # Parts of the prompt that other prompts may hold; see ``shared_parts``.
+    parts: tuple[str, ...] = ()
+    trial: str = ""  # id of the block that does not hold for the next attempt
     misdirected: int = 0  # attempts that reached another endpoint (status 421)
     age_seconds: float = 0.0  # from its arrival to the last choice of an endpoint
     tried: set[str] = field(default_factory=set)  # ids of endpoints
@@ -79,6 +82,11 @@
     last_event_at: float | None = None  # monotonic seconds
     longest_pause: float = 0.0  # seconds between two events
 
+    @property
+    def organisation_name(self) -> str:
+        """Return the name of the organisation, empty if there is none."""
+        return self.organisation.name if self.organisation else ""
+
     def can_retry(self, extra_attempts: int = 0) -> bool:
         """Return whether a retry is allowed after ``extra_attempts`` more attempts."""
         return (
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -1,14 +1,18 @@
 """One attempt to serve a request at an endpoint."""
 
-import gevent
 import h11
 
-from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+from rattanwick.internal.base.errors import (
+    ConnectionLost,
+    ConnectionRefused,
+    ProtocolError,
+    TimedOut,
+)
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.gateway.active_request import ActiveRequest, ResponseWriter
 from rattanwick.internal.gateway.connection_pool import EndpointConnection
-from rattanwick.internal.gateway.crash_check import check_crash
+from rattanwick.internal.gateway.crash_check import CrashChecks, LostAttempt
 from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import CallKind, ForwardContext, ResponseHead
@@ -52,9 +56,11 @@
         codec: MessageCodec,
         request: ActiveRequest,
         response: ResponseWriter,
+        crash_checks: CrashChecks,
     ):
         self._state = state
         self._codec = codec
+        self._crash_checks = crash_checks
         self._request = request
         self._response = response
         self._view: EndpointView = request.placed.view
@@ -98,7 +104,7 @@
                 view.endpoint, timeout, no_retry=not request.can_retry(1)
             )
         except ConnectionLost as exc:
-            view.note_unreachable(self._now())
+            view.note_unreachable(self._now(), isinstance(exc, ConnectionRefused))
             return self._not_sent(f"no connection: {exc.reason}")
         # The process may have been paused while it connected.
         if self._time_left() <= 0:
@@ -107,6 +113,8 @@
             return self._not_sent(
                 "no valid permit when the request was to be sent", endpoint_failed=False
             )
+        if self._is_blocked():
+            return self._not_sent("prompt part is blocked", endpoint_failed=False)
         self._sent_at = self._now()
         self._responded_before = view.responded_recently(self._sent_at)
         try:
@@ -128,6 +136,15 @@
             return self._relay_stream()
         return self._relay_response()
 
+    def _is_blocked(self) -> bool:
+        """Return whether the prompt was blocked since the endpoint was chosen."""
+        request, guard = self._request, self._state.part_guard
+        block = guard.find_block(request.organisation_name, request.parts)
+        if block is not None and block.id != request.trial:
+            return True
+        request.trial = ""
+        return False
+
     def _not_sent(self, reason: str, endpoint_failed: bool = True) -> NotRun:
         """Return the outcome of a request of which no byte was sent."""
         if self._request.permit is not None:
@@ -227,7 +244,8 @@
                 return None, self._timeout_outcome(exc.reason)
             except (ConnectionLost, ProtocolError) as exc:
                 return None, Lost(
-                    f"response ended early: {exc.reason}", disconnected=False
+                    f"response ended early: {exc.reason}",
+                    disconnected=isinstance(exc, ConnectionLost),
                 )
             if isinstance(event, h11.EndOfMessage):
                 self._complete = True
@@ -260,7 +278,9 @@
                 event = self._connection.next_event(self._time_left())
             except TimedOut as exc:
                 return Expired(exc.reason)
-            except (ConnectionLost, ProtocolError) as exc:
+            except ConnectionLost as exc:
+                return self._stream_failure(events, exc.reason, disconnected=True)
+            except ProtocolError as exc:
                 return self._stream_failure(events, exc.reason)
             if isinstance(event, h11.EndOfMessage):
                 if events.partial:
@@ -283,10 +303,12 @@
                 start = None if self._response.started else (200, head.headers)
                 self._response.send_chunk(complete, start)
 
-    def _stream_failure(self, events: EventSplitter, reason: str) -> Outcome:
+    def _stream_failure(
+        self, events: EventSplitter, reason: str, disconnected: bool = False
+    ) -> Outcome:
         if self._response.started:
-            return Interrupted(reason, events.last_id)
-        return Lost(reason, disconnected=True)
+            return Interrupted(reason, events.last_id, disconnected)
+        return Lost(reason, disconnected)
 
     def _note_event(self) -> None:
         request, now = self._request, self._now()
@@ -376,16 +398,13 @@
                 "set_aside": ejected,
             },
         )
-        if isinstance(outcome, Lost) and outcome.disconnected:
+        if isinstance(outcome, Lost | Interrupted) and outcome.disconnected:
             self._view.last_response_at = None
             if not endpoint.leaving:
-                gevent.spawn(
-                    check_crash,
-                    self._state,
-                    self._view,
-                    self._request,
-                    self._responded_before,
+                attempt = LostAttempt(
+                    self._request, self._sent_at, self._now(), self._responded_before
                 )
+                self._crash_checks.start(self._view, attempt)
 
     def _now(self) -> float:
         return self._state.timers.now()
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -8,7 +8,12 @@
 import h11
 from gevent import monkey, socket
 
-from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+from rattanwick.internal.base.errors import (
+    ConnectionLost,
+    ConnectionRefused,
+    ProtocolError,
+    TimedOut,
+)
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.model import Endpoint, Headers
 
@@ -128,6 +133,9 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
+                if self._http.trailing_data[1]:
+                    # The endpoint closed the connection, as a process that ends does.
+                    raise ConnectionLost("receive", self.pool_key, str(exc), True)
                 raise ProtocolError("receive", self.pool_key, str(exc))
             if event is not h11.NEED_DATA:
                 if isinstance(event, h11.InformationalResponse):
@@ -228,12 +236,17 @@
         return float("inf") if expired else self._safe_idle_seconds
 
     def connect(self, endpoint: Endpoint, timeout: float) -> EndpointConnection:
-        """Return a new connection; raise ConnectionLost if it cannot be opened."""
+        """Return a new connection; raise ConnectionLost if it cannot be opened.
+
+        It is a ConnectionRefused if nothing accepts connections at the address.
+        """
         self.opened += 1
         try:
             sock = socket.create_connection(
                 endpoint.host_port, min(timeout, CONNECT_TIMEOUT_SECONDS)
             )
+        except ConnectionRefusedError as exc:
+            raise ConnectionRefused("connect", endpoint.id, str(exc), sent=False)
         except OSError as exc:
             raise ConnectionLost("connect", endpoint.id, str(exc), sent=False)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/src/rattanwick/internal/gateway/crash_evidence.py
@@ -0,0 +1,241 @@
+"""Evidence of which part of a prompt crashes the endpoints that run it.
+
+A crash ends all requests that an endpoint runs, so it speaks against every part of
+their prompts. A later answer to a request that holds a part speaks for that part. What
+remains after some crashes in a row is the culprit.
+"""
+
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rattanwick.internal.gateway.model import PromptPart
+
+# A crash starts a new round for a part if the request was sent after the crash of the
+# round before. Endpoints that fail together end many requests with the same part, but
+# all of these had been sent before.
+MIN_ROUNDS = 3
+MIN_ROUNDS_IF_ANSWERED = 5  # of a part that was in answered requests before
+# Parts that were in the same crashes, but in other requests, are told apart by further
+# crashes, up to this number.
+MAX_AMBIGUOUS_CRASHES = 5
+RETENTION_SECONDS = 600.0  # of crashes and answers
+# Nodes report the crash of one process within this time; an endpoint that has crashed
+# takes longer to start.
+SAME_CRASH_SECONDS = 1.0
+MAX_CRASHES = 128
+MAX_PARTS_PER_ORGANISATION = 4000  # in all crashes together
+MAX_ANSWERED_PARTS = 8000
+MAX_KEY_CHARACTERS = 40  # longer ids are cut; they only have to differ
+
+
+def shared_parts(prompt: tuple[PromptPart, ...]) -> tuple[str, ...]:
+    """Return the ids of the parts that other prompts may hold; the last is its own."""
+    return tuple(part.id[:MAX_KEY_CHARACTERS] for part in prompt[:-1])
+
+
+@dataclass(slots=True, frozen=True)
+class LostRequest:
+    """Request that an endpoint was running when it crashed."""
+
+    organisation: str
+    parts: tuple[str, ...]
+    sent_at: float  # monotonic seconds
+
+
+@dataclass(slots=True, eq=False)
+class Crash:
+    """Crash of an endpoint, and the requests lost with it that nodes reported."""
+
+    endpoint_id: str
+    at: float  # first report, in monotonic seconds
+    requests: list[LostRequest]
+    nodes: set[str]  # that reported it
+
+
+@dataclass(slots=True, frozen=True)
+class Culprit:
+    """Parts that crash endpoints if a prompt holds all of them, and the evidence."""
+
+    parts: frozenset[str]
+    organisations: frozenset[str]  # whose requests were lost with these parts
+    crashes: tuple[Crash, ...]
+
+
+class CrashEvidence:
+    """Recent crashes, and the answers since to requests with the same parts."""
+
+    def __init__(self):
+        self._crashes: list[Crash] = []
+        # Last crash and last answer of each part of the recent crashes, in monotonic
+        # seconds.
+        self._crashed_at: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
+        # Last answer that this node gave to any request with a part.
+        self._history: OrderedDict[str, float] = OrderedDict()
+
+    def note_crash(
+        self,
+        endpoint_id: str,
+        at: float,
+        requests: list[LostRequest],
+        node_id: str,
+    ) -> Crash | None:
+        """Add a node's report of a crash and return the crash, None if it is too old.
+
+        Requests beyond MAX_PARTS_PER_ORGANISATION are left out.
+        """
+        self._forget(at)
+        if self._crashes and at < self._crashes[-1].at - RETENTION_SECONDS:
+            return None
+        kept = self._within_bounds([request for request in requests if request.parts])
+        crash = self._find(endpoint_id, at)
+        if crash is None:
+            crash = Crash(endpoint_id, at, [], set())
+            self._crashes.append(crash)
+            self._crashes.sort(key=lambda item: item.at)
+        crash.at = min(crash.at, at)
+        crash.nodes.add(node_id)
+        crash.requests.extend(kept)
+        for part in {part for request in kept for part in request.parts}:
+            self._crashed_at[part] = max(self._crashed_at.get(part, at), at)
+        return crash
+
+    def note_answer(self, parts: tuple[str, ...], at: float) -> list[str]:
+        """Count an answer to a request; return the parts that it clears of a crash."""
+        cleared = []
+        for part in parts:
+            crashed_at = self._crashed_at.get(part)
+            if crashed_at is not None:
+                if self._answered_at.get(part, float("-inf")) < crashed_at <= at:
+                    cleared.append(part)
+                self._answered_at[part] = max(self._answered_at.get(part, at), at)
+            self._history[part] = at
+            self._history.move_to_end(part)
+        while len(self._history) > MAX_ANSWERED_PARTS:
+            self._history.popitem(last=False)
+        return cleared
+
+    def note_cleared(self, part: str, at: float) -> None:
+        """Apply a peer's report that a request with a part was answered."""
+        if part in self._crashed_at:
+            self._answered_at[part] = max(self._answered_at.get(part, at), at)
+
+    def forget_endpoint(self, endpoint_id: str) -> None:
+        """Drop the crashes of an endpoint that had been stopped as planned."""
+        self._crashes = [c for c in self._crashes if c.endpoint_id != endpoint_id]
+
+    def find_culprits(
+        self, now: float, node_id: str, is_explained: Callable[[LostRequest], bool]
+    ) -> list[Culprit]:
+        """Return the parts to which the crashes point, if it is certain enough.
+
+        Crashes with a request for which ``is_explained`` holds have a known cause. Only
+        nodes that reported one of its crashes find a culprit.
+        """
+        self._forget(now)
+        crashes = [
+            crash
+            for crash in self._crashes
+            if not any(is_explained(request) for request in crash.requests)
+        ]
+        culprits = []
+        while suspects := self._find_suspects(crashes):
+            best = max(sorted(suspects), key=lambda part: len(suspects[part]))
+            found = suspects[best]
+            culprit = _name_culprit(best, suspects)
+            if culprit is not None and any(node_id in crash.nodes for crash in found):
+                culprits.append(culprit)
+            crashes = [crash for crash in crashes if crash not in found]
+        return culprits
+
+    def _find_suspects(self, crashes: list[Crash]) -> dict[str, list[Crash]]:
+        """Return the parts that were in enough of the crashes, with these crashes."""
+        by_part: dict[str, list[Crash]] = defaultdict(list)
+        for crash in crashes:
+            for part in {part for request in crash.requests for part in request.parts}:
+                if crash.at > self._answered_at.get(part, float("-inf")):
+                    by_part[part].append(crash)
+        return {
+            part: found
+            for part, found in by_part.items()
+            if len(found) >= MIN_ROUNDS
+            and _count_rounds(part, found) >= self._min_rounds(part, found[0].at)
+        }
+
+    def _min_rounds(self, part: str, before: float) -> int:
+        # A part that is answered after the first crash is cleared, so an entry of the
+        # history is older than the crashes.
+        known = part in self._history and before - self._history[part] < (
+            RETENTION_SECONDS
+        )
+        return MIN_ROUNDS_IF_ANSWERED if known else MIN_ROUNDS
+
+    def _find(self, endpoint_id: str, at: float) -> Crash | None:
+        for crash in reversed(self._crashes):
+            if crash.endpoint_id == endpoint_id:
+                near = abs(crash.at - at) < SAME_CRASH_SECONDS
+                return crash if near else None
+        return None
+
+    def _within_bounds(self, requests: list[LostRequest]) -> list[LostRequest]:
+        counts: dict[str, int] = defaultdict(int)
+        for crash in self._crashes:
+            for request in crash.requests:
+                counts[request.organisation] += len(request.parts)
+        kept = []
+        for request in requests:
+            counts[request.organisation] += len(request.parts)
+            if counts[request.organisation] <= MAX_PARTS_PER_ORGANISATION:
+                kept.append(request)
+        return kept
+
+    def _forget(self, now: float) -> None:
+        """Drop crashes beyond the retention and the bound, and what only they held."""
+        kept = [c for c in self._crashes if now - c.at < RETENTION_SECONDS]
+        kept = kept[-MAX_CRASHES:]
+        if len(kept) == len(self._crashes):
+            return
+        self._crashes = kept
+        parts = {p for c in kept for request in c.requests for p in request.parts}
+        for times in (self._crashed_at, self._answered_at):
+            for part in times.keys() - parts:
+                del times[part]
+
+
+def _name_culprit(best: str, suspects: dict[str, list[Crash]]) -> Culprit | None:
+    """Return ``best`` with the parts that cannot be told from it; None if unclear."""
+    found = suspects[best]
+    rivals = [part for part in suspects if suspects[part] == found]
+    # Every crash has a request that holds both parts.
+    inseparable = {
+        part
+        for part in rivals
+        if all(_in_one_request(crash, best, part) for crash in found)
+    }
+    if len(inseparable) < len(rivals) and len(found) < MAX_AMBIGUOUS_CRASHES:
+        return None
+    organisations = {
+        request.organisation
+        for crash in found
+        for request in crash.requests
+        if best in request.parts
+    }
+    return Culprit(frozenset(inseparable), frozenset(organisations), tuple(found))
+
+
+def _count_rounds(part: str, crashes: list[Crash]) -> int:
+    rounds, last = 0, float("-inf")
+    for crash in crashes:
+        sent_at = max(
+            request.sent_at for request in crash.requests if part in request.parts
+        )
+        if sent_at > last:
+            rounds, last = rounds + 1, crash.at
+    return rounds
+
+
+def _in_one_request(crash: Crash, first: str, second: str) -> bool:
+    return any(
+        first in request.parts and second in request.parts for request in crash.requests
+    )
--- a/src/rattanwick/internal/gateway/endpoint_view.py
+++ b/src/rattanwick/internal/gateway/endpoint_view.py
@@ -11,6 +11,8 @@
 EJECTION_FAILURE_RATE = 0.6  # failure rate from which an endpoint is ejected
 INITIAL_EJECTION_SECONDS = 1.0  # doubled at each further ejection, up to the maximum
 MAX_EJECTION_SECONDS = 8.0
+# A refused connection costs a caller nothing, and the process may be back at any time.
+MAX_REFUSED_EJECTION_SECONDS = 2.0
 RATE_TIME_CONSTANT_SECONDS = 3.0  # time constant of the decaying average in RecentRate
 MAX_PEER_LOAD_AGE_SECONDS = 1.5  # older loads of a peer are not counted
 # An endpoint counts as up for this time after a response. With 80 nodes and 45 engines,
@@ -102,12 +104,16 @@
         last = self.last_response_at
         return last is not None and now - last < MAX_RESPONSE_AGE_SECONDS
 
-    def note_unreachable(self, now: float) -> None:
-        """Eject the endpoint because it accepts no connection."""
+    def note_unreachable(self, now: float, refused: bool = False) -> None:
+        """Eject the endpoint because it accepts no connection.
+
+        ``refused`` states that the connection was refused, not just unanswered.
+        """
         self.last_response_at = None
         self.failure_rate = 1.0
-        self.ejected_until = now + self.ejection_seconds
-        self.ejection_seconds = min(2 * self.ejection_seconds, MAX_EJECTION_SECONDS)
+        longest = MAX_REFUSED_EJECTION_SECONDS if refused else MAX_EJECTION_SECONDS
+        self.ejected_until = now + min(self.ejection_seconds, longest)
+        self.ejection_seconds = min(2 * self.ejection_seconds, longest)
 
 
 class TotalLoad:
--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -31,6 +31,10 @@
     "unknown_key": "the configuration in force held no such key",
     "no_route": "the configuration in force held no such route",
     "no_configuration": "the node had not read a configuration yet",
+    "blocked_part": "the prompt holds parts that had crashed several endpoints; the "
+    "related lines show which parts, and the crashes",
+    "refused: blocked_part": "the prompt holds parts that had crashed several "
+    "endpoints, the one that ran this request among them",
     "crashes_endpoints": "the same request had crashed as many endpoints as allowed",
 }
 
@@ -96,6 +100,7 @@
     endpoints = {line.fields.get("endpoint") for line in request_lines} - {None}
     for line in request_lines:
         endpoints.update(line.fields.get("limited_endpoints") or ())
+    blocks = {line.fields.get("block") for line in request_lines} - {None}
     versions = {line.fields.get("configuration") for line in request_lines} - {None}
     related_lines = [
         line
@@ -115,6 +120,11 @@
                 line.message == "node: configuration"
                 and line.fields.get("version") in versions
             )
+            or (
+                line.message.startswith("parts:")
+                and line.fields.get("block") in blocks
+                and line.time <= end
+            )
         )
     ]
     related_lines.sort(key=lambda line: line.time)
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -15,6 +15,7 @@
 from rattanwick.internal.base.metrics import gauge
 from rattanwick.internal.base.timers import GeventTimerService
 from rattanwick.internal.gateway.autoscaler import Autoscaler
+from rattanwick.internal.gateway.blocked_part_rows import BlockRows
 from rattanwick.internal.gateway.caller_server import DEFAULT_LIMITS, CallerServer
 from rattanwick.internal.gateway.connection_pool import connection_keys
 from rattanwick.internal.gateway.interfaces import (
@@ -92,8 +93,11 @@
             self.state.members.count_nodes,
             self.state.polls_store,
         )
+        self._block_rows = BlockRows(self.state, store)
         self.peers = PeerExchange(
-            self.state, [self._configuration_watch, self._endpoint_watch]
+            self.state,
+            [self._configuration_watch, self._endpoint_watch],
+            self._block_rows,
         )
         self.entry = NodeDirectory(self.state)
         relay = Relay(self.state, codec)
@@ -133,6 +137,7 @@
         self._configuration_watch.start()
         self._endpoint_watch.start()
         self.peers.start()
+        self._block_rows.start()
         gevent.spawn(self._sync_members)
         gevent.spawn(self._run_leader_tasks)
         self._timers.subscribe(
@@ -183,6 +188,10 @@
     def _apply_endpoints(self, rows: dict[str, StoredRow], changed: set[str]) -> None:
         failed = self._endpoint_watch.failed_seconds()
         self.state.endpoints.apply(rows, changed, failed)
+        for key in changed:
+            view = self.state.endpoints.get(key)
+            if view is not None and view.endpoint.leaving:
+                self.state.part_guard.note_planned_stop(key)
 
     def _sync_members(self) -> None:
         """Add this node to the table of members, and read the table regularly."""
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -21,6 +21,7 @@
     choose_serving_nodes,
     choose_store_pollers,
 )
+from rattanwick.internal.gateway.part_guard import PartGuard
 from rattanwick.internal.gateway.prefill import PrefillEstimator
 from rattanwick.internal.gateway.rate_limits import SharedRateLimiter
 from rattanwick.internal.gateway.retries import RetryBudget
@@ -60,6 +61,7 @@
     endpoint_limits: EndpointLimits
     retry_budget: RetryBudget
     crash_guard: CrashGuard
+    part_guard: PartGuard
     prefill_estimator: PrefillEstimator
     utilisation_targets: UtilisationTargets
     usage: UsageCounts
@@ -183,7 +185,11 @@
     @property
     def ready(self) -> bool:
         """Return whether this node can serve callers."""
-        loaded = self.configuration is not None and self.endpoints.loaded
+        loaded = (
+            self.configuration is not None
+            and self.endpoints.loaded
+            and self.part_guard.loaded
+        )
         return loaded and not self.leaving
 
 
@@ -207,6 +213,7 @@
             bounds.retry_share, bounds.retry_slack, bounds.retry_window
         ),
         crash_guard=CrashGuard(),
+        part_guard=PartGuard(settings.node_id, timers),
         prefill_estimator=PrefillEstimator(),
         utilisation_targets=UtilisationTargets(),
         usage=UsageCounts(bounds.usage_window),
--- a/src/rattanwick/internal/gateway/outcomes.py
+++ b/src/rattanwick/internal/gateway/outcomes.py
@@ -43,6 +43,7 @@
 
     reason: str
     last_event_id: str
+    disconnected: bool = False  # the connection ended, as after a crash
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/src/rattanwick/internal/gateway/part_messages.py
@@ -0,0 +1,154 @@
+"""Messages between nodes about prompt parts that crash endpoints."""
+
+from dataclasses import dataclass, field
+
+from rattanwick.internal.gateway.blocked_parts import Block
+from rattanwick.internal.gateway.crash_evidence import LostRequest
+from rattanwick.internal.gateway.shapes import matches
+
+MAX_BLOCKS_PER_MESSAGE = 20
+# Of all requests of a crash in one message, so that it fits into a datagram.
+MAX_PARTS_PER_MESSAGE = 120
+
+
+@dataclass(slots=True, frozen=True)
+class CrashReport:
+    """Crash of an endpoint under requests of the sender."""
+
+    endpoint_id: str
+    at: float  # monotonic seconds of this node
+    requests: list[LostRequest]
+
+
+@dataclass(slots=True)
+class PeerParts:
+    """Crashes, answers and blocks that one datagram holds.
+
+    Times are monotonic seconds of this node, and ages in the datagram.
+    """
+
+    node_id: str = ""  # of the sender; set when the datagram is encoded
+    boot: int = 0  # start of the sender's process, in Unix milliseconds
+    crashes: list[CrashReport] = field(default_factory=list)
+    # Parts of earlier crashes that were in a request which was answered since, and the
+    # time of the answer.
+    answers: list[tuple[str, float]] = field(default_factory=list)
+    blocks: list[Block] = field(default_factory=list)
+    # Number of a request for the blocks, or of the one that this replies to; else 0.
+    query: int = 0
+    reply: int = 0
+
+    def to_fields(self, now: float) -> list:
+        """Return the message as lists of plain values."""
+        return [
+            [
+                [
+                    crash.endpoint_id,
+                    now - crash.at,
+                    [
+                        [lost.organisation, list(lost.parts), now - lost.sent_at]
+                        for lost in crash.requests
+                    ],
+                ]
+                for crash in self.crashes
+            ],
+            [[part, now - at] for part, at in self.answers],
+            [
+                [
+                    block.id,
+                    sorted(block.parts),
+                    sorted(block.organisations),
+                    block.crashes,
+                    list(block.endpoints),
+                    list(block.nodes),
+                    now - block.made_at,
+                    now - block.used_at,
+                    block.trials,
+                    block.saved,
+                ]
+                for block in self.blocks
+            ],
+            self.query,
+            self.reply,
+        ]
+
+
+MESSAGE_SHAPE = (
+    [(str, float, [(str, [str], float)])],
+    [(str, float)],
+    [(str, [str], [str], int, [str], [str], float, float, int, bool)],
+    int,
+    int,
+)
+
+
+def parts_from_fields(fields: list, now: float) -> PeerParts:
+    """Return the message that ``to_fields`` returned as lists.
+
+    Negative ages count as 0. Raises ValueError if a value has the wrong type.
+    """
+    if not matches(fields, MESSAGE_SHAPE):
+        raise ValueError("parts: wrong shape")
+    crashes, answers, blocks, query, reply = fields
+    return PeerParts(
+        crashes=[
+            CrashReport(
+                endpoint_id,
+                _at(now, age),
+                [
+                    LostRequest(organisation, tuple(parts), _at(now, sent_age))
+                    for organisation, parts, sent_age in requests
+                ],
+            )
+            for endpoint_id, age, requests in crashes
+        ],
+        answers=[(part, _at(now, age)) for part, age in answers],
+        blocks=[
+            Block(
+                id=block_id,
+                parts=frozenset(parts),
+                organisations=frozenset(organisations),
+                crashes=count,
+                endpoints=tuple(endpoints),
+                nodes=tuple(nodes),
+                made_at=_at(now, made_age),
+                used_at=_at(now, used_age),
+                trials=trials,
+                saved=saved,
+            )
+            for (
+                block_id,
+                parts,
+                organisations,
+                count,
+                endpoints,
+                nodes,
+                made_age,
+                used_age,
+                trials,
+                saved,
+            ) in blocks
+        ],
+        query=query,
+        reply=reply,
+    )
+
+
+def _at(now: float, age: float) -> float:
+    return now - max(age, 0.0)
+
+
+def split_crash(report: CrashReport) -> list[CrashReport]:
+    """Return reports of the same crash that each fit into a message."""
+    reports, requests, count = [], [], 0
+    for lost in report.requests:
+        for start in range(0, len(lost.parts), MAX_PARTS_PER_MESSAGE):
+            parts = lost.parts[start : start + MAX_PARTS_PER_MESSAGE]
+            if requests and count + len(parts) > MAX_PARTS_PER_MESSAGE:
+                reports.append(CrashReport(report.endpoint_id, report.at, requests))
+                requests, count = [], 0
+            requests.append(LostRequest(lost.organisation, parts, lost.sent_at))
+            count += len(parts)
+    if requests:
+        reports.append(CrashReport(report.endpoint_id, report.at, requests))
+    return reports
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -7,11 +7,14 @@
 from gevent.server import DatagramServer
 
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.gateway.blocked_part_rows import BlockRows
 from rattanwick.internal.gateway.endpoint_view import PeerLoad
 from rattanwick.internal.gateway.limit_exchange import LimitExchange
 from rattanwick.internal.gateway.limit_messages import PeerLimits
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.part_exchange import DIGEST_NAME, PartExchange
+from rattanwick.internal.gateway.part_messages import PeerParts
 from rattanwick.internal.gateway.peer_messages import (
     MAX_DATAGRAM_BYTES,
     NO_LOAD,
@@ -51,7 +54,12 @@
 class PeerExchange:
     """Sender of this node's state to its peers and receiver of theirs."""
 
-    def __init__(self, state: NodeState, watches: list[TableWatch]):
+    def __init__(
+        self,
+        state: NodeState,
+        watches: list[TableWatch],
+        block_rows: BlockRows | None = None,
+    ):
         self._state = state
         self._boot = int(time.time() * 1000)
         self._sequence = 0
@@ -72,6 +80,9 @@
         self._datagrams = DatagramServer(address, self._receive)
         self._copies = TableCopies(state, watches, self._send)
         self._limits = LimitExchange(state, self._boot, self._send, self._send_to)
+        self._parts = PartExchange(
+            state, block_rows, self._boot, self._send, self._send_to
+        )
 
     @property
     def boot(self) -> int:
@@ -83,6 +94,7 @@
         self._datagrams.start()
         self._copies.start()
         self._limits.start()
+        self._parts.start()
         self._state.timers.subscribe(
             "peers.tell", SEND_INTERVAL_SECONDS, self.send_state
         )
@@ -107,6 +119,7 @@
         known = {member.node_id for member in state.members.all()}
         self._rotation.forget(known)
         state.prefill_estimator.keep_peers(known)
+        self._parts.forget(known)
         self._copies.catch_up(now)
 
     def broadcast_state(self) -> None:
@@ -194,6 +207,11 @@
         """Return the sum of the prompt tokens that peers counted for a service."""
         return sum(counts.get(service, 0) for counts in self._prompt_tokens.values())
 
+    def _versions(self) -> dict[str, int]:
+        versions = self._copies.versions()
+        digest = self._state.part_guard.blocks.digest()
+        return {**versions, DIGEST_NAME: digest} if digest else versions
+
     def _own_state(self, now: float) -> PeerState:
         state, settings = self._state, self._state.settings
         sent_since = now - PLACEMENT_SEND_COUNT * self._round_seconds()
@@ -213,7 +231,7 @@
             store_failing=state.store_failing,
             request_rate=round(state.requests.per_second(now), 2),
             fence=state.fence,
-            versions=self._copies.versions(),
+            versions=self._versions(),
             spent=state.limits.spent(now),
             usage=state.usage.own(),
             loads=self._own_loads(now),
@@ -233,7 +251,7 @@
 
     def _receive(self, data: bytes, address: tuple[str, int]) -> None:
         try:
-            message = decode_datagram(data)
+            message = decode_datagram(data, self._state.timers.now())
         except ValueError as exc:
             log.warning(
                 "malformed datagram ignored",
@@ -247,9 +265,13 @@
             return
         if not self._is_from_known_address(message, address[0]):
             return
+        self._parts.note_contact()
         if isinstance(message, PeerLimits):
             self._limits.receive(message, address)
             return
+        if isinstance(message, PeerParts):
+            self._parts.receive(message, address)
+            return
         peer = (message.node_id, message.boot)
         if message.sequence <= self._last_sequence.get(peer, 0):
             return
@@ -265,7 +287,7 @@
             self._apply_state(peer, message, address[0])
 
     def _is_from_known_address(
-        self, message: PeerState | PeerLoads | PeerLimits, ip: str
+        self, message: PeerState | PeerLoads | PeerLimits | PeerParts, ip: str
     ) -> bool:
         """Return True unless the sender's process is known by another address.
 
@@ -306,6 +328,7 @@
         )
         if state.members.put(member):
             self._limits.inform(member)
+        self._parts.compare(member, message.versions.get(DIGEST_NAME, 0))
         self._apply_spending(peer, message, now)
         self._prompt_tokens[peer] = message.prompt_tokens
         state.prefill_estimator.update_from_peer(message.node_id, message.prefill_seen)
--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -13,6 +13,7 @@
 from rattanwick.internal.gateway.limit_messages import PeerLimits, limits_from_fields
 from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.node_state import Placement
+from rattanwick.internal.gateway.part_messages import PeerParts, parts_from_fields
 from rattanwick.internal.gateway.shapes import Shape, matches
 from rattanwick.internal.gateway.table_watch import TableChanges
 from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
@@ -30,6 +31,7 @@
     LOADS = 2
     CHANGES = 3
     LIMITS = 4
+    PARTS = 5
 
 
 LOAD_SHAPE = (int, int, int, int)
@@ -108,7 +110,8 @@
     request_rate: float  # callers' requests per second
     store_failing: bool  # its calls to the store fail
     fence: int  # fencing token of the leader; 0 if the node is not the leader
-    versions: dict[str, int]  # by table, of the newest known change
+    # By table, of the newest known change; also the digest of the blocked parts.
+    versions: dict[str, int]
     spent: dict[str, list[float]]  # by organisation: spent, level of the bucket
     usage: dict[int, dict[str, int]]  # by window and organisation, requests
     loads: Loads
@@ -186,6 +189,22 @@
     return packb([PROTOCOL_VERSION, DatagramKind.LIMITS, *fields])
 
 
+def encode_parts(node_id: str, boot: int, message: PeerParts, now: float) -> bytes:
+    """Return the datagram that holds crashes, answers and blocks.
+
+    ``now`` is in monotonic seconds, from which the message's times are counted.
+    """
+    fields = [node_id, boot, message.to_fields(now)]
+    return packb([PROTOCOL_VERSION, DatagramKind.PARTS, *fields])
+
+
+def _decode_parts(node_id: str, boot: int, fields: list, now: float) -> PeerParts:
+    for name, value in (("node_id", node_id), ("boot", boot)):
+        if not matches(value, FIELD_SHAPES[name]):
+            raise ValueError(f"datagram: {name} has the wrong shape")
+    return replace(parts_from_fields(fields, now), node_id=node_id, boot=boot)
+
+
 def _decode_limits(node_id: str, boot: int, fields: list) -> PeerLimits:
     for name, value in (("node_id", node_id), ("boot", boot)):
         if not matches(value, FIELD_SHAPES[name]):
@@ -202,9 +221,12 @@
 
 
 def decode_datagram(
-    data: bytes,
-) -> PeerState | PeerLoads | PeerLimits | tuple[str, TableChanges]:
-    """Return the message in a datagram; raise ValueError if it is malformed."""
+    data: bytes, now: float = 0.0
+) -> PeerState | PeerLoads | PeerLimits | PeerParts | tuple[str, TableChanges]:
+    """Return the message in a datagram; raise ValueError if it is malformed.
+
+    ``now`` is in monotonic seconds, from which ages in the message are counted.
+    """
     try:
         version, kind, *fields = unpackb(data, strict_map_key=False)
         if version != PROTOCOL_VERSION:
@@ -215,6 +237,8 @@
             return _decode_changes(*fields)
         if kind == DatagramKind.LIMITS:
             return _decode_limits(*fields)
+        if kind == DatagramKind.PARTS:
+            return _decode_parts(*fields, now)
         if kind != DatagramKind.STATE:
             raise ValueError(f"unknown datagram kind {kind!r}")
         return _check_shapes(PeerState(*fields))
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -10,6 +10,9 @@
     ResponseWriter,
 )
 from rattanwick.internal.gateway.attempts import Attempt
+from rattanwick.internal.gateway.blocked_parts import Block
+from rattanwick.internal.gateway.crash_check import CrashChecks
+from rattanwick.internal.gateway.crash_evidence import shared_parts
 from rattanwick.internal.gateway.crash_guard import call_fingerprint
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import (
@@ -45,6 +48,9 @@
 MAX_MISDIRECTED_ATTEMPTS = 2  # attempts that reached a reused address (status 421)
 ROUTE_PRIORITY_LEVELS = 3  # route priorities within each organisation priority
 MAX_URGENCY = 9
+# Of a request whose prompt is blocked. It will crash endpoints whenever it is sent, and
+# callers do not repeat a request after this status.
+BLOCKED_STATUS = 400
 
 
 class Relay:
@@ -54,6 +60,7 @@
         self._state = state
         self._codec = codec
         self._placement = RequestPlacement(state)
+        self._crash_checks = CrashChecks(state)
 
     def serve(self, call: Call, response: ResponseWriter) -> bool:
         """Answer a request and return whether its connection may carry another one.
@@ -96,6 +103,10 @@
         request_fingerprint = call_fingerprint(name, call)
         if self._state.crash_guard.is_blocked(request_fingerprint, now):
             return self._refuse(call, response, 503, "crashes_endpoints", None, cfg)
+        parts = shared_parts(call.prompt)
+        block, trial = self._find_block(name, parts)
+        if block is not None:
+            return self._refuse_blocked(call, response, block, cfg)
         cost = cost_of(org, call) if org else 0.0
         if org is not None:
             wait = self._state.limits.admit(name, cost, now)
@@ -113,6 +124,8 @@
             deadline=call.arrived + timeout,
             urgency=_urgency(route, org),
             fingerprint=request_fingerprint,
+            parts=parts,
+            trial=trial,
             configuration_version=cfg.version,
             last_event_id=call.last_event_id if route.resumable else "",
         )
@@ -128,20 +141,56 @@
                 self._state.limits.refund(name, cost)
         return True
 
+    def _find_block(
+        self, organisation: str, parts: tuple[str, ...]
+    ) -> tuple[Block | None, str]:
+        """Return the block that refuses a new request, and the block it is a trial of.
+
+        The latter is an id, empty if the request is none.
+        """
+        guard = self._state.part_guard
+        if parts:
+            guard.wait_until_current()
+        block = guard.find_block(organisation, parts)
+        if block is None:
+            return None, ""
+        if guard.take_trial(block):
+            return None, block.id
+        guard.note_refusal(block)
+        return block, ""
+
+    def _refuse_blocked(
+        self, call: Call, response: ResponseWriter, block: Block, cfg: Configuration
+    ) -> bool:
+        log.info(
+            "prompt holds parts that crash endpoints",
+            extra={"request": call.id, **_describe_block(self._state, block)},
+        )
+        return self._refuse(call, response, BLOCKED_STATUS, "blocked_part", None, cfg)
+
     def _run(self, request: ActiveRequest, response: ResponseWriter) -> None:
         """Send a request to endpoints, one after the other, until it is answered."""
+        guard = self._state.part_guard
         while True:
+            block = guard.find_block(request.organisation_name, request.parts)
+            if block is not None and block.id != request.trial:
+                self._end_blocked(request, response, block)
+                return
             placed = self._placement.place(request)
             if isinstance(placed, NotPlaced):
                 self._end_unplaced(request, response, placed)
                 return
             request.placed, request.failed_answer = placed, None
-            outcome = Attempt(self._state, self._codec, request, response).run()
+            outcome = Attempt(
+                self._state, self._codec, request, response, self._crash_checks
+            ).run()
             match outcome:
                 case Answered(status):
                     self._state.crash_guard.note_answer(
                         request.fingerprint, self._state.timers.now()
                     )
+                    if status < 300:
+                        guard.note_answer(request.parts)
                     self._log_end(request, f"answered_{status}", response)
                     return
                 case NotRun():
@@ -184,6 +233,8 @@
         """Return whether a request may be sent again, and count the retry if so."""
         if not request.can_retry():
             return False
+        # The crash may be the one that tells what to refuse.
+        self._crash_checks.wait(request.placed.view.endpoint.id)
         if request.deadline - self._state.timers.now() < MIN_TIME_LEFT_SECONDS:
             return False
         return self._spend_retry(request)
@@ -206,6 +257,18 @@
             return
         self._end_not_run(request, response, str(placed.reason), placed.retry_after)
 
+    def _end_blocked(
+        self, request: ActiveRequest, response: ResponseWriter, block: Block
+    ) -> None:
+        log.info(
+            "prompt holds parts that crash endpoints",
+            extra={"request": request.call.id, **_describe_block(self._state, block)},
+        )
+        if response.started:
+            self._abort_stream(request, response, "blocked_part")
+        self._send_refusal(request.call, response, BLOCKED_STATUS, "blocked_part", None)
+        self._log_end(request, "refused: blocked_part", response)
+
     def _end_not_run(
         self,
         request: ActiveRequest,
@@ -326,6 +389,18 @@
         response.send_complete(status, headers, body)
 
 
+def _describe_block(state: NodeState, block: Block) -> dict:
+    """Return the fields of a log line that tell why a block is in force."""
+    return {
+        "block": block.id,
+        "prompt_parts": sorted(block.parts),
+        "crashes": block.crashes,
+        "endpoints": block.endpoints,
+        "nodes": block.nodes,
+        "age_s": round(state.timers.now() - block.made_at, 2),
+    }
+
+
 def _urgency(route: Route, org: Organisation | None) -> int:
     """Return the urgency of a request at endpoints; 0 is served first.
 
--- a/tests/scenario/test_gateway_deadly_parts.py
+++ b/tests/scenario/test_gateway_crashing_parts.py
@@ -29,7 +29,7 @@
 FIRST_PART, DEADLY_PART = "f1:40", "d3"
 
 
-class DeadlyPartTests(unittest.TestCase):
+class CrashingPartTests(unittest.TestCase):
     """Guard against endpoints crashed one after the other by a part of prompts.
 
     No two requests with the part are alike, and each node sees few of the crashes.
