Rank suspects by earlier answers, and bound the evidence in virtual time

`make parts-lab` runs the guards of 3 to 390 nodes unchanged in virtual time, before endpoints that crash on parts or for no reason, beside a baseline without the guard and one that knows the parts. A part that had been answered before now also needs 2.5 s without an answer, a node that has just started takes all parts for known, crashes without the part raise the number of rounds, and a stream that has run for a second counts as answered.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: capacity check-dist ci clean demo dist environment format gateway-incident \
-	incident lab limits-lab lint prove soak test
+	incident lab limits-lab lint parts-lab prove soak test
 
 environment: $(STAMP)
 
@@ -65,6 +65,10 @@
 limits-lab: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.limits_lab
 
+# Simulates nodes before endpoints that crash on a part of prompts, in some minutes.
+parts-lab: $(STAMP)
+	PYTHONPATH=src:. $(BIN)/python -m bench.parts_lab
+
 # About 12 minutes; starts up to 50 processes on loopback.
 capacity: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.capacity
--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -59,6 +59,7 @@
         self.deadly_parts: set[str] = set()  # ids of prompt parts
         self.deadly_events = 0  # events of a stream before the crash
         self.crash_seconds = 1.0
+        self.crash_resets = True  # whether a crash resets connections or closes them
         # Time of each crash by a deadly part, in monotonic seconds, and the request.
         self.crashes: list[tuple[float, str]] = []
         self._serving: dict[gevent.Greenlet, socket.socket] = {}
@@ -84,7 +85,8 @@
         address = self._server.address
         self._server.close()
         for task, sock in list(self._serving.items()):
-            prepare_reset(sock)
+            if self.crash_resets:
+                prepare_reset(sock)
             if task is not gevent.getcurrent():
                 task.kill(block=False)
         gevent.spawn_later(self.crash_seconds, self._restart, address)
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -26,6 +26,7 @@
     NotRun,
     Outcome,
 )
+from rattanwick.internal.gateway.part_guard import SOUND_STREAM_SECONDS
 from rattanwick.internal.gateway.stream_events import EventSplitter
 
 log = get_logger("attempts")
@@ -71,6 +72,8 @@
         self._keep_alive: float | None = None  # seconds, as stated by the endpoint
         self._began = False  # the endpoint has begun to run the request
         self._sent_at = 0.0  # monotonic seconds
+        self._began_at = 0.0  # first event of a stream, in monotonic seconds
+        self._is_sound = False  # the stream has run for SOUND_STREAM_SECONDS
         # Whether the endpoint had responded recently when the request was sent.
         self._responded_before = False
         self._may_have_run_before = request.may_have_run
@@ -318,7 +321,11 @@
             )
         request.last_event_at = now
         if not self._began:
+            self._began_at = now
             self._note_first_event()
+        elif not self._is_sound and now - self._began_at >= SOUND_STREAM_SECONDS:
+            self._is_sound = True
+            self._state.part_guard.note_answer(request.parts)
 
     def _note_first_event(self) -> None:
         self._note_began()
@@ -402,7 +409,11 @@
             self._view.last_response_at = None
             if not endpoint.leaving:
                 attempt = LostAttempt(
-                    self._request, self._sent_at, self._now(), self._responded_before
+                    self._request,
+                    self._sent_at,
+                    self._now(),
+                    self._responded_before,
+                    self._is_sound,
                 )
                 self._crash_checks.start(self._view, attempt)
 
--- a/src/rattanwick/internal/gateway/blocked_part_rows.py
+++ b/src/rattanwick/internal/gateway/blocked_part_rows.py
@@ -17,7 +17,7 @@
 MAX_UNSAVED_SECONDS = 3.0
 # Time from a block, or from its last trial, to the next one. A trial of a part that
 # does crash endpoints costs one of them, so there are few.
-TRIAL_DELAYS_SECONDS = (60.0, 300.0)
+TRIAL_DELAYS_SECONDS = (30.0, 300.0)
 MAX_SAVE_ATTEMPTS = 3  # against conflicting writes, until the next interval
 # Parts, organisations, crashes, endpoints, nodes, times made and used in Unix seconds,
 # trials.
--- a/src/rattanwick/internal/gateway/blocked_parts.py
+++ b/src/rattanwick/internal/gateway/blocked_parts.py
@@ -120,6 +120,13 @@
                 return block
             generation += 1
 
+    def find_within(self, culprit: Culprit) -> Block | None:
+        """Return a block that refuses all requests with a culprit's parts, or None."""
+        for block in self._blocks.values():
+            if all(block.covers(o, culprit.parts) for o in culprit.organisations):
+                return block
+        return None
+
     def put(self, block: Block, now: float) -> Block | None:
         """Add a block or merge it with the known copy; return it if that changed it."""
         if now - block.used_at >= BLOCK_RETENTION_SECONDS:
--- a/src/rattanwick/internal/gateway/crash_check.py
+++ b/src/rattanwick/internal/gateway/crash_check.py
@@ -34,6 +34,7 @@
     # Whether the endpoint had responded recently. If not, it may have been down
     # already, behind a proxy that accepts connections for it.
     responded_before: bool
+    is_sound: bool  # a stream that had run for long enough to be no cause
 
 
 @dataclass(slots=True)
@@ -100,6 +101,7 @@
                     attempt.sent_at,
                 )
                 for attempt in check.attempts
+                if not attempt.is_sound
             ]
             lost_at = min(attempt.lost_at for attempt in check.attempts)
             state.part_guard.note_crash(endpoint.id, lost_at, lost)
--- a/src/rattanwick/internal/gateway/crash_evidence.py
+++ b/src/rattanwick/internal/gateway/crash_evidence.py
@@ -15,7 +15,16 @@
 # round before. Endpoints that fail together end many requests with the same part, but
 # all of these had been sent before.
 MIN_ROUNDS = 3
-MIN_ROUNDS_IF_ANSWERED = 5  # of a part that was in answered requests before
+# Needed for a part that was in answered requests before, and for any part while
+# endpoints crash without it: a part that is seldom used may be lost in several crashes
+# that it did not cause.
+MAX_ROUNDS = 5
+# Time without an answer after which a part that was answered before can be a culprit.
+# Requests in progress take about a second, so several endpoints may fail before one of
+# them is answered.
+MIN_SILENCE_SECONDS = 2.5
+# A node that started later does not know which parts were answered before.
+LEARNING_SECONDS = 10.0
 # Parts that were in the same crashes, but in other requests, are told apart by further
 # crashes, up to this number.
 MAX_AMBIGUOUS_CRASHES = 5
@@ -65,7 +74,9 @@
 class CrashEvidence:
     """Recent crashes, and the answers since to requests with the same parts."""
 
-    def __init__(self):
+    def __init__(self, started_at: float):
+        """``started_at`` is the start of the process, in monotonic seconds."""
+        self._started_at = started_at
         self._crashes: list[Crash] = []
         # Last crash and last answer of each part of the recent crashes, in monotonic
         # seconds.
@@ -139,17 +150,21 @@
             for crash in self._crashes
             if not any(is_explained(request) for request in crash.requests)
         ]
+        if not any(node_id in crash.nodes for crash in crashes):
+            return []
         culprits = []
-        while suspects := self._find_suspects(crashes):
-            best = max(sorted(suspects), key=lambda part: len(suspects[part]))
+        while suspects := self._find_suspects(crashes, now):
+            best = min(suspects, key=lambda part: self._rank(part, suspects[part]))
             found = suspects[best]
-            culprit = _name_culprit(best, suspects)
+            culprit = self._name_culprit(best, suspects)
             if culprit is not None and any(node_id in crash.nodes for crash in found):
                 culprits.append(culprit)
             crashes = [crash for crash in crashes if crash not in found]
         return culprits
 
-    def _find_suspects(self, crashes: list[Crash]) -> dict[str, list[Crash]]:
+    def _find_suspects(
+        self, crashes: list[Crash], now: float
+    ) -> dict[str, list[Crash]]:
         """Return the parts that were in enough of the crashes, with these crashes."""
         by_part: dict[str, list[Crash]] = defaultdict(list)
         for crash in crashes:
@@ -160,16 +175,74 @@
             part: found
             for part, found in by_part.items()
             if len(found) >= MIN_ROUNDS
-            and _count_rounds(part, found) >= self._min_rounds(part, found[0].at)
+            and _count_rounds(part, found) >= self._min_rounds(part, found, crashes)
+            and self._is_silent(part, found, now)
         }
 
-    def _min_rounds(self, part: str, before: float) -> int:
-        # A part that is answered after the first crash is cleared, so an entry of the
-        # history is older than the crashes.
-        known = part in self._history and before - self._history[part] < (
-            RETENTION_SECONDS
-        )
-        return MIN_ROUNDS_IF_ANSWERED if known else MIN_ROUNDS
+    def _min_rounds(self, part: str, found: list[Crash], crashes: list[Crash]) -> int:
+        """Return the rounds that show a part to be a culprit.
+
+        ``found`` are the crashes that it was in, among all ``crashes``.
+        """
+        first, last = found[0].at, found[-1].at
+        if self._was_answered(part, first):
+            return MAX_ROUNDS
+        others = sum(first < crash.at < last for crash in crashes) - (len(found) - 2)
+        return min(MIN_ROUNDS + max(others, 0), MAX_ROUNDS)
+
+    def _was_answered(self, part: str, before: float) -> bool:
+        """Return whether a part was answered before a time, as far as is known."""
+        if before - self._started_at < LEARNING_SECONDS:
+            return True
+        answered_at = self._history.get(part)
+        return answered_at is not None and before - answered_at < RETENTION_SECONDS
+
+    def _is_silent(self, part: str, found: list[Crash], now: float) -> bool:
+        """Return whether there was time enough for an answer that clears a part."""
+        if not self._was_answered(part, found[0].at):
+            return True
+        answered_at = self._answered_at.get(part, self._history.get(part, 0.0))
+        return now - max(answered_at, self._started_at) >= MIN_SILENCE_SECONDS
+
+    def _rank(self, part: str, found: list[Crash]) -> tuple[bool, int, int, str]:
+        """Return a key that is lowest for the part that is the likeliest culprit.
+
+        A culprit is in one or few of the requests of each crash, a part that is used
+        much in many of them.
+        """
+        known = self._was_answered(part, found[0].at)
+        return known, -len(found), _count_requests(part, found), part
+
+    def _name_culprit(
+        self, best: str, suspects: dict[str, list[Crash]]
+    ) -> Culprit | None:
+        """Return ``best`` and the parts that cannot be told from it.
+
+        Returns None if another part is as likely.
+        """
+        found = suspects[best]
+        # Every crash has a request that holds both parts.
+        inseparable = {
+            part
+            for part, others in suspects.items()
+            if others == found
+            and all(_in_one_request(crash, best, part) for crash in found)
+        }
+        rank = self._rank(best, found)[:3]
+        rivals = {
+            part
+            for part, others in suspects.items()
+            if others == found and self._rank(part, others)[:3] == rank
+        }
+        if not rivals <= inseparable and len(found) < MAX_AMBIGUOUS_CRASHES:
+            return None
+        organisations = {
+            request.organisation
+            for crash in found
+            for request in crash.requests
+            if best in request.parts
+        }
+        return Culprit(frozenset(inseparable), frozenset(organisations), tuple(found))
 
     def _find(self, endpoint_id: str, at: float) -> Crash | None:
         for crash in reversed(self._crashes):
@@ -203,25 +276,8 @@
                 del times[part]
 
 
-def _name_culprit(best: str, suspects: dict[str, list[Crash]]) -> Culprit | None:
-    """Return ``best`` with the parts that cannot be told from it; None if unclear."""
-    found = suspects[best]
-    rivals = [part for part in suspects if suspects[part] == found]
-    # Every crash has a request that holds both parts.
-    inseparable = {
-        part
-        for part in rivals
-        if all(_in_one_request(crash, best, part) for crash in found)
-    }
-    if len(inseparable) < len(rivals) and len(found) < MAX_AMBIGUOUS_CRASHES:
-        return None
-    organisations = {
-        request.organisation
-        for crash in found
-        for request in crash.requests
-        if best in request.parts
-    }
-    return Culprit(frozenset(inseparable), frozenset(organisations), tuple(found))
+def _count_requests(part: str, crashes: list[Crash]) -> int:
+    return sum(part in request.parts for crash in crashes for request in crash.requests)
 
 
 def _count_rounds(part: str, crashes: list[Crash]) -> int:
--- a/src/rattanwick/internal/gateway/part_exchange.py
+++ b/src/rattanwick/internal/gateway/part_exchange.py
@@ -28,8 +28,10 @@
 SYNC_REPLY_SECONDS = 0.2  # wait for a reply before the next try
 READ_INTERVAL_SECONDS = 1.0  # between two tries to read the store
 SYNC_MEMBERS = 3  # asked for their blocks at a time
-# A node is ready without the blocks if neither store nor peers have sent them by then.
-MAX_START_WAIT_SECONDS = 4.0
+# A node goes on with the blocks that it knows if neither the store nor a member replies
+# for this time, after a gap and after its start.
+MAX_SYNC_SECONDS = 1.0
+MAX_START_SYNC_SECONDS = 4.0
 
 
 class PartExchange:
@@ -71,7 +73,6 @@
             self._guard.synchronised.set()
         else:
             self._sync_needed.set()
-            self._state.timers.after(MAX_START_WAIT_SECONDS, self._give_up_waiting)
 
     def is_current(self) -> bool:
         """Return whether this node knows all blocks, and ask for them if not.
@@ -131,16 +132,29 @@
         """Read the store and ask members until one of them has sent the blocks."""
         while True:
             self._sync_needed.wait()
-            self._query += 1
-            message = self._encode(PeerParts(query=self._query))
-            members = self._state.members.all()
-            count = min(SYNC_MEMBERS, len(members))
-            self._send(message, self._random.sample(members, count))
-            now = self._state.timers.now()
-            if self._rows is not None and now >= self._next_read_at:
-                self._next_read_at = float("inf")
-                gevent.spawn(self._read_rows)
-            self._guard.synchronised.wait(SYNC_REPLY_SECONDS)
+            loaded = self._guard.loaded
+            longest = MAX_SYNC_SECONDS if loaded else MAX_START_SYNC_SECONDS
+            deadline = self._state.timers.now() + longest
+            while not self._synchronised:
+                try:
+                    self._ask()
+                except Exception:
+                    log.exception("blocks not asked for")
+                self._guard.synchronised.wait(SYNC_REPLY_SECONDS)
+                if self._state.timers.now() >= deadline:
+                    self._end_sync("nobody replied")
+
+    def _ask(self) -> None:
+        """Ask some members for their blocks, and read the store if it is time."""
+        self._query += 1
+        message = self._encode(PeerParts(query=self._query))
+        members = self._state.members.all()
+        count = min(SYNC_MEMBERS, len(members))
+        self._send(message, self._random.sample(members, count))
+        now = self._state.timers.now()
+        if self._rows is not None and now >= self._next_read_at:
+            self._next_read_at = float("inf")
+            gevent.spawn(self._read_rows)
 
     def _read_rows(self) -> None:
         if self._rows.load():
@@ -160,11 +174,6 @@
             extra={"source": source, "blocks": len(self._guard.blocks.all())},
         )
 
-    def _give_up_waiting(self) -> None:
-        if not self._guard.loaded:
-            log.warning("ready without blocks: neither the store nor a member replied")
-            self._guard.loaded = True
-
     def _block_messages(self) -> list[PeerParts]:
         """Return messages that hold all blocks; one without any if there are none."""
         blocks = self._guard.blocks.all()
--- a/src/rattanwick/internal/gateway/part_guard.py
+++ b/src/rattanwick/internal/gateway/part_guard.py
@@ -31,6 +31,9 @@
     "blocked_parts", "Blocks in force of prompt parts that crash endpoints"
 )
 
+# A request that crashes endpoints does so when its answer begins. A stream that has run
+# for this long did not, and counts as answered.
+SOUND_STREAM_SECONDS = 1.0
 # Refusals extend a block. Peers and the store are told at most this often.
 USE_REPORT_SECONDS = 60.0
 # A request waits at most this long while the node learns what it missed in a pause.
@@ -43,7 +46,7 @@
     def __init__(self, node_id: str, timers: TimerService):
         self._node_id = node_id
         self._timers = timers
-        self._evidence = CrashEvidence()
+        self._evidence = CrashEvidence(timers.now())
         self.blocks = BlockedParts()
         # Sends a message to all members, and says whether the blocks are up to date.
         # Both are set by whoever exchanges messages.
@@ -93,7 +96,10 @@
         self._open_trials.add(block.id)
 
     def note_answer(self, parts: tuple[str, ...]) -> None:
-        """Count a complete answer to a request, and tell members what it clears."""
+        """Count an answer to a request, and tell members what it clears.
+
+        The answer is complete, or a stream that has run for SOUND_STREAM_SECONDS.
+        """
         if not parts:
             return
         now = self._timers.now()
@@ -193,6 +199,8 @@
         for culprit in self._evidence.find_culprits(
             now, self._node_id, self._is_explained
         ):
+            if self.blocks.find_within(culprit) is not None:
+                continue
             block = self.blocks.make(culprit, now)
             known = self.blocks.get(block.id) is not None
             changed = self.blocks.put(block, now)
