--- a/src/rattanwick/internal/gateway/autoscaler.py
+++ b/src/rattanwick/internal/gateway/autoscaler.py
@@ -180,12 +180,14 @@
                 return
 
     def _count_live(self, service: str) -> list[ClassCount]:
+        """Return how many endpoints serve, or will serve again after a crash."""
+        views = self._state.endpoints.of_service(service)
+        endpoints = [view.endpoint for view in views if not view.endpoint.leaving]
+        endpoints += self._state.endpoints.returning(service)
         live: dict[tuple[str, bool], int] = {}
-        for view in self._state.endpoints.of_service(service):
-            endpoint = view.endpoint
-            if not endpoint.leaving:
-                key = (endpoint.data_centre, endpoint.reclaimable)
-                live[key] = live.get(key, 0) + 1
+        for endpoint in endpoints:
+            key = (endpoint.data_centre, endpoint.reclaimable)
+            live[key] = live.get(key, 0) + 1
         return [ClassCount(*key, count) for key, count in live.items()]
 
     def _count_unusable(
--- a/src/rattanwick/internal/gateway/crash_check.py
+++ b/src/rattanwick/internal/gateway/crash_check.py
@@ -94,6 +94,7 @@
                 )
             _log_lost(attempt, endpoint.id, counted)
         if counted:
+            state.endpoints.note_crash(endpoint.id)
             lost = [
                 LostRequest(
                     attempt.request.organisation_name,
--- a/src/rattanwick/internal/gateway/crash_evidence.py
+++ b/src/rattanwick/internal/gateway/crash_evidence.py
@@ -23,8 +23,9 @@
 # Requests in progress take about a second, so several endpoints may fail before one of
 # them is answered.
 MIN_SILENCE_SECONDS = 2.5
-# A node that started later does not know which parts were answered before.
-LEARNING_SECONDS = 10.0
+# Answers after which a node knows the parts that are used much. Until then it takes all
+# parts for answered before.
+LEARNING_ANSWERS = 10
 # Parts that were in the same crashes, but in other requests, are told apart by further
 # crashes, up to this number.
 MAX_AMBIGUOUS_CRASHES = 5
@@ -74,9 +75,8 @@
 class CrashEvidence:
     """Recent crashes, and the answers since to requests with the same parts."""
 
-    def __init__(self, started_at: float):
-        """``started_at`` is the start of the process, in monotonic seconds."""
-        self._started_at = started_at
+    def __init__(self):
+        self._answers = 0  # that this node gave
         self._crashes: list[Crash] = []
         # Last crash and last answer of each part of the recent crashes, in monotonic
         # seconds.
@@ -114,6 +114,7 @@
 
     def note_answer(self, parts: tuple[str, ...], at: float) -> list[str]:
         """Count an answer to a request; return the parts that it clears of a crash."""
+        self._answers += 1
         cleared = []
         for part in parts:
             crashed_at = self._crashed_at.get(part)
@@ -192,7 +193,7 @@
 
     def _was_answered(self, part: str, before: float) -> bool:
         """Return whether a part was answered before a time, as far as is known."""
-        if before - self._started_at < LEARNING_SECONDS:
+        if self._answers < LEARNING_ANSWERS:
             return True
         answered_at = self._history.get(part)
         return answered_at is not None and before - answered_at < RETENTION_SECONDS
@@ -201,8 +202,9 @@
         """Return whether there was time enough for an answer that clears a part."""
         if not self._was_answered(part, found[0].at):
             return True
-        answered_at = self._answered_at.get(part, self._history.get(part, 0.0))
-        return now - max(answered_at, self._started_at) >= MIN_SILENCE_SECONDS
+        answered_at = self._answered_at.get(part, self._history.get(part))
+        since = found[0].at if answered_at is None else answered_at
+        return now - since >= MIN_SILENCE_SECONDS
 
     def _rank(self, part: str, found: list[Crash]) -> tuple[bool, int, int, str]:
         """Return a key that is lowest for the part that is the likeliest culprit.
--- a/src/rattanwick/internal/gateway/endpoint_directory.py
+++ b/src/rattanwick/internal/gateway/endpoint_directory.py
@@ -14,6 +14,8 @@
 LAPSED_RETENTION_SECONDS = 1.8
 # An entry removed within this time after a failed call to the store may have lapsed.
 STORE_FAILURE_SECONDS = 3.0
+# An endpoint that crashed starts again within this time, mostly under another id.
+RETURN_SECONDS = 5.0
 
 
 class EndpointDirectory:
@@ -25,6 +27,8 @@
         self._views: dict[str, EndpointView] = {}
         self._cfg: Configuration | None = None
         self._lapsed: set[str] = set()
+        # Endpoints that crashed, and when, in monotonic seconds.
+        self._crashed: dict[str, tuple[Endpoint, float]] = {}
         self.loaded = False  # whether the entries have been read
         self.version = 0  # newest version of an entry
         self.changed_at = 0.0  # monotonic seconds
@@ -49,6 +53,23 @@
         self._drop_lapsed()
         return list(self._views.values())
 
+    def note_crash(self, endpoint_id: str) -> None:
+        """Record that an endpoint has crashed and is expected to start again."""
+        view = self._views.get(endpoint_id)
+        if view is not None and not view.endpoint.leaving:
+            self._crashed[endpoint_id] = view.endpoint, self._timers.now()
+
+    def returning(self, service: str) -> list[Endpoint]:
+        """Return the endpoints that crashed a short time ago and have no entry now."""
+        limit = self._timers.now() - RETURN_SECONDS
+        for key in [key for key, (_, at) in self._crashed.items() if at < limit]:
+            del self._crashed[key]
+        return [
+            endpoint
+            for key, (endpoint, _) in self._crashed.items()
+            if key not in self._views and endpoint.service == service
+        ]
+
     def apply(
         self,
         rows: dict[str, StoredRow],
@@ -91,6 +112,7 @@
         else:
             view = EndpointView(endpoint, self._cache_capacity_tokens(endpoint))
             self._views[key] = view
+            self._end_return(endpoint)
         log.info(
             "entry",
             extra={
@@ -103,6 +125,16 @@
             },
         )
 
+    def _end_return(self, started: Endpoint) -> None:
+        """Take a new endpoint for the first one that crashed in its place."""
+        for key, (endpoint, _) in self._crashed.items():
+            if key == started.id or (
+                (endpoint.service, endpoint.data_centre, endpoint.reclaimable)
+                == (started.service, started.data_centre, started.reclaimable)
+            ):
+                del self._crashed[key]
+                return
+
     def _remove(self, key: str, now: float, may_have_lapsed: bool) -> None:
         view = self._views.get(key)
         if view is None:
--- a/src/rattanwick/internal/gateway/part_exchange.py
+++ b/src/rattanwick/internal/gateway/part_exchange.py
@@ -103,6 +103,8 @@
     def receive(self, message: PeerParts, address: tuple[str, int]) -> None:
         """Apply a peer's message, and reply if it asks for the blocks."""
         self._guard.receive(message)
+        for report in message.crashes:
+            self._state.endpoints.note_crash(report.endpoint_id)
         if message.query and self._synchronised:
             *others, last = self._block_messages()
             last.reply = message.query
--- a/src/rattanwick/internal/gateway/part_guard.py
+++ b/src/rattanwick/internal/gateway/part_guard.py
@@ -46,7 +46,7 @@
     def __init__(self, node_id: str, timers: TimerService):
         self._node_id = node_id
         self._timers = timers
-        self._evidence = CrashEvidence(timers.now())
+        self._evidence = CrashEvidence()
         self.blocks = BlockedParts()
         # Sends a message to all members, and says whether the blocks are up to date.
         # Both are set by whoever exchanges messages.
--- a/tests/failure/test_gateway_crashing_parts.py
+++ b/tests/failure/test_gateway_crashing_parts.py
@@ -3,7 +3,7 @@
 import gevent
 
 from rattanwick.internal.base.errors import ConnectionLost
-from rattanwick.internal.gateway.crash_evidence import LEARNING_SECONDS
+from rattanwick.internal.gateway.crash_evidence import LEARNING_ANSWERS
 from tests.gateway_case import Answer, RelayCase
 
 ENDPOINTS = 6
@@ -15,7 +15,8 @@
     def setUp(self):
         super().setUp()
         self.guard = self.state.part_guard
-        self.guard._evidence._started_at -= LEARNING_SECONDS
+        for number in range(LEARNING_ANSWERS):
+            self.guard.note_answer((f"old-{number}",))
         self.sent = 0
 
     def add_endpoints(self, service: str, deadly_events: int = 0) -> None:
--- a/tests/failure/test_gateway_leadership.py
+++ b/tests/failure/test_gateway_leadership.py
@@ -8,6 +8,7 @@
 from rattanwick.internal.base.errors import Conflict, TimedOut
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.gateway.autoscaler import Autoscaler
+from rattanwick.internal.gateway.endpoint_directory import RETURN_SECONDS
 from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder
 from rattanwick.internal.gateway.leadership import Leadership
 from rattanwick.internal.gateway.members import Member
@@ -284,6 +285,26 @@
         self.first.autoscaler.step()
         self.assertGreater(self.cloud.orders[0][0], before)
 
+    def test_an_endpoint_that_crashed_is_not_replaced_while_it_starts_again(self):
+        """Guard against orders for each endpoint that a request crashes."""
+        directory, autoscaler = self.first.state.endpoints, self.first.autoscaler
+        before = autoscaler._count_live("engine")
+        directory.note_crash("i-0")
+        directory._remove("i-0", self.timers.now(), may_have_lapsed=False)
+        self.assertCountEqual(autoscaler._count_live("engine"), before)
+        view = make_view("i-new", data_centre="a")
+        directory._views["i-new"] = view
+        directory._end_return(view.endpoint)
+        self.assertCountEqual(autoscaler._count_live("engine"), before)
+
+    def test_an_endpoint_that_does_not_come_back_is_replaced(self):
+        directory, autoscaler = self.first.state.endpoints, self.first.autoscaler
+        directory.note_crash("i-0")
+        directory._remove("i-0", self.timers.now(), may_have_lapsed=False)
+        self.timers.advance(RETURN_SECONDS + 0.1)
+        live = sum(count.live for count in autoscaler._count_live("engine"))
+        self.assertEqual(live, 8)
+
     def test_a_restarted_leader_orders_no_fewer_endpoints_than_are_serving(self):
         """A restarted leader knows no load yet and must not scale down for that."""
         settings = replace(self.first.state.settings, first_start=False)
--- a/tests/failure/test_gateway_part_exchange.py
+++ b/tests/failure/test_gateway_part_exchange.py
@@ -20,7 +20,7 @@
     BLOCK_RETENTION_SECONDS,
     Block,
 )
-from rattanwick.internal.gateway.crash_evidence import LostRequest
+from rattanwick.internal.gateway.crash_evidence import LEARNING_ANSWERS, LostRequest
 from rattanwick.internal.gateway.part_messages import PeerParts
 from rattanwick.internal.gateway.peer_exchange import PeerExchange
 from rattanwick.internal.gateway.peer_messages import decode_datagram, encode_parts
@@ -115,7 +115,8 @@
 
     def test_crashes_that_each_node_saw_once_block_the_part(self):
         for node in self.nodes:
-            node.guard._evidence._started_at -= 100.0
+            for number in range(LEARNING_ANSWERS):
+                node.guard.note_answer((f"old-{number}",))
         for number, node in enumerate(self.nodes):
             now = node.timers.now()
             request = LostRequest("org", ("x",), now - 0.01)
--- a/tests/unit/test_gateway_crash_evidence.py
+++ b/tests/unit/test_gateway_crash_evidence.py
@@ -13,6 +13,7 @@
     BlockedParts,
 )
 from rattanwick.internal.gateway.crash_evidence import (
+    LEARNING_ANSWERS,
     MAX_PARTS_PER_ORGANISATION,
     CrashEvidence,
     LostRequest,
@@ -46,7 +47,9 @@
     """Guard against blaming the wrong part, or blaming the right one too late."""
 
     def setUp(self):
-        self.evidence = CrashEvidence(0.0)
+        self.evidence = CrashEvidence()
+        for number in range(LEARNING_ANSWERS):
+            self.evidence.note_answer((f"old-{number}",), 0.0)
         self.count = 0
 
     def crash(self, at: float, *requests: LostRequest, node: str = "n1") -> None:
@@ -105,7 +108,7 @@
         self.assertEqual(self.culprits(START + 1), [])
 
     def test_a_node_that_has_just_started_takes_all_parts_for_known(self):
-        self.evidence = CrashEvidence(START - 1)
+        self.evidence = CrashEvidence()
         for number in range(3):
             at = START + number
             self.crash(at, lost("f", sent_at=at - 0.1))
@@ -230,7 +233,8 @@
         self.guard = PartGuard("n1", self.timers)
         self.sent: list[PeerParts] = []
         self.guard.broadcast = self.sent.append
-        self.timers.advance(20.0)
+        for number in range(LEARNING_ANSWERS):
+            self.guard.note_answer((f"old-{number}",))
 
     def crash_three_endpoints(self, *parts: str) -> None:
         for number in range(3):
