Let prompts crash endpoints in the soak

A caller sends streams with a part that crashes each endpoint, beside all other faults, and sound streams share its other parts. The check counts the requests with the part that endpoints got later than 3 s after the fifth crash, without those of nodes in an outage; sound requests must succeed after the recovery, so that a wrong block is found too. The proxies refuse connections during a crash, as an ended process does.

--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -67,6 +67,8 @@
         self.crash_resets = True  # whether a crash resets connections or closes them
         # Time of each crash by a deadly part, in monotonic seconds, and the request.
         self.crashes: list[tuple[float, str]] = []
+        # Called at the start and at the end of a crash.
+        self.on_crash = self.on_return = lambda: None
         self._serving: dict[gevent.Greenlet, socket.socket] = {}
         self._stopped = False
         self._server = StreamServer((host, 0), self._serve)
@@ -88,6 +90,7 @@
             return  # another request has just crashed the endpoint
         self.crashes.append((time.monotonic(), request_id))
         address = self._server.address
+        self.on_crash()
         self._server.close()
         for task, sock in list(self._serving.items()):
             if self.crash_resets:
@@ -100,6 +103,7 @@
         if not self._stopped:
             self._server = StreamServer(address, self._serve)
             self._server.start()
+            self.on_return()
 
     def _is_deadly(self, headers: dict) -> bool:
         prompt = headers.get("x-prompt-prefix", "")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,12 @@
 REQUEST_INTERVAL_SECONDS = 0.03  # between the requests of a caller
 # A caller waits no longer than this, even where Retry-After asks for more.
 MAX_RETRY_DELAY_SECONDS = 0.3
-REQUEST_KINDS = ("safe", "unsafe", "stream", "resume")
+STREAM_KINDS = ("stream", "resume")
+REQUEST_KINDS = ("safe", "unsafe", *STREAM_KINDS)
+EXTRA_PART_INTERVAL_SECONDS = (
+    0.15  # between requests with a part that crashes endpoints
+)
+GROUPS = 7  # parts that some of the prompts share
 
 
 @dataclass(slots=True)
@@ -47,7 +52,19 @@
 class Caller:
     """Caller that sends requests one after another and reuses its connection."""
 
-    def __init__(self, deployment: GatewayDeployment, number: int, seed: int):
+    def __init__(
+        self,
+        deployment: GatewayDeployment,
+        number: int,
+        seed: int,
+        extra_part: str = "",
+    ):
+        """``extra_part`` is a part that all prompts hold; then all are streams."""
+        self._extra_part = extra_part
+        self._kinds = STREAM_KINDS if extra_part else REQUEST_KINDS
+        self._interval = (
+            EXTRA_PART_INTERVAL_SECONDS if extra_part else (REQUEST_INTERVAL_SECONDS)
+        )
         self._deployment = deployment
         self._number = number
         self._random = random.Random(seed)
@@ -65,11 +82,11 @@
         while not self.stopping:
             self._refresh_addresses()
             if self._addresses:
-                result = self._send_request(self._random.choice(REQUEST_KINDS))
+                result = self._send_request(self._random.choice(self._kinds))
                 self.results.append(result)
                 delay = min(result.retry_after or 0.0, MAX_RETRY_DELAY_SECONDS)
                 gevent.sleep(delay)
-            gevent.sleep(REQUEST_INTERVAL_SECONDS)
+            gevent.sleep(self._interval)
         self._close_connection()
 
     def _refresh_addresses(self) -> None:
@@ -118,6 +135,8 @@
             ("X-Api-Key", KEY),
             ("X-Deadline-Ms", str(int(DEADLINE_SECONDS * 1000))),
         ]
+        if result.kind in STREAM_KINDS:
+            headers.append(("X-Prompt-Prefix", self._make_prompt(result.id)))
         body = b"" if method == "GET" else result.id.encode()
         if body:
             headers.append(("Content-Length", str(len(body))))
@@ -135,6 +154,10 @@
         else:
             self._http.start_next_cycle()
 
+    def _make_prompt(self, request_id: str) -> str:
+        parts = ["first", f"group-{self._sent_count % GROUPS}", self._extra_part]
+        return ",".join(f"{part}:10" for part in (*parts, request_id) if part)
+
     def _read_response(self, result: CallResult) -> None:
         while True:
             event = self._http.next_event()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,10 @@
 EXCESS_RATIO = 1.5
 EXCESS_REQUESTS = 5
 CONTACT_SECONDS = 3.0
+# Requests with a part that crashes endpoints may reach them so often after so many
+# crashes and the time of contact.
+CRASHES_BEFORE_BOUND = 5
+MAX_DEADLY_REQUESTS = 3
 MAX_RUNS = 2  # of a repeatable request; its routes allow two attempts
 CONFIGURATION_EVENT = "node: configuration"
 STARTED_EVENT = "node: started"
@@ -130,6 +134,38 @@
     return violations
 
 
+def check_deadly_requests(
+    crashes: list[float],
+    arrivals: list[tuple[float, str]],
+    nodes: dict[str, tuple[str, int] | None],
+    outages: list[NodeOutage],
+) -> list[str]:
+    """Return how many requests crashed endpoints after all nodes had to know better.
+
+    ``arrivals`` are times and ids of requests at endpoints, ``nodes`` the nodes that
+    the requests with the part were sent to, by id. Those of a node in an outage, or not
+    yet in contact again, are passed over.
+    """
+    crashes = sorted(crashes)
+    if len(crashes) < CRASHES_BEFORE_BOUND:
+        return []
+    bound = crashes[CRASHES_BEFORE_BOUND - 1] + CONTACT_SECONDS
+    late = [
+        request_id
+        for arrived, request_id in arrivals
+        if request_id in nodes
+        and arrived > bound
+        and not any(
+            nodes[request_id] == outage.node
+            and outage.started <= arrived < outage.ended + CONTACT_SECONDS
+            for outage in outages
+        )
+    ]
+    if len(late) <= MAX_DEADLY_REQUESTS:
+        return []
+    return [f"{len(late)} requests with a part that crashes endpoints: {late[:8]}"]
+
+
 def check_recovery(results: list[CallResult]) -> list[str]:
     """Return the requests that failed after the system had recovered."""
     return [
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -43,6 +43,8 @@
         self.cut_backward = False  # the same for data from the upstream
         self.refuses = False  # new connections are reset
         self._connections: set[_Connection] = set()
+        self._address: tuple[str, int] = ("", 0)  # while it does not listen
+        self._closed = False
         self._server = StreamServer((host, 0), self._serve)
         self._server.start()
 
@@ -80,8 +82,27 @@
             if connection.last_data_at < limit:
                 connection.expired = True
 
+    def stop_listening(self) -> None:
+        """Refuse new connections and reset the open ones, as an ended process does."""
+        if not self._server.closed:
+            self._address = self._server.address
+            self._server.close()
+        self.reset_all()
+
+    def listen_again(self) -> None:
+        """Accept connections again at the same address, unless it does already."""
+        if self._server.closed and not self._closed:
+            self._server = StreamServer(self._address, self._serve)
+            self._server.start()
+
+    @property
+    def is_faulty(self) -> bool:
+        """Return whether connections are delayed, cut or refused."""
+        return bool(self.delay or self.cut_forward or self.cut_backward or self.refuses)
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
+        self._closed = True
         self._server.stop(timeout=0.1)
         self.reset_all()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from soak.callers import Caller, CallResult
 from soak.checks import (
     check_answers,
+    check_deadly_requests,
     check_limits,
     check_log,
     check_recovery,
@@ -23,7 +24,7 @@
     MAX_FAULT_SECONDS,
     EndpointLimit,
 )
-from soak.system import SoakSystem
+from soak.system import DEADLY_PART, SoakSystem
 
 # The platform requires that the system recovers in this time after the last fault.
 MAX_RECOVERY_SECONDS = 15.0
@@ -85,6 +86,9 @@
             Caller(self._system.deployment, number, self._random.getrandbits(32))
             for number in range(size.callers)
         ]
+        self._deadly_caller = Caller(
+            self._system.deployment, size.callers, seed, DEADLY_PART
+        )
         self._started_at = 0.0
 
     def run(self) -> SoakReport:
@@ -92,7 +96,10 @@
         try:
             self._system.start()
             tasks = [gevent.spawn(caller.run) for caller in self._callers]
+            deadly = gevent.spawn(self._deadly_caller.run)
             self._inject_faults()
+            self._deadly_caller.stopping = True
+            gevent.joinall([deadly], raise_error=True)
             self._recover()
             recovered_at = time.monotonic()
             gevent.sleep(RECOVERED_LOAD_SECONDS)
@@ -159,7 +166,9 @@
 
     def _check(self, recovered_at: float) -> None:
         results: list[CallResult] = [
-            result for caller in self._callers for result in caller.results
+            result
+            for caller in (*self._callers, self._deadly_caller)
+            for result in caller.results
         ]
         system, report = self._system, self._report
         report.answers.update(result.status for result in results)
@@ -171,6 +180,12 @@
         ]
         report.failures += check_response_times(results, system.outages)
         report.failures += check_limits(system.limits, results, system.outages)
+        report.failures += check_deadly_requests(
+            system.deadly_crashes,
+            [item for e in system.started_endpoints for item in e.arrivals],
+            {result.id: result.node for result in self._deadly_caller.results},
+            system.outages,
+        )
         report.failures += check_recovery(
             [result for result in results if result.started >= recovered_at]
         )
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -13,6 +13,7 @@
     CONFIGURATION_EVENT,
     STARTED_EVENT,
     check_answers,
+    check_deadly_requests,
     check_limits,
     check_log,
     check_recovery,
@@ -162,3 +163,34 @@
 
     def test_a_malformed_limit_allows_everything(self):
         self.assertEqual(self.check(float("inf")), [])
+
+
+class DeadlyRequestCheckTests(unittest.TestCase):
+    """Guard against a soak that misses requests which crash endpoint after endpoint."""
+
+    CRASHES = [1.0, 2.0, 3.0, 4.0, 5.0]
+    NODES = {f"d-{number}": NODE for number in range(10)}
+
+    def check(self, count: int, at: float = 9.0, outages=()) -> list[str]:
+        """Return what the check finds if ``count`` requests arrive at a time."""
+        arrivals = [(at, f"d-{number}") for number in range(count)]
+        arrivals += [(at, "sound")] * 10
+        return check_deadly_requests(self.CRASHES, arrivals, self.NODES, list(outages))
+
+    def test_a_fourth_request_after_the_bound_is_found(self):
+        self.assertEqual(self.check(3), [])
+        self.assertEqual(len(self.check(4)), 1)
+
+    def test_requests_before_the_bound_and_after_few_crashes_are_passed_over(self):
+        self.assertEqual(self.check(10, at=7.9), [])
+        self.assertEqual(
+            check_deadly_requests(
+                self.CRASHES[:4], [(9.0, "d-1")] * 10, self.NODES, []
+            ),
+            [],
+        )
+
+    def test_requests_of_a_node_in_an_outage_are_passed_over(self):
+        self.assertEqual(self.check(10, outages=[NodeOutage(NODE, 5.0, 6.5)]), [])
+        other = NodeOutage(("127.0.0.9", 1), 5.0, 6.5)
+        self.assertEqual(len(self.check(10, outages=[other])), 1)
