Describe the blocks of prompt parts, and explain a refusal by its crashes

`rattanwick explain` of a refused prompt now shows the crashes that led to the block, on any node, with the requests that were lost.

--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -9,6 +9,8 @@
 RELATED_SECONDS = 10.0
 # Events of a node that may explain the end of any of its requests.
 NODE_MESSAGES = ("lost", "regained", "started", "stopping", "copy fetched")
+# Lines of any node that show a crash which led to the refusal of a prompt.
+CRASH_EVENT = "endpoint closed the connection of a request and accepts no new one"
 ENDPOINT_LOGGERS = ("endpoints:", "limits:")  # whose lines each concern one endpoint
 
 # Meaning of each outcome or reason, by its prefix.
@@ -100,6 +102,12 @@
     endpoints = {line.fields.get("endpoint") for line in request_lines} - {None}
     for line in request_lines:
         endpoints.update(line.fields.get("limited_endpoints") or ())
+    crashed = {
+        endpoint
+        for line in request_lines
+        if line.fields.get("block")
+        for endpoint in line.fields.get("endpoints") or ()
+    }
     blocks = {line.fields.get("block") for line in request_lines} - {None}
     versions = {line.fields.get("configuration") for line in request_lines} - {None}
     related_lines = [
@@ -127,6 +135,13 @@
             )
         )
     ]
+    related_lines += [
+        line
+        for line in lines
+        if line.event == CRASH_EVENT
+        and line.fields.get("endpoint") in crashed
+        and line.time <= end
+    ]
     related_lines.sort(key=lambda line: line.time)
     return Explanation(request_lines, related_lines, _find_cause(request_lines))
 
--- a/tests/unit/test_gateway_explanation.py
+++ b/tests/unit/test_gateway_explanation.py
@@ -51,6 +51,25 @@
         )
         self.assertIn("result is not known", found.cause)
 
+    def test_a_refused_prompt_shows_its_block_and_the_crashes(self):
+        crash = "attempts: endpoint closed the connection of a request"
+        crash += " and accepts no new one"
+        block = {"block": "b", "prompt_parts": ["x"], "endpoints": ["i-1", "i-2"]}
+        lines, _ = read_lines(
+            [
+                line(1.0, crash, node="n2", request="c", endpoint="i-1"),
+                line(2.0, crash, node="n3", request="d", endpoint="i-2"),
+                line(2.5, crash, node="n3", request="e", endpoint="i-9"),
+                line(2.6, "parts: blocked", **block),
+                line(2.7, "parts: blocked", block="other"),
+                line(9.0, "relay: prompt holds parts", request="r", **block),
+                line(9.0, "relay: refused", request="r", reason="blocked_part"),
+            ]
+        )
+        found = explain("r", lines)
+        self.assertEqual([item.time for item in found.related_lines], [1.0, 2.0, 2.6])
+        self.assertIn("crashed several endpoints", found.cause)
+
     def test_a_refusal_because_of_limits_shows_the_limit_of_each_endpoint(self):
         refused = line(
             9.0,
