Confirm no leadership that was released while the store was writing

The row is compared after each call to the store. The new test failed before in both ways (an error, and 1 instead of None).

--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -14,6 +14,9 @@
     "a node that was paused beyond a request's deadline while it connected to an"
     " endpoint closed the caller's connection without an answer"
 )
+RELEASED_WHILE_CONFIRMING = (
+    "a leader that was stopped while a confirmation had no answer logged an exception"
+)
 
 REGRESSIONS: dict[int, str] = {
     4: STOPPED_DURING_START,
@@ -22,6 +25,7 @@
     16: SAFE_READ_BLAMED,
     19: SAFE_READ_BLAMED,
     21: STOPPED_DURING_START,
+    23: RELEASED_WHILE_CONFIRMING,
     124: ENDPOINTS_DOWN_BEFORE,
     250: PAUSED_WHILE_CONNECTING,
 }
--- a/src/rattanwick/internal/gateway/leadership.py
+++ b/src/rattanwick/internal/gateway/leadership.py
@@ -184,7 +184,8 @@
                 LEADERSHIP_TABLE, LEADER_KEY, value, own_row.version
             )
         except Conflict:
-            self.step_down("another node is the leader")
+            if self._own_row is own_row:
+                self.step_down("another node is the leader")
             return None
         except MaybeApplied as exc:
             log.info("no answer to write of leader row", extra={"error": str(exc)})
@@ -195,6 +196,9 @@
             self._note_failure()
             return None
         self._failing_since = None
+        if self._own_row is not own_row:
+            # Leadership was released, or given up, while the store was writing.
+            return None
         self._own_row = Leader(own_row.node_id, own_row.boot, fence, version)
         self._confirmed_at = started
         self._state.fence = fence
@@ -216,7 +220,7 @@
             log.info("leader row not read", extra={"error": str(exc)})
             return
         own_row = self._own_row
-        if found is None:
+        if found is None or own_row is None:
             return
         if (found.node_id, found.boot) == (own_row.node_id, own_row.boot):
             # If the write takes effect only later, its condition fails.
--- a/tests/failure/test_gateway_leadership.py
+++ b/tests/failure/test_gateway_leadership.py
@@ -148,6 +148,33 @@
         self.assertTrue(self.first.leadership.is_leader)
         self.assertIsNotNone(self.first.leadership.confirm())
 
+    def test_a_leader_that_is_stopped_while_it_confirms_ends_without_an_error(self):
+        """Guard against leadership that is kept, or an error, after its release.
+
+        A stop releases leadership while a confirmation waits for the store.
+        """
+        for answer_lost in (False, True):
+            with self.subTest(answer_lost=answer_lost):
+                self.setUp()
+                self.acquire(self.first)
+                leadership = self.first.leadership
+                leadership._confirmed_at = -100.0
+                self.store.lose_answers = int(answer_lost)
+                name = "read" if answer_lost else "write"
+                call = getattr(self.store, name)
+
+                def release_and_call(*args, call=call, name=name):
+                    setattr(self.store, name, call)
+                    result = call(*args)
+                    self.first.state.leaving = True
+                    leadership.step()
+                    return result
+
+                setattr(self.store, name, release_and_call)
+                self.assertIsNone(leadership.confirm())
+                self.assertFalse(leadership.is_leader)
+                self.assertEqual(self.first.state.fence, 0)
+
     def test_an_unconfirmed_leader_is_replaced_before_its_lease_ends(self):
         self.acquire(self.first)
         self.first.leadership._confirmed_at = -100.0
