--- a/tests/failure/test_gateway_leadership.py
+++ b/tests/failure/test_gateway_leadership.py
@@ -163,7 +163,9 @@
                 name = "read" if answer_lost else "write"
                 call = getattr(self.store, name)
 
-                def release_and_call(*args, call=call, name=name):
+                def release_and_call(
+                    *args, call=call, name=name, leadership=leadership
+                ):
                     setattr(self.store, name, call)
                     result = call(*args)
                     self.first.state.leaving = True
