--- a/bench/parts_lab.py
+++ b/bench/parts_lab.py
@@ -16,6 +16,7 @@
 import sys
 from abc import ABC, abstractmethod
 from collections import defaultdict
+from copy import copy
 from dataclasses import dataclass, field
 
 from rattanwick.internal.base.timers import ManualTimerService
@@ -51,6 +52,7 @@
     innocent_crashes: float = 0.0  # per second
     loss: float = 0.01  # of datagrams
     attempts: int = 1
+    restart_seconds: float = 0.0  # between the restarts of two nodes; 0 for none
     # Limits of the time to the first event and of the whole stream, in seconds.
     first_event: tuple[float, float] = (0.05, 0.4)
     duration: tuple[float, float] = (0.3, 1.5)
@@ -128,6 +130,8 @@
         self.scenario = scenario
         self.policy = policy
         self.random = random.Random(seed)
+        # A generator of its own, so that all policies see the same requests.
+        self._network_random = random.Random(f"{seed} network")
         self.timers = ManualTimerService()
         self.guards: dict[str, PartGuard] = {}
         self.endpoints = [
@@ -156,11 +160,20 @@
         """Add a node, or start its process anew with the blocks of another one."""
         guard = PartGuard(node_id, self.timers)
         guard.broadcast = lambda message: self._broadcast(node_id, message)
-        for other in list(self.guards.values())[:1]:
-            for block in other.blocks.all():
-                guard.learn(block, "peer")
+        others = [g for name, g in self.guards.items() if name != node_id]
+        for block in others[0].blocks.all() if others else ():
+            guard.learn(copy(block), "peer")
         self.guards[node_id] = guard
 
+    def _restart_next(self, number: int, until: float) -> None:
+        """Start a node's process anew, and the next one after a while."""
+        if self.now < until:
+            self.add_node(f"n{number % self.scenario.nodes}")
+            self._at(
+                self.now + self.scenario.restart_seconds,
+                lambda: self._restart_next(number + 1, until),
+            )
+
     def _broadcast(self, sender: str, message: PeerParts) -> None:
         data = encode_parts(sender, 1, message, self.now)
         for target in self.guards:
@@ -169,9 +182,9 @@
 
     def _send(self, target: str, data: bytes) -> None:
         self.bytes += len(data) + DATAGRAM_HEADER_BYTES
-        if self.random.random() < self.scenario.loss:
+        if self._network_random.random() < self.scenario.loss:
             return
-        delay = self.random.uniform(0.001, 0.008)
+        delay = self._network_random.uniform(0.001, 0.008)
         self._at(self.now + delay, lambda: self._receive(target, data))
 
     def _receive(self, target: str, data: bytes) -> None:
@@ -316,6 +329,8 @@
         end = self.now + seconds
         self._at(self.now, lambda: self._arrive(end))
         self._at(self.now + 1.0, lambda: self._crash_innocently(end))
+        if self.scenario.restart_seconds:
+            self._at(self.now, lambda: self._restart_next(0, end))
         while self._events and self._events[0][0] <= end + CONTACT_SECONDS:
             when, _, action = heapq.heappop(self._events)
             self.timers.advance(max(when - self.now, 0.0))
@@ -364,6 +379,7 @@
     Scenario(nodes=6, innocent_crashes=0.3),
     Scenario(nodes=6, innocent_crashes=1.0, deadly_share=0.0),
     Scenario(nodes=6, loss=0.2),
+    Scenario(nodes=6, restart_seconds=2.0),
     Scenario(nodes=63, endpoints=70, requests_per_second=300.0, deadly_share=0.01),
     Scenario(nodes=390, endpoints=100, requests_per_second=300.0, deadly_share=0.01),
 )
--- a/tests/unit/test_gateway_crash_evidence.py
+++ b/tests/unit/test_gateway_crash_evidence.py
@@ -322,6 +322,9 @@
     def test_lost_datagrams(self):
         self.check(Scenario(loss=0.2))
 
+    def test_nodes_that_restart_in_turn(self):
+        self.check(Scenario(restart_seconds=2.0))
+
     def test_63_nodes(self):
         self.check(
             Scenario(nodes=63, endpoints=70, requests_per_second=200.0), seconds=20.0
