Drop the oldest evidence of crashes, not the newest, beyond its bound

An organisation had 4,000 parts in all remembered crashes, and later ones were left out: some 30 innocent crashes in ten minutes, with 40 requests lost in each, would have hidden a culprit from then on, and so would a caller that lists many invented parts. Now 40,000 parts are kept for all, and beyond that the organisation with the most loses its oldest. Ids over 40 characters are replaced by a hash, so that two with a common beginning differ.

--- a/src/rattanwick/internal/gateway/crash_evidence.py
+++ b/src/rattanwick/internal/gateway/crash_evidence.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from rattanwick.internal.gateway.model import PromptPart
 
@@ -34,14 +35,22 @@
 # takes longer to start.
 SAME_CRASH_SECONDS = 1.0
 MAX_CRASHES = 128
-MAX_PARTS_PER_ORGANISATION = 4000  # in all crashes together
+# In all crashes together. A header holds some 1,500 parts, so a culprit that is hidden
+# among invented ones stays in the evidence for MAX_ROUNDS crashes and more.
+MAX_PARTS = 40_000
 MAX_ANSWERED_PARTS = 8000
-MAX_KEY_CHARACTERS = 40  # longer ids are cut; they only have to differ
+MAX_KEY_CHARACTERS = 40  # of a part's id; longer ones are replaced by a hash
 
 
 def shared_parts(prompt: tuple[PromptPart, ...]) -> tuple[str, ...]:
     """Return the ids of the parts that other prompts may hold; the last is its own."""
-    return tuple(part.id[:MAX_KEY_CHARACTERS] for part in prompt[:-1])
+    return tuple(_make_key(part.id) for part in prompt[:-1])
+
+
+def _make_key(part_id: str) -> str:
+    if len(part_id) <= MAX_KEY_CHARACTERS:
+        return part_id
+    return blake2b(part_id.encode(), digest_size=16).hexdigest()
 
 
 @dataclass(slots=True, frozen=True)
@@ -94,12 +103,13 @@
     ) -> Crash | None:
         """Add a node's report of a crash and return the crash, None if it is too old.
 
-        Requests beyond MAX_PARTS_PER_ORGANISATION are left out.
+        Beyond MAX_PARTS, the oldest evidence of the organisation with the most parts is
+        dropped, so that one organisation cannot push out that of another.
         """
         self._forget(at)
         if self._crashes and at < self._crashes[-1].at - RETENTION_SECONDS:
             return None
-        kept = self._within_bounds([request for request in requests if request.parts])
+        kept = [request for request in requests if request.parts]
         crash = self._find(endpoint_id, at)
         if crash is None:
             crash = Crash(endpoint_id, at, [], set())
@@ -110,6 +120,7 @@
         crash.requests.extend(kept)
         for part in {part for request in kept for part in request.parts}:
             self._crashed_at[part] = max(self._crashed_at.get(part, at), at)
+        self._drop_excess()
         return crash
 
     def note_answer(self, parts: tuple[str, ...], at: float) -> list[str]:
@@ -253,17 +264,21 @@
                 return crash if near else None
         return None
 
-    def _within_bounds(self, requests: list[LostRequest]) -> list[LostRequest]:
+    def _drop_excess(self) -> None:
         counts: dict[str, int] = defaultdict(int)
         for crash in self._crashes:
             for request in crash.requests:
                 counts[request.organisation] += len(request.parts)
-        kept = []
-        for request in requests:
-            counts[request.organisation] += len(request.parts)
-            if counts[request.organisation] <= MAX_PARTS_PER_ORGANISATION:
-                kept.append(request)
-        return kept
+        if sum(counts.values()) <= MAX_PARTS:
+            return
+        for crash in self._crashes:
+            for request in list(crash.requests):
+                if counts[request.organisation] == max(counts.values()):
+                    crash.requests.remove(request)
+                    counts[request.organisation] -= len(request.parts)
+                    if sum(counts.values()) <= MAX_PARTS:
+                        self._forget_parts()
+                        return
 
     def _forget(self, now: float) -> None:
         """Drop crashes beyond the retention and the bound, and what only they held."""
@@ -272,7 +287,16 @@
         if len(kept) == len(self._crashes):
             return
         self._crashes = kept
-        parts = {p for c in kept for request in c.requests for p in request.parts}
+        self._forget_parts()
+
+    def _forget_parts(self) -> None:
+        """Drop the times of parts that no crash holds any more."""
+        parts = {
+            part
+            for crash in self._crashes
+            for request in crash.requests
+            for part in request.parts
+        }
         for times in (self._crashed_at, self._answered_at):
             for part in times.keys() - parts:
                 del times[part]
--- a/tests/unit/test_gateway_crash_evidence.py
+++ b/tests/unit/test_gateway_crash_evidence.py
@@ -14,10 +14,13 @@
 )
 from rattanwick.internal.gateway.crash_evidence import (
     LEARNING_ANSWERS,
-    MAX_PARTS_PER_ORGANISATION,
+    MAX_PARTS,
+    MAX_ROUNDS,
     CrashEvidence,
     LostRequest,
+    shared_parts,
 )
+from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.part_guard import PartGuard
 from rattanwick.internal.gateway.part_messages import PeerParts
 
@@ -156,18 +159,42 @@
         self.assertEqual(self.culprits(START), [])
 
     def test_invented_parts_do_not_push_out_those_of_another_organisation(self):
-        flood = tuple(f"p{n}" for n in range(MAX_PARTS_PER_ORGANISATION))
-        for number in range(3):
+        for number in range(MAX_ROUNDS):
             at = START + number
-            invented = tuple(f"{part}-{number}" for part in flood)
-            self.crash(
-                at,
-                lost(*invented, organisation="other", sent_at=at - 0.1),
-                lost("x", sent_at=at - 0.1),
-            )
-        self.assertEqual(self.culprits(START + 2), [{"x"}])
-        held = self.evidence._crashed_at
-        self.assertLessEqual(len(held), MAX_PARTS_PER_ORGANISATION + 1)
+            for copy in range(12):
+                invented = tuple(f"p-{number}-{copy}-{n}" for n in range(1500))
+                self.crash(at, lost(*invented, organisation="other", sent_at=at - 0.1))
+            self.crash(at, lost("x", sent_at=at - 0.1))
+        held = sum(len(r.parts) for c in self.evidence._crashes for r in c.requests)
+        self.assertLessEqual(held, MAX_PARTS)
+        self.assertLessEqual(len(self.evidence._crashed_at), MAX_PARTS)
+        self.assertEqual(self.culprits(START + 5)[-1:], [{"x"}])
+
+    def test_a_culprit_among_invented_parts_is_found(self):
+        # An organisation may hide it, knowingly or not.
+        for number in range(5):
+            at = START + number
+            invented = tuple(f"p-{number}-{n}" for n in range(1500))
+            self.crash(at, lost(*invented, "x", sent_at=at - 0.1))
+        self.assertEqual(self.culprits(START + 5), [{"x"}])
+
+    def test_many_lost_requests_do_not_hide_a_later_culprit(self):
+        for number in range(100):
+            at = START + number
+            beside = [lost(f"a-{number}-{n}", f"b-{n}", "f") for n in range(200)]
+            self.crash(at, *beside)
+            self.evidence.note_cleared("f", at + 0.5)
+            for n in range(200):
+                self.evidence.note_cleared(f"b-{n}", at + 0.5)
+        for number in range(3):
+            at = START + 100 + number
+            self.crash(at, lost("x", sent_at=at - 0.1))
+        self.assertEqual(self.culprits(START + 103), [{"x"}])
+
+    def test_long_ids_with_a_common_beginning_differ(self):
+        prompt = tuple(PromptPart("a" * 60 + end, 1) for end in "xyz")
+        first, second = shared_parts(prompt)
+        self.assertNotEqual(first, second)
 
 
 class BlockedPartTests(unittest.TestCase):
