--- a/src/rattanwick/internal/gateway/part_exchange.py
+++ b/src/rattanwick/internal/gateway/part_exchange.py
@@ -159,9 +159,11 @@
             gevent.spawn(self._read_rows)
 
     def _read_rows(self) -> None:
-        if self._rows.load():
-            self._end_sync("store")
-        self._next_read_at = self._state.timers.now() + READ_INTERVAL_SECONDS
+        try:
+            if self._rows.load():
+                self._end_sync("store")
+        finally:
+            self._next_read_at = self._state.timers.now() + READ_INTERVAL_SECONDS
 
     def _end_sync(self, source: str) -> None:
         if self._synchronised:
