--- a/bench/parts_lab.py
+++ b/bench/parts_lab.py
@@ -34,7 +34,7 @@
 DATAGRAM_HEADER_BYTES = 28  # IP and UDP
 ORGANISATIONS = 5
 GROUPS = 40  # parts behind the first one, used by rank
-SOUND_SECONDS = 12.0  # before the first request with a deadly part
+SOUND_SECONDS = 12.0  # before the first request with a crashing part
 LOAD_SECONDS = 50.0
 
 
@@ -45,9 +45,9 @@
     nodes: int = 6
     endpoints: int = 9
     requests_per_second: float = 50.0
-    deadly_share: float = 0.02
-    deadly_parts: int = 1
-    position: int | None = 1  # of the deadly part in the prompt; None: drawn each time
+    crashing_share: float = 0.02
+    crashing_parts: int = 1
+    position: int | None = 1  # of the crashing part in a prompt; None: drawn
     organisations: int = 1  # whose requests hold the part
     innocent_crashes: float = 0.0  # per second
     loss: float = 0.01  # of datagrams
@@ -74,7 +74,7 @@
     node: str
     organisation: str
     parts: tuple[str, ...]
-    deadly: str  # the part that crashes endpoints; empty for a sound request
+    crashing: str  # the part that crashes endpoints; empty for a sound request
     attempts: int = 0
     sent_at: float = 0.0
     ended: bool = False  # the attempt
@@ -107,11 +107,11 @@
 
 
 class FullKnowledge(Policy):
-    """Bound that knows the deadly parts beforehand."""
+    """Bound that knows the crashing parts beforehand."""
 
     def refuses(self, simulation: "Simulation", request: Request) -> bool:
         """Return whether a request would crash an endpoint."""
-        return bool(request.deadly)
+        return bool(request.crashing)
 
 
 class Guarded(Policy):
@@ -137,12 +137,12 @@
         self.endpoints = [
             SimulatedEndpoint(f"i-{n}") for n in range(scenario.endpoints)
         ]
-        # Times of crashes and of requests sent, by deadly part.
+        # Times of crashes and of requests sent, by crashing part.
         self.crashes: dict[str, list[float]] = defaultdict(list)
-        self.deadly_sent: dict[str, list[float]] = defaultdict(list)
+        self.crashing_sent: dict[str, list[float]] = defaultdict(list)
         self.sound = self.sound_served = self.sound_refused = 0
         self.bytes = 0
-        self._deadly_from = self.now + SOUND_SECONDS
+        self._crashing_from = self.now + SOUND_SECONDS
         self._events: list = []
         self._order = itertools.count()
         for number in range(scenario.nodes):
@@ -208,24 +208,24 @@
         organisation = f"org-{min(int(rng.expovariate(0.7)), ORGANISATIONS - 1)}"
         group = min(int(rng.paretovariate(0.6)), GROUPS)
         parts = [f"f{rng.choice((0, 0, 0, 1))}", f"g{group}-{organisation}"]
-        deadly = ""
-        if self.now >= self._deadly_from and rng.random() < scenario.deadly_share:
-            deadly = f"d{rng.randrange(scenario.deadly_parts)}"
+        crashing = ""
+        if self.now >= self._crashing_from and rng.random() < scenario.crashing_share:
+            crashing = f"d{rng.randrange(scenario.crashing_parts)}"
             organisation = f"org-{rng.randrange(scenario.organisations)}"
             parts[1] = f"g{group}-{organisation}"
             position = scenario.position
             if position is None:
                 position = rng.randrange(len(parts) + 1)
-            parts.insert(position, deadly)
+            parts.insert(position, crashing)
         node = rng.choice(list(self.guards))
-        return Request(node, organisation, tuple(parts), deadly)
+        return Request(node, organisation, tuple(parts), crashing)
 
     def _arrive(self, until: float) -> None:
         delay = self.random.expovariate(self.scenario.requests_per_second)
         if self.now + delay < until:
             self._at(self.now + delay, lambda: self._arrive(until))
         request = self._draw_request()
-        if not request.deadly:
+        if not request.crashing:
             self.sound += 1
         self._send_request(request)
 
@@ -234,19 +234,19 @@
         if not up:
             return
         if self.policy.refuses(self, request):
-            if not request.deadly:
+            if not request.crashing:
                 self.sound_refused += 1
             return
         endpoint = min(up, key=lambda e: (len(e.running), self.random.random()))
         request.attempts += 1
         request.sent_at, request.ended, request.sound_stream = self.now, False, False
-        if request.deadly:
-            self.deadly_sent[request.deadly].append(self.now)
+        if request.crashing:
+            self.crashing_sent[request.crashing].append(self.now)
         endpoint.running.append(request)
         attempt = request.attempts
         first = self.now + self.random.uniform(*self.scenario.first_event)
-        if request.deadly:
-            self._at(first, lambda: self._begin_deadly(endpoint, request, attempt))
+        if request.crashing:
+            self._at(first, lambda: self._begin_crashing(endpoint, request, attempt))
         else:
             duration = self.random.uniform(*self.scenario.duration)
             if duration > SOUND_STREAM_SECONDS:
@@ -256,11 +256,11 @@
                 )
             self._at(first + duration, lambda: self._answer(endpoint, request, attempt))
 
-    def _begin_deadly(
+    def _begin_crashing(
         self, endpoint: SimulatedEndpoint, request: Request, attempt: int
     ) -> None:
         if request.attempts == attempt and not request.ended:
-            self.crashes[request.deadly].append(self.now)
+            self.crashes[request.crashing].append(self.now)
             self._crash(endpoint)
 
     def _note_sound(self, request: Request, attempt: int) -> None:
@@ -342,7 +342,7 @@
             (
                 sum(
                     sent_at > crashes[CRASHES_BEFORE_BOUND - 1] + CONTACT_SECONDS
-                    for sent_at in self.deadly_sent[part]
+                    for sent_at in self.crashing_sent[part]
                 )
                 for part, crashes in self.crashes.items()
                 if len(crashes) >= CRASHES_BEFORE_BOUND
@@ -370,18 +370,18 @@
 SCENARIOS = (
     Scenario(nodes=3),
     Scenario(nodes=6),
-    Scenario(nodes=6, deadly_share=0.005),
-    Scenario(nodes=6, deadly_share=0.2),
+    Scenario(nodes=6, crashing_share=0.005),
+    Scenario(nodes=6, crashing_share=0.2),
     Scenario(nodes=6, position=None),
     Scenario(nodes=6, attempts=2),
-    Scenario(nodes=6, deadly_parts=2),
+    Scenario(nodes=6, crashing_parts=2),
     Scenario(nodes=6, organisations=5),
     Scenario(nodes=6, innocent_crashes=0.3),
-    Scenario(nodes=6, innocent_crashes=1.0, deadly_share=0.0),
+    Scenario(nodes=6, innocent_crashes=1.0, crashing_share=0.0),
     Scenario(nodes=6, loss=0.2),
     Scenario(nodes=6, restart_seconds=2.0),
-    Scenario(nodes=63, endpoints=70, requests_per_second=300.0, deadly_share=0.01),
-    Scenario(nodes=390, endpoints=100, requests_per_second=300.0, deadly_share=0.01),
+    Scenario(nodes=63, endpoints=70, requests_per_second=300.0, crashing_share=0.01),
+    Scenario(nodes=390, endpoints=100, requests_per_second=300.0, crashing_share=0.01),
 )
 
 
--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -33,8 +33,8 @@
     - stream: cut_in_event, cut_between_events, trickle (comment bytes for ever)
     - connection: reset, crash (reset, then refuse new connections), hang
 
-    A request whose prompt holds one of ``deadly_parts`` crashes the endpoint: it resets
-    all connections and refuses new ones for ``crash_seconds``.
+    A request whose prompt holds one of ``crashing_parts`` crashes the endpoint: it
+    resets all connections and refuses new ones for ``crash_seconds``.
     """
 
     def __init__(
@@ -61,11 +61,11 @@
         self.bodies: list[bytes] = []
         self.event_seconds = 0.0
         self.closed_early = 0
-        self.deadly_parts: set[str] = set()  # ids of prompt parts
-        self.deadly_events = 0  # events of a stream before the crash
+        self.crashing_parts: set[str] = set()  # ids of prompt parts
+        self.events_before_crash = 0  # events of a stream before the crash
         self.crash_seconds = 1.0
         self.crash_resets = True  # whether a crash resets connections or closes them
-        # Time of each crash by a deadly part, in monotonic seconds, and the request.
+        # Time of each crash by a crashing part, in monotonic seconds, and the request.
         self.crashes: list[tuple[float, str]] = []
         # Called at the start and at the end of a crash.
         self.on_crash = self.on_return = lambda: None
@@ -105,10 +105,10 @@
             self._server.start()
             self.on_return()
 
-    def _is_deadly(self, headers: dict) -> bool:
+    def _will_crash(self, headers: dict) -> bool:
         prompt = headers.get("x-prompt-prefix", "")
         ids = {part.partition(":")[0] for part in prompt.split(",")}
-        return not self.deadly_parts.isdisjoint(ids)
+        return not self.crashing_parts.isdisjoint(ids)
 
     def _serve(self, sock, address) -> None:
         reader = sock.makefile("rb")
@@ -184,7 +184,7 @@
 
     def _send_whole_response(self, sock, headers: dict, fault: str) -> bool:
         gevent.sleep(self.work_seconds)
-        if self._is_deadly(headers):
+        if self._will_crash(headers):
             self.crash(headers["x-request-id"])
             return False
         body = headers["x-request-id"].encode() if self.echo_request_id else b"whole"
@@ -209,8 +209,8 @@
 
     def _send_stream(self, sock, headers: dict, fault: str) -> bool:
         first = int(headers.get("last-event-id", "0")) + 1
-        deadly = self._is_deadly(headers)
-        if deadly and not self.deadly_events:
+        crashing = self._will_crash(headers)
+        if crashing and not self.events_before_crash:
             gevent.sleep(self.event_seconds)
             self.crash(headers["x-request-id"])
             return False
@@ -221,7 +221,7 @@
         )
         for number in range(first, EVENTS + 1):
             gevent.sleep(self.event_seconds)
-            if deadly and number == first + self.deadly_events:
+            if crashing and number == first + self.events_before_crash:
                 self.crash(headers["x-request-id"])
                 return False
             piece = headers["x-request-id"] if self.echo_request_id else "piece"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -23,7 +23,7 @@
 # Requests with a part that crashes endpoints may reach them so often after so many
 # crashes and the time of contact.
 CRASHES_BEFORE_BOUND = 5
-MAX_DEADLY_REQUESTS = 3
+MAX_CRASHING_REQUESTS = 3
 MAX_RUNS = 2  # of a repeatable request; its routes allow two attempts
 CONFIGURATION_EVENT = "node: configuration"
 STARTED_EVENT = "node: started"
@@ -134,7 +134,7 @@
     return violations
 
 
-def check_deadly_requests(
+def check_crashing_requests(
     crashes: list[float],
     arrivals: list[tuple[float, str]],
     nodes: dict[str, tuple[str, int] | None],
@@ -161,7 +161,7 @@
             for outage in outages
         )
     ]
-    if len(late) <= MAX_DEADLY_REQUESTS:
+    if len(late) <= MAX_CRASHING_REQUESTS:
         return []
     return [f"{len(late)} requests with a part that crashes endpoints: {late[:8]}"]
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 from soak.callers import Caller, CallResult
 from soak.checks import (
     check_answers,
-    check_deadly_requests,
+    check_crashing_requests,
     check_limits,
     check_log,
     check_recovery,
@@ -24,7 +24,7 @@
     MAX_FAULT_SECONDS,
     EndpointLimit,
 )
-from soak.system import DEADLY_PART, SoakSystem
+from soak.system import CRASHING_PART, SoakSystem
 
 # The platform requires that the system recovers in this time after the last fault.
 MAX_RECOVERY_SECONDS = 15.0
@@ -86,8 +86,8 @@
             Caller(self._system.deployment, number, self._random.getrandbits(32))
             for number in range(size.callers)
         ]
-        self._deadly_caller = Caller(
-            self._system.deployment, size.callers, seed, DEADLY_PART
+        self._crashing_caller = Caller(
+            self._system.deployment, size.callers, seed, CRASHING_PART
         )
         self._started_at = 0.0
 
@@ -96,10 +96,10 @@
         try:
             self._system.start()
             tasks = [gevent.spawn(caller.run) for caller in self._callers]
-            deadly = gevent.spawn(self._deadly_caller.run)
+            crashing = gevent.spawn(self._crashing_caller.run)
             self._inject_faults()
-            self._deadly_caller.stopping = True
-            gevent.joinall([deadly], raise_error=True)
+            self._crashing_caller.stopping = True
+            gevent.joinall([crashing], raise_error=True)
             self._recover()
             recovered_at = time.monotonic()
             gevent.sleep(RECOVERED_LOAD_SECONDS)
@@ -167,7 +167,7 @@
     def _check(self, recovered_at: float) -> None:
         results: list[CallResult] = [
             result
-            for caller in (*self._callers, self._deadly_caller)
+            for caller in (*self._callers, self._crashing_caller)
             for result in caller.results
         ]
         system, report = self._system, self._report
@@ -180,10 +180,10 @@
         ]
         report.failures += check_response_times(results, system.outages)
         report.failures += check_limits(system.limits, results, system.outages)
-        report.failures += check_deadly_requests(
-            system.deadly_crashes,
+        report.failures += check_crashing_requests(
+            system.part_crashes,
             [item for e in system.started_endpoints for item in e.arrivals],
-            {result.id: result.node for result in self._deadly_caller.results},
+            {result.id: result.node for result in self._crashing_caller.results},
             system.outages,
         )
         report.failures += check_recovery(
--- a/soak/system.py
+++ b/soak/system.py
@@ -17,7 +17,7 @@
 from fakes.gateway_endpoint import FakeGatewayEndpoint
 from soak.proxy import LoopbackProxy
 
-DEADLY_PART = "d1"  # of prompts; it crashes each endpoint
+CRASHING_PART = "d1"  # of prompts; it crashes each endpoint
 EVENT_INTERVAL_SECONDS = 0.02  # between the events of a stream
 RESPONSE_DELAY_SECONDS = 0.02  # before a response that is no stream
 # Until a node listens; the time in which the platform requires a recovery.
@@ -57,8 +57,8 @@
         self.deployment = GatewayDeployment(folder, tuple(self.names))
         self.outages: list[NodeOutage] = []
         self.limits: list[NamedLimit] = []
-        # Times of crashes by DEADLY_PART, in monotonic seconds.
-        self.deadly_crashes: list[float] = []
+        # Times of crashes by CRASHING_PART, in monotonic seconds.
+        self.part_crashes: list[float] = []
         self.started_endpoints: list[FakeGatewayEndpoint] = []
         self.failures: list[str] = []
         self.store_proxies: dict[str, LoopbackProxy] = {}
@@ -189,7 +189,7 @@
     def _note_crash(self, endpoint: FakeGatewayEndpoint, proxy: LoopbackProxy) -> None:
         """Record a crash by a prompt; nodes can't see one behind a faulty link."""
         if not proxy.is_faulty:
-            self.deadly_crashes.append(time.monotonic())
+            self.part_crashes.append(time.monotonic())
         proxy.stop_listening()
 
     def _add_endpoint(
@@ -212,7 +212,7 @@
             proxy.heal()
             proxy.listen_again()
         self.endpoint_proxies[endpoint_id] = proxy
-        endpoint.deadly_parts = {DEADLY_PART}
+        endpoint.crashing_parts = {CRASHING_PART}
         endpoint.on_crash = lambda: self._note_crash(endpoint, proxy)
         endpoint.on_return = proxy.listen_again
         self.started_endpoints.append(endpoint)
--- a/tests/failure/test_gateway_crashing_parts.py
+++ b/tests/failure/test_gateway_crashing_parts.py
@@ -19,12 +19,12 @@
             self.guard.note_answer((f"old-{number}",))
         self.sent = 0
 
-    def add_endpoints(self, service: str, deadly_events: int = 0) -> None:
+    def add_endpoints(self, service: str, events_before_crash: int = 0) -> None:
         """Start endpoints that crash on the part ``x``."""
         for number in range(ENDPOINTS):
             endpoint = self.add_endpoint(f"{service}-{number}", service)
-            endpoint.deadly_parts = {"x"}
-            endpoint.deadly_events = deadly_events
+            endpoint.crashing_parts = {"x"}
+            endpoint.events_before_crash = events_before_crash
             endpoint.crash_seconds = 10.0
 
     def ask_with(self, path: str, *parts: str) -> Answer:
@@ -79,7 +79,7 @@
         self.assertEqual(self.crashed(), 3)
 
     def test_streams_that_had_begun_are_not_resumed_once_the_part_is_blocked(self):
-        self.add_endpoints("engine", deadly_events=1)
+        self.add_endpoints("engine", events_before_crash=1)
         for _ in range(3):
             answer = self.ask_with("/resume/x", "x")
             self.assertFalse(answer.body.endswith(b"0\r\n\r\n"))
--- a/tests/scenario/test_gateway_crashing_parts.py
+++ b/tests/scenario/test_gateway_crashing_parts.py
@@ -24,9 +24,9 @@
 MAX_REQUESTS = 3  # with the part that reach endpoints after that
 LOAD_SECONDS = 12.0
 CALLS_PER_SECOND = 40.0
-DEADLY_SHARE = 0.1  # of the calls
+CRASHING_SHARE = 0.1  # of the calls
 MIN_SOUND_SHARE = 0.9  # of the other calls, answered at the first attempt
-FIRST_PART, DEADLY_PART = "f1:40", "d3"
+FIRST_PART, CRASHING_PART = "f1:40", "d3"
 
 
 class CrashingPartTests(unittest.TestCase):
@@ -39,13 +39,13 @@
         self.check("/stream/x", stream=True)
 
     def test_streams_that_had_begun_and_are_resumed(self):
-        self.check("/resume/x", stream=True, deadly_events=1)
+        self.check("/resume/x", stream=True, events_before_crash=1)
 
     def test_plain_services(self):
         self.check("/safe/x", stream=False)
 
-    def check(self, path: str, stream: bool, deadly_events: int = 0) -> None:
-        """Send sound and deadly requests to all nodes, and count what endpoints got."""
+    def check(self, path: str, stream: bool, events_before_crash: int = 0) -> None:
+        """Send requests with and without the part, and count what endpoints got."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         deployment = GatewayDeployment(Path(folder.name), NODES)
@@ -53,8 +53,8 @@
         deployment.configure(make_operator_configuration(1))
         for number in range(ENDPOINTS):
             endpoint = deployment.add_endpoint(f"i-{number}", stream)
-            endpoint.deadly_parts = {DEADLY_PART}
-            endpoint.deadly_events = deadly_events
+            endpoint.crashing_parts = {CRASHING_PART}
+            endpoint.events_before_crash = events_before_crash
             endpoint.event_seconds = endpoint.work_seconds = 0.02
         for name in NODES:
             deployment.start_node(name)
@@ -68,7 +68,7 @@
                 request_id
                 for endpoint in endpoints
                 for arrived, request_id in endpoint.arrivals
-                if request_id.startswith("deadly") and arrived > bound
+                if request_id.startswith("crashing") and arrived > bound
             ]
             self.assertLessEqual(len(later), MAX_REQUESTS)
         served = sum(status == 200 for status in sound) / len(sound)
@@ -80,19 +80,19 @@
         tasks = []
         end = time.monotonic() + LOAD_SECONDS
         while time.monotonic() < end:
-            deadly = rng.random() < DEADLY_SHARE
-            call_id = f"{'deadly' if deadly else 'sound'}-{len(tasks)}"
+            crashing = rng.random() < CRASHING_SHARE
+            call_id = f"{'crashing' if crashing else 'sound'}-{len(tasks)}"
             # A part that a tenth of the requests shares, so that it is read seldom.
             parts = [FIRST_PART, f"s{len(tasks) % 10}:20"]
-            if deadly:
-                parts.append(f"{DEADLY_PART}:30")
+            if crashing:
+                parts.append(f"{CRASHING_PART}:30")
             prompt = ",".join((*parts, f"{call_id}:10"))
             address = deployment.ips[rng.choice(NODES)], CALLER_PORT
             task = gevent.spawn(self.call, address, path, call_id, prompt)
-            tasks.append((deadly, task))
+            tasks.append((crashing, task))
             gevent.sleep(rng.expovariate(CALLS_PER_SECOND))
         gevent.joinall([task for _, task in tasks], raise_error=True)
-        return [task.value for deadly, task in tasks if not deadly]
+        return [task.value for crashing, task in tasks if not crashing]
 
     def call(self, address, path: str, call_id: str, prompt: str) -> int:
         """Send a request and return the status of its complete answer, else 0."""
--- a/tests/unit/test_gateway_crash_evidence.py
+++ b/tests/unit/test_gateway_crash_evidence.py
@@ -341,7 +341,7 @@
         self.check(Scenario(nodes=3))
 
     def test_two_parts_at_once_and_retries(self):
-        self.check(Scenario(deadly_parts=2, attempts=2))
+        self.check(Scenario(crashing_parts=2, attempts=2))
 
     def test_a_part_at_any_place_and_of_all_organisations(self):
         self.check(Scenario(position=None, organisations=5))
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -13,7 +13,7 @@
     CONFIGURATION_EVENT,
     STARTED_EVENT,
     check_answers,
-    check_deadly_requests,
+    check_crashing_requests,
     check_limits,
     check_log,
     check_recovery,
@@ -165,7 +165,7 @@
         self.assertEqual(self.check(float("inf")), [])
 
 
-class DeadlyRequestCheckTests(unittest.TestCase):
+class CrashingRequestCheckTests(unittest.TestCase):
     """Guard against a soak that misses requests which crash endpoint after endpoint."""
 
     CRASHES = [1.0, 2.0, 3.0, 4.0, 5.0]
@@ -175,7 +175,9 @@
         """Return what the check finds if ``count`` requests arrive at a time."""
         arrivals = [(at, f"d-{number}") for number in range(count)]
         arrivals += [(at, "sound")] * 10
-        return check_deadly_requests(self.CRASHES, arrivals, self.NODES, list(outages))
+        return check_crashing_requests(
+            self.CRASHES, arrivals, self.NODES, list(outages)
+        )
 
     def test_a_fourth_request_after_the_bound_is_found(self):
         self.assertEqual(self.check(3), [])
@@ -184,7 +186,7 @@
     def test_requests_before_the_bound_and_after_few_crashes_are_passed_over(self):
         self.assertEqual(self.check(10, at=7.9), [])
         self.assertEqual(
-            check_deadly_requests(
+            check_crashing_requests(
                 self.CRASHES[:4], [(9.0, "d-1")] * 10, self.NODES, []
             ),
             [],
