Share the trials of blocks that refuse the same requests

Nodes with other evidence may block a part alone and together with another one, which an answer narrows to the same part. Each block had its two trials, so with four of them a part that crashes endpoints would have been sent eight times, and three are allowed. Now only the block with the fewest parts has trials and is named in a refusal. The new test failed before with 8 trials instead of 2.

--- a/src/rattanwick/internal/gateway/blocked_part_rows.py
+++ b/src/rattanwick/internal/gateway/blocked_part_rows.py
@@ -82,6 +82,8 @@
     def _is_trial_due(self, block: Block) -> bool:
         if block.ended or not block.saved or block.trials >= len(TRIAL_DELAYS_SECONDS):
             return False
+        if self._guard.blocks.is_redundant(block):
+            return False
         since = self._guard.tried_at.get(block.id, block.made_at)
         now = self._state.timers.now()
         due = now - since >= TRIAL_DELAYS_SECONDS[block.trials]
--- a/src/rattanwick/internal/gateway/blocked_parts.py
+++ b/src/rattanwick/internal/gateway/blocked_parts.py
@@ -101,11 +101,21 @@
         return self._blocks.get(block_id)
 
     def find(self, organisation: str, parts: frozenset[str]) -> Block | None:
-        """Return a block that refuses a request, or None."""
-        for block in self._blocks.values():
-            if block.covers(organisation, parts):
-                return block
-        return None
+        """Return the block that refuses a request, or None.
+
+        Of several, it is the one with the fewest parts; all nodes name the same.
+        """
+        covering = [b for b in self._blocks.values() if b.covers(organisation, parts)]
+        return min(covering, key=_precedence, default=None)
+
+    def is_redundant(self, block: Block) -> bool:
+        """Return whether another block refuses the same requests, and goes first."""
+        return any(
+            other.parts
+            and other.parts <= block.parts
+            and _precedence(other) < _precedence(block)
+            for other in self._blocks.values()
+        )
 
     def make(self, culprit: Culprit, now: float) -> Block:
         """Return a block for a culprit, with the id of one in force if there is one.
@@ -176,3 +186,7 @@
         while len(self._blocks) > MAX_BLOCKS:
             ended = next((b.id for b in self._blocks.values() if b.ended), None)
             self._blocks.pop(ended or next(iter(self._blocks)))
+
+
+def _precedence(block: Block) -> tuple[int, str]:
+    return len(block.parts), block.id
--- a/tests/failure/test_gateway_part_exchange.py
+++ b/tests/failure/test_gateway_part_exchange.py
@@ -258,6 +258,27 @@
         self.assertTrue(rows._guard.take_trial(block))
         self.assertFalse(other._guard.take_trial(copy))
 
+    def test_blocks_of_the_same_part_share_their_trials(self):
+        # Nodes with other evidence may have blocked it together with another part.
+        rows = self.make_rows("n1")
+        self.block(rows)
+        for block_id, parts in (("a", "xy"), ("c", "x"), ("d", "xz")):
+            block = make_block(self.timers.now(), block_id)
+            block.parts = frozenset(parts)
+            rows._guard.learn(block, "test")
+            rows._guard.unsaved.add(block_id)
+        rows._guard.note_answer(("y",))
+        rows.step()
+        trials = 0
+        for _ in range(200):
+            self.timers.advance(30.0)
+            for parts in (("x",), ("x", "z")):
+                block = rows._guard.find_block("org", parts)
+                rows._guard.note_refusal(block)
+                rows.step()
+                trials += rows._guard.take_trial(block)
+        self.assertEqual(trials, len(TRIAL_DELAYS_SECONDS))
+
     def test_a_block_gets_a_bounded_number_of_trials(self):
         rows = self.make_rows("n1")
         block = self.block(rows)
