Move the connection of a caller to a module of its own

Reading requests and writing responses is one job, accepting connections another, and the stop of a node adds to both.

--- /dev/null
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -0,0 +1,287 @@
+"""Connection of a caller: its requests are read and their responses written."""
+
+import socket as std_socket
+import time
+from typing import TYPE_CHECKING
+
+import h11
+from gevent import get_hub, getcurrent
+
+from rattanwick.internal.base.errors import ConnectionLost
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.gateway.active_request import (
+    CallerConnectionClosed,
+    ResponseWriter,
+)
+from rattanwick.internal.gateway.connection_pool import is_readable
+from rattanwick.internal.gateway.interfaces import InvalidRequest
+from rattanwick.internal.gateway.model import Headers
+
+if TYPE_CHECKING:
+    from rattanwick.internal.gateway.caller_server import CallerServer
+
+log = get_logger("callers")
+
+READ_BYTES = 65_536
+SEND_TIMEOUT_SECONDS = 10.0  # for one write; then the connection counts as closed
+# Time for a caller that is still sending to read a refusal. Closing the connection at
+# once would reset it, and the refusal would be discarded.
+LINGER_TIMEOUT_SECONDS = 0.5
+MAX_LINGER_BYTES = 1 << 20
+IDLE_GRACE_SECONDS = 1.0  # added to the configured limit of idle connections
+
+
+class RequestNotReceived(Exception):
+    """Raised if a connection ends or idles too long before a request has arrived."""
+
+
+class CallerResponseWriter(ResponseWriter):
+    """Writer of the response to one request."""
+
+    __slots__ = ("_close", "_conn", "started", "status")
+
+    def __init__(self, conn: "CallerConnection", close: bool):
+        self._conn = conn
+        self._close = close
+        self.started = False
+        self.status = 0
+
+    def start(self, status: int, headers: Headers) -> bytes:
+        """Return the encoded head of the response."""
+        if self._close:
+            headers = [*headers, (b"Connection", b"close")]
+        self.started, self.status = True, status
+        http = self._conn.http
+        return http.send(h11.Response(status_code=status, headers=headers, reason=b""))
+
+    def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response; a Content-Length in ``headers`` is replaced."""
+        headers = [item for item in headers if item[0].lower() != b"content-length"]
+        headers.append((b"Content-Length", b"%d" % len(body)))
+        head = self.start(status, headers)
+        http = self._conn.http
+        data = http.send(h11.Data(data=body)) if body else b""
+        self._conn.write(head + data + http.send(h11.EndOfMessage()))
+
+    def send_chunk(self, data: bytes, head: tuple[int, Headers] | None) -> None:
+        """Send some bytes of a stream, after the head if one is given."""
+        prefix = self.start(*head) if head else b""
+        self._conn.write(prefix + self._conn.http.send(h11.Data(data=data)))
+
+    def finish(self) -> None:
+        """End the stream as complete."""
+        self._conn.write(self._conn.http.send(h11.EndOfMessage()))
+
+
+class CallerConnection:
+    """Connection of a caller, whose requests are served one after the other."""
+
+    def __init__(self, server: "CallerServer", sock):
+        self._server = server
+        self._sock = sock
+        self._limits = server.limits()
+        self.busy = False
+        self._closing = False
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
+        )
+
+    def run(self) -> None:
+        """Serve requests until either side ends the connection."""
+        try:
+            while self._serve_one():
+                pass
+        except (CallerConnectionClosed, RequestNotReceived, ConnectionLost):
+            pass
+        finally:
+            self._sock.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has arrived or is in progress."""
+        if self.busy or is_readable(self._sock):
+            return
+        # A request that arrives after this is not read: the connection could not carry
+        # the response, but the request would run.
+        self._closing = True
+        try:
+            self._sock.shutdown(std_socket.SHUT_RDWR)
+        except OSError:
+            pass  # the caller has closed the connection already
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the caller; raise CallerConnectionClosed if that fails."""
+        self._sock.settimeout(SEND_TIMEOUT_SECONDS)
+        try:
+            self._sock.sendall(data)
+        except OSError as exc:
+            raise CallerConnectionClosed(str(exc))
+
+    def _serve_one(self) -> bool:
+        """Serve one request; return whether the connection may carry another."""
+        call = None
+        try:
+            request, arrived = self._read_head()
+            call = self._server.codec.decode_call(
+                request.method,
+                request.target,
+                list(request.headers.raw_items()),
+                arrived,
+            )
+            call.body = self._read_body()
+        except InvalidRequest as exc:
+            self._refuse(call.id if call else "", exc)
+            return False
+        close = self._server.draining
+        response = CallerResponseWriter(self, close)
+        watch = DisconnectWatch(self._sock)
+        watch.start()
+        try:
+            complete = self._server.relay.serve(call, response)
+        finally:
+            watch.stop()
+        self.busy = False
+        if not complete or close:
+            return False
+        try:
+            self.http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    def _read_head(self) -> tuple[h11.Request, float]:
+        limit = self._limits.idle_seconds + IDLE_GRACE_SECONDS
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Request):
+                self.busy = True
+                self._check_size(event)
+                return event, time.monotonic()
+            if event is not h11.NEED_DATA:
+                raise RequestNotReceived()
+            if self.http.trailing_data[0]:
+                self.busy = True
+                limit = self._limits.header_seconds
+            self._receive(limit, idle=not self.busy)
+
+    def _check_size(self, request: h11.Request) -> None:
+        """Raise InvalidRequest if the header is too large.
+
+        The parser limits only a header that arrives in several pieces.
+        """
+        size = len(request.target)
+        size += sum(len(n) + len(v) + 4 for n, v in request.headers.raw_items())
+        max_bytes = self._limits.header_bytes
+        if size > max_bytes:
+            raise InvalidRequest(431, f"header: must be at most {max_bytes} bytes")
+
+    def _read_body(self) -> bytes:
+        parts, size = [], 0
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    max_bytes = self._limits.body_bytes
+                    raise InvalidRequest(
+                        413, f"body: must be at most {max_bytes} bytes"
+                    )
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            elif event is h11.NEED_DATA:
+                if self.http.they_are_waiting_for_100_continue:
+                    interim = h11.InformationalResponse(status_code=100, headers=[])
+                    self.write(self.http.send(interim))
+                self._receive(self._limits.header_seconds, idle=False)
+            else:
+                raise RequestNotReceived()
+
+    def _next_event(self):
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as exc:
+            if (
+                self.http.their_state is h11.ERROR
+                and not self.busy
+                and not (self.http.trailing_data[0])
+            ):
+                raise RequestNotReceived()
+            raise InvalidRequest(exc.error_status_hint, f"request: {exc}")
+
+    def _receive(self, seconds: float, idle: bool) -> None:
+        self._sock.settimeout(seconds)
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except TimeoutError:
+            if idle:
+                raise RequestNotReceived()
+            raise InvalidRequest(408, f"request: not sent within {seconds:g} s")
+        except OSError:
+            raise RequestNotReceived()
+        if self._closing:
+            raise RequestNotReceived()
+        if data:
+            self.busy = True
+        elif not self.busy:
+            raise RequestNotReceived()
+        self.http.receive_data(data)
+
+    def _refuse(self, call_id: str, exc: InvalidRequest) -> None:
+        log.info(
+            "refused",
+            extra={"request": call_id, "status": exc.status, "reason": exc.reason},
+        )
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers, body = self._server.codec.encode_refusal(
+            call_id, exc.status, exc.reason, None
+        )
+        CallerResponseWriter(self, close=True).send_complete(exc.status, headers, body)
+        self._linger()
+
+    def _linger(self) -> None:
+        """Read what the caller still sends, so that no reset discards the refusal."""
+        try:
+            self._sock.shutdown(std_socket.SHUT_WR)
+            self._sock.settimeout(LINGER_TIMEOUT_SECONDS)
+            read = 0
+            while read < MAX_LINGER_BYTES and (data := self._sock.recv(READ_BYTES)):
+                read += len(data)
+        except OSError:
+            pass  # the caller has closed the connection; nothing more can be sent
+
+
+class DisconnectWatch:
+    """Watch on a caller's socket that ends the request when the caller disconnects.
+
+    It raises CallerConnectionClosed in the greenlet that created the watch.
+    """
+
+    __slots__ = ("_sock", "_task", "_watcher")
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._task = getcurrent()
+        self._watcher = get_hub().loop.io(sock.fileno(), 1)
+
+    def start(self) -> None:
+        """Start watching the socket."""
+        self._watcher.start(self._on_readable)
+
+    def stop(self) -> None:
+        """Stop watching the socket and release the watcher."""
+        self._watcher.stop()
+        self._watcher.close()
+
+    def _on_readable(self) -> None:
+        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+        try:
+            data = self._sock._sock.recv(1, flags)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        self._watcher.stop()
+        if not data:
+            # The greenlet closes its connection wherever the exception reaches it.
+            self._task.kill(CallerConnectionClosed("connection closed"), block=False)
