Move stream forwarding and the check of blocks out of attempts and relay

Whether a block holds for a request stood in relay.py and attempts.py; PromptBlocks holds it once. StreamForwarder takes the forwarding of events from attempts.py.

--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -27,7 +27,8 @@
     Outcome,
 )
 from rattanwick.internal.gateway.part_guard import SOUND_STREAM_SECONDS
-from rattanwick.internal.gateway.stream_events import EventSplitter
+from rattanwick.internal.gateway.prompt_blocks import PromptBlocks
+from rattanwick.internal.gateway.stream_forwarder import StreamForwarder
 
 log = get_logger("attempts")
 
@@ -58,10 +59,12 @@
         request: ActiveRequest,
         response: ResponseWriter,
         crash_checks: CrashChecks,
+        blocks: PromptBlocks,
     ):
         self._state = state
         self._codec = codec
         self._crash_checks = crash_checks
+        self._blocks = blocks
         self._request = request
         self._response = response
         self._view: EndpointView = request.placed.view
@@ -116,8 +119,9 @@
             return self._not_sent(
                 "no valid permit when the request was to be sent", endpoint_failed=False
             )
-        if self._is_blocked():
+        if self._blocks.find(request) is not None:
             return self._not_sent("prompt part is blocked", endpoint_failed=False)
+        request.trial = ""
         self._sent_at = self._now()
         self._responded_before = view.responded_recently(self._sent_at)
         try:
@@ -139,15 +143,6 @@
             return self._relay_stream()
         return self._relay_response()
 
-    def _is_blocked(self) -> bool:
-        """Return whether the prompt was blocked since the endpoint was chosen."""
-        request, guard = self._request, self._state.part_guard
-        block = guard.find_block(request.organisation_name, request.parts)
-        if block is not None and block.id != request.trial:
-            return True
-        request.trial = ""
-        return False
-
     def _not_sent(self, reason: str, endpoint_failed: bool = True) -> NotRun:
         """Return the outcome of a request of which no byte was sent."""
         if self._request.permit is not None:
@@ -275,47 +270,16 @@
             return outcome if body is None else self._handle_response(head, body)
         if not head.signed:
             return Lost("response is not signed", disconnected=False)
-        return self._forward_events(head)
-
-    def _forward_events(self, head: ResponseHead) -> Outcome:
-        """Forward each event of a stream once it is complete."""
-        events = EventSplitter(self._request.last_event_id)
-        while True:
-            try:
-                event = self._connection.next_event(self._time_left())
-            except TimedOut as exc:
-                return Expired(exc.reason)
-            except ConnectionLost as exc:
-                return self._stream_failure(events, exc.reason, disconnected=True)
-            except ProtocolError as exc:
-                return self._stream_failure(events, exc.reason)
-            if isinstance(event, h11.EndOfMessage):
-                if events.partial:
-                    return self._stream_failure(events, "stream ended inside an event")
-                if not self._response.started:
-                    return Lost("stream ended without an event", disconnected=False)
-                self._complete = True
-                self._response.finish()
-                return Answered(head.status)
-            if not isinstance(event, h11.Data):
-                return self._stream_failure(
-                    events, f"unexpected HTTP event {type(event).__name__}"
-                )
-            try:
-                complete = events.feed(bytes(event.data))
-            except ValueError as exc:
-                return self._stream_failure(events, str(exc))
-            if complete:
-                self._note_event()
-                start = None if self._response.started else (200, head.headers)
-                self._response.send_chunk(complete, start)
-
-    def _stream_failure(
-        self, events: EventSplitter, reason: str, disconnected: bool = False
-    ) -> Outcome:
-        if self._response.started:
-            return Interrupted(reason, events.last_id, disconnected)
-        return Lost(reason, disconnected)
+        stream = StreamForwarder(
+            self._request,
+            self._response,
+            self._connection,
+            self._state.timers,
+            self._note_event,
+        )
+        outcome = stream.run(head)
+        self._complete = stream.complete
+        return outcome
 
     def _note_event(self) -> None:
         request, now = self._request, self._now()
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -35,6 +35,7 @@
     NotPlaced,
     choose_target,
 )
+from rattanwick.internal.gateway.prompt_blocks import PromptBlocks
 from rattanwick.internal.gateway.rate_limits import cost_of
 from rattanwick.internal.gateway.request_log import log_request_end, requests_total
 from rattanwick.internal.gateway.request_placement import (
@@ -61,6 +62,7 @@
         self._codec = codec
         self._placement = RequestPlacement(state)
         self._crash_checks = CrashChecks(state)
+        self._blocks = PromptBlocks(state)
 
     def serve(self, call: Call, response: ResponseWriter) -> bool:
         """Answer a request and return whether its connection may carry another one.
@@ -104,7 +106,7 @@
         if self._state.crash_guard.is_blocked(request_fingerprint, now):
             return self._refuse(call, response, 503, "crashes_endpoints", None, cfg)
         parts = shared_parts(call.prompt)
-        block, trial = self._find_block(name, parts)
+        block, trial = self._blocks.find_for_new(name, parts)
         if block is not None:
             return self._refuse_blocked(call, response, block, cfg)
         cost = cost_of(org, call) if org else 0.0
@@ -141,30 +143,12 @@
                 self._state.limits.refund(name, cost)
         return True
 
-    def _find_block(
-        self, organisation: str, parts: tuple[str, ...]
-    ) -> tuple[Block | None, str]:
-        """Return the block that refuses a new request, and the block it is a trial of.
-
-        The latter is an id, empty if the request is none.
-        """
-        guard = self._state.part_guard
-        if parts:
-            guard.wait_until_current()
-        block = guard.find_block(organisation, parts)
-        if block is None:
-            return None, ""
-        if guard.take_trial(block):
-            return None, block.id
-        guard.note_refusal(block)
-        return block, ""
-
     def _refuse_blocked(
         self, call: Call, response: ResponseWriter, block: Block, cfg: Configuration
     ) -> bool:
         log.info(
             "prompt holds parts that crash endpoints",
-            extra={"request": call.id, **_describe_block(self._state, block)},
+            extra={"request": call.id, **self._blocks.describe(block)},
         )
         return self._refuse(call, response, BLOCKED_STATUS, "blocked_part", None, cfg)
 
@@ -172,8 +156,8 @@
         """Send a request to endpoints, one after the other, until it is answered."""
         guard = self._state.part_guard
         while True:
-            block = guard.find_block(request.organisation_name, request.parts)
-            if block is not None and block.id != request.trial:
+            block = self._blocks.find(request)
+            if block is not None:
                 self._end_blocked(request, response, block)
                 return
             placed = self._placement.place(request)
@@ -182,7 +166,12 @@
                 return
             request.placed, request.failed_answer = placed, None
             outcome = Attempt(
-                self._state, self._codec, request, response, self._crash_checks
+                self._state,
+                self._codec,
+                request,
+                response,
+                self._crash_checks,
+                self._blocks,
             ).run()
             match outcome:
                 case Answered(status):
@@ -262,7 +251,7 @@
     ) -> None:
         log.info(
             "prompt holds parts that crash endpoints",
-            extra={"request": request.call.id, **_describe_block(self._state, block)},
+            extra={"request": request.call.id, **self._blocks.describe(block)},
         )
         if response.started:
             self._abort_stream(request, response, "blocked_part")
@@ -389,18 +378,6 @@
         response.send_complete(status, headers, body)
 
 
-def _describe_block(state: NodeState, block: Block) -> dict:
-    """Return the fields of a log line that tell why a block is in force."""
-    return {
-        "block": block.id,
-        "prompt_parts": sorted(block.parts),
-        "crashes": block.crashes,
-        "endpoints": block.endpoints,
-        "nodes": block.nodes,
-        "age_s": round(state.timers.now() - block.made_at, 2),
-    }
-
-
 def _urgency(route: Route, org: Organisation | None) -> int:
     """Return the urgency of a request at endpoints; 0 is served first.
 
