Log and count each request that is read and gets no complete answer

Callers whose connection ended without an answer were nowhere in the log: "stopped" gave their number, a traceback no request.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from rattanwick.internal.gateway.endpoint_limits import Permit
 from rattanwick.internal.gateway.model import (
@@ -23,14 +24,27 @@
     """The caller's connection must be closed before the response is complete."""
 
 
+class Phase(StrEnum):
+    """How far a request has come."""
+
+    BODY = "reading_body"
+    CHECKS = "checks"  # of its route, key and limits
+    WAITING = "waiting"  # for an endpoint
+    CONNECTING = "connecting"
+    SENT = "sent"
+    STREAMING = "streaming"
+
+
 class ResponseWriter(ABC):
     """Writer of the response to one request.
 
     ``started`` is true once the head has been sent; ``status`` is the status in it.
+    ``request`` is the request's state once it has passed the checks.
     """
 
     started: bool
     status: int
+    request: "ActiveRequest | None" = None
 
     @abstractmethod
     def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
@@ -63,6 +77,7 @@
     configuration_version: int
     attempts: int = 0
     may_have_run: bool = False
+    phase: Phase = Phase.CHECKS
     # Parts of the prompt that other prompts may hold; see ``shared_parts``.
     parts: tuple[str, ...] = ()
     trial: str = ""  # id of the block that does not hold for the next attempt
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -10,7 +10,11 @@
 )
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter
-from rattanwick.internal.gateway.active_request import ActiveRequest, ResponseWriter
+from rattanwick.internal.gateway.active_request import (
+    ActiveRequest,
+    Phase,
+    ResponseWriter,
+)
 from rattanwick.internal.gateway.connection_pool import EndpointConnection
 from rattanwick.internal.gateway.crash_check import CrashChecks, LostAttempt
 from rattanwick.internal.gateway.endpoint_view import EndpointView
@@ -102,6 +106,7 @@
     def _exchange(self) -> Outcome:
         request, view = self._request, self._view
         request.tried.add(view.endpoint.id)
+        request.phase = Phase.CONNECTING
         timeout = self._time_left()
         if timeout <= 0:
             return self._not_sent("deadline has passed", endpoint_failed=False)
@@ -122,6 +127,7 @@
         if self._blocks.find(request) is not None:
             return self._not_sent("prompt part is blocked", endpoint_failed=False)
         request.trial = ""
+        request.phase = Phase.SENT
         self._sent_at = self._now()
         self._responded_before = view.responded_recently(self._sent_at)
         try:
@@ -290,6 +296,7 @@
         request.last_event_at = now
         if not self._began:
             self._began_at = now
+            request.phase = Phase.STREAMING
             self._note_first_event()
         elif not self._is_sound and now - self._began_at >= SOUND_STREAM_SECONDS:
             self._is_sound = True
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -11,11 +11,14 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
+    Phase,
+    ResponseAborted,
     ResponseWriter,
 )
 from rattanwick.internal.gateway.connection_pool import is_readable
 from rattanwick.internal.gateway.interfaces import InvalidRequest
-from rattanwick.internal.gateway.model import Headers
+from rattanwick.internal.gateway.model import Call, Headers
+from rattanwick.internal.gateway.unanswered import log_unanswered
 
 if TYPE_CHECKING:
     from rattanwick.internal.gateway.caller_server import CallerServer
@@ -38,11 +41,12 @@
 class CallerResponseWriter(ResponseWriter):
     """Writer of the response to one request."""
 
-    __slots__ = ("_close", "_conn", "started", "status")
+    __slots__ = ("_close", "_conn", "request", "started", "status")
 
     def __init__(self, conn: "CallerConnection", close: bool):
         self._conn = conn
         self._close = close
+        self.request = None
         self.started = False
         self.status = 0
 
@@ -81,6 +85,8 @@
         self._sock = sock
         self._limits = server.limits()
         self.busy = False
+        self._call: Call | None = None  # the request in progress
+        self._response: CallerResponseWriter | None = None
         self._closing = False
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
@@ -108,6 +114,18 @@
         except OSError:
             pass  # the caller has closed the connection already
 
+    def log_unanswered(self, cause: str) -> None:
+        """Log that the request in progress, if any, gets no complete answer."""
+        if self._call is None:
+            return
+        response = self._response
+        if response is None:
+            phase, status = Phase.BODY, 0
+        else:
+            request, status = response.request, response.status
+            phase = Phase.CHECKS if request is None else request.phase
+        log_unanswered(self._call.id, phase, cause, status, self._server.stop)
+
     def write(self, data: bytes) -> None:
         """Send bytes to the caller; raise CallerConnectionClosed if that fails."""
         self._sock.settimeout(SEND_TIMEOUT_SECONDS)
@@ -118,10 +136,10 @@
 
     def _serve_one(self) -> bool:
         """Serve one request; return whether the connection may carry another."""
-        call = None
+        call = self._call = self._response = None
         try:
             request, arrived = self._read_head()
-            call = self._server.codec.decode_call(
+            call = self._call = self._server.codec.decode_call(
                 request.method,
                 request.target,
                 list(request.headers.raw_items()),
@@ -132,14 +150,21 @@
             self._refuse(call.id if call else "", exc)
             return False
         close = self._server.draining
-        response = CallerResponseWriter(self, close)
+        response = self._response = CallerResponseWriter(self, close)
         watch = DisconnectWatch(self._sock)
         watch.start()
         try:
             complete = self._server.relay.serve(call, response)
+        except CallerConnectionClosed as exc:
+            if isinstance(exc, ResponseAborted):
+                self.log_unanswered(str(exc))
+            raise
+        except BaseException as exc:
+            self.log_unanswered(repr(exc))
+            raise
         finally:
             watch.stop()
-        self.busy = False
+        self.busy, self._call = False, None
         if not complete or close:
             return False
         try:
--- a/src/rattanwick/internal/gateway/caller_server.py
+++ b/src/rattanwick/internal/gateway/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server that accepts callers' connections."""
 
 import socket as std_socket
+from collections.abc import Callable
 
 import gevent
 from gevent.server import StreamServer
@@ -9,6 +10,7 @@
 from rattanwick.internal.gateway.caller_connection import CallerConnection
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import CallerLimits
+from rattanwick.internal.gateway.planned_stop import PlannedStop
 from rattanwick.internal.gateway.relay import Relay
 
 log = get_logger("callers")
@@ -25,11 +27,17 @@
     """
 
     def __init__(
-        self, address: tuple[str, int], codec: MessageCodec, relay: Relay, limits
+        self,
+        address: tuple[str, int],
+        codec: MessageCodec,
+        relay: Relay,
+        limits: Callable[[], CallerLimits],
+        stop: PlannedStop,
     ):
         self.codec = codec
         self.relay = relay
         self.limits = limits
+        self.stop = stop
         self.draining = False
         self._connections: set[CallerConnection] = set()
         self._server = StreamServer(address, self._serve, backlog=LISTEN_BACKLOG)
@@ -47,6 +55,11 @@
         for conn in list(self._connections):
             conn.close_if_idle()
 
+    def log_unanswered(self, cause: str) -> None:
+        """Log the requests in progress, which get no complete answer."""
+        for conn in self._connections:
+            conn.log_unanswered(cause)
+
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
         self._server.close()
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -102,7 +102,7 @@
         self.entry = NodeDirectory(self.state)
         relay = Relay(self.state, codec)
         self._callers = CallerServer(
-            settings.callers, codec, relay, self._caller_limits
+            settings.callers, codec, relay, self._caller_limits, self.state.stop
         )
         leadership = Leadership(self.state, store, self.peers.boot)
         self._leader_tasks = [leadership.step]
@@ -278,6 +278,7 @@
         log.info("stopping", extra={"requests": self._callers.busy})
         gevent.spawn(self._deregister)
         limit = started + self.settings.bounds.grace - EXIT_MARGIN_SECONDS
+        self.state.stop.begin(limit)
         accepting = True
         while time.monotonic() < limit:
             elapsed = time.monotonic() - started
@@ -289,6 +290,7 @@
             if not accepting and self._callers.busy == 0:
                 break
             gevent.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
+        self._callers.log_unanswered("process ends")
         log.info(
             "stopped",
             extra={
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -22,6 +22,7 @@
     choose_store_pollers,
 )
 from rattanwick.internal.gateway.part_guard import PartGuard
+from rattanwick.internal.gateway.planned_stop import PlannedStop
 from rattanwick.internal.gateway.prefill import PrefillEstimator
 from rattanwick.internal.gateway.rate_limits import SharedRateLimiter
 from rattanwick.internal.gateway.retries import RetryBudget
@@ -65,6 +66,7 @@
     prefill_estimator: PrefillEstimator
     utilisation_targets: UtilisationTargets
     usage: UsageCounts
+    stop: PlannedStop
     configuration: Configuration | None = None
     leaving: bool = False
     load_changed: Event = field(default_factory=Event)  # wakes the broadcast of loads
@@ -217,4 +219,5 @@
         prefill_estimator=PrefillEstimator(),
         utilisation_targets=UtilisationTargets(),
         usage=UsageCounts(bounds.usage_window),
+        stop=PlannedStop(timers),
     )
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -6,6 +6,7 @@
 from rattanwick.internal.gateway.active_request import (
     ActiveRequest,
     CallerConnectionClosed,
+    Phase,
     ResponseAborted,
     ResponseWriter,
 )
@@ -131,6 +132,7 @@
             configuration_version=cfg.version,
             last_event_id=call.last_event_id if route.resumable else "",
         )
+        response.request = request
         try:
             self._run(request, response)
         except ResponseAborted:
@@ -160,6 +162,7 @@
             if block is not None:
                 self._end_blocked(request, response, block)
                 return
+            request.phase = Phase.WAITING
             placed = self._placement.place(request)
             if isinstance(placed, NotPlaced):
                 self._end_unplaced(request, response, placed)
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -170,6 +170,7 @@
             PlatformCodec(),
             Relay(self.state, PlatformCodec()),
             lambda: self.state.configuration.limits,
+            self.state.stop,
         )
         self.server.start()
         self.endpoints: list[FakeGatewayEndpoint] = []
