Add failing tests of requests that get no answer

Callers of a node that stops lose requests on kept connections and with bodies that arrive late; callers of any node lose requests under an unexpected exception.

--- /dev/null
+++ b/tests/failure/test_gateway_answers.py
@@ -0,0 +1,74 @@
+"""Each request that was read gets an answer, whatever ends it."""
+
+from unittest import mock
+
+import gevent
+
+from rattanwick.internal.gateway.caller_connection import CallerResponseWriter
+from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.platform.codec import PlatformCodec
+from tests.gateway_case import Answer, RelayCase
+
+# What no part of the relay expects: faults of the code or of a value, a timer that was
+# not stopped, and the end of the greenlet.
+EXCEPTIONS = (OverflowError("number"), gevent.Timeout(0.1), gevent.GreenletExit())
+
+
+class UnexpectedExceptionTests(RelayCase):
+    """Guard against a caller that gets nothing because of an unexpected exception."""
+
+    def ask_with(self, target, method: str, exc: BaseException) -> Answer:
+        """Send an unsafe request while a method raises an exception."""
+        with mock.patch.object(target, method, side_effect=exc):
+            return self.ask("/unsafe/x", method="POST", body=b"b")
+
+    # Guards against a connection that ends without an answer if a decision fails.
+    def test_an_exception_before_a_request_is_sent_gets_503(self):
+        endpoint = self.add_endpoint("i-1")
+        for exc in EXCEPTIONS:
+            with self.subTest(repr(exc)):
+                answer = self.ask_with(self.state.endpoints, "of_service", exc)
+                self.assertEqual(answer.status, 503)
+                self.assertIn("retry-after", answer.headers)
+        self.assertEqual(endpoint.executed_requests, [])
+
+    # Guards against a 503, which says "not run", for a request that may have run.
+    def test_an_exception_after_a_request_was_sent_gets_502(self):
+        self.add_endpoint("i-1")
+        for exc in EXCEPTIONS:
+            with self.subTest(repr(exc)):
+                answer = self.ask_with(PlatformCodec, "decode_response_head", exc)
+                self.assertEqual(answer.status, 502)
+
+    # Guards against an exception while the bytes are on their way, when it is not
+    # known whether the endpoint got the request.
+    def test_an_exception_while_a_request_is_sent_gets_502(self):
+        self.add_endpoint("i-1")
+        for exc in EXCEPTIONS:
+            with self.subTest(repr(exc)):
+                answer = self.ask_with(EndpointConnection, "send", exc)
+                self.assertEqual(answer.status, 502)
+
+    # Guards against a request that is dropped by the code that reads it.
+    def test_an_exception_in_the_decoding_of_a_request_gets_503(self):
+        for exc in EXCEPTIONS:
+            with self.subTest(repr(exc)):
+                answer = self.ask_with(PlatformCodec, "decode_call", exc)
+                self.assertEqual(answer.status, 503)
+
+    # Guards against a stream that looks complete, or has a second head inside.
+    def test_an_exception_in_a_stream_breaks_it(self):
+        endpoint = self.add_endpoint("i-1", "engine")
+        endpoint.event_seconds = 0.01
+        send = CallerResponseWriter.send_chunk
+
+        def fail_after_head(writer, data, head):
+            if head is None:
+                raise OverflowError("number")
+            send(writer, data, head)
+
+        with mock.patch.object(CallerResponseWriter, "send_chunk", fail_after_head):
+            answer = self.ask("/stream/x", method="POST", body=b"b")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.raw.count(b"HTTP/1.1"), 1)
+        self.assertFalse(answer.raw.endswith(b"0\r\n\r\n"))
--- /dev/null
+++ b/tests/scenario/test_gateway_planned_stop.py
@@ -0,0 +1,87 @@
+"""Planned stops of a gateway node as a process, with endpoints that take long."""
+
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import gevent
+
+from fakes.gateway_deployment import GatewayDeployment, make_configuration
+from tests.planned_stop import RecordingCaller, SentRequest
+
+NODES = ("front-a-1", "front-b-1")
+ENDPOINTS = 4
+WORK_SECONDS = 6.0  # of an endpoint; close to the grace time
+GRACE_SECONDS = 8.0
+
+
+class PlannedStopTests(unittest.TestCase):
+    """Guard against requests that arrived whole and get no answer in a stop."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.deployment = GatewayDeployment(Path(folder.name), NODES)
+        self.addCleanup(self.deployment.close)
+        self.deployment.configure(make_configuration(3))
+        for number in range(ENDPOINTS):
+            endpoint = self.deployment.add_endpoint(f"i-{number}", stream=False)
+            endpoint.work_seconds = WORK_SECONDS
+        for name in NODES:
+            self.deployment.start_node(name)
+        self.assertTrue(self.deployment.wait_joined())
+        self.node = self.deployment.nodes[NODES[0]]
+        self.address = self.deployment.callers_address(NODES[0])
+
+    def caller(self, name: str, path: str = "/unsafe/x") -> RecordingCaller:
+        """Return a caller of the node that stops."""
+        return RecordingCaller(self.address, name, path)
+
+    def assert_stopped(self, started: float) -> None:
+        """Check that the node ends by itself before the platform would kill it."""
+        self.assertEqual(self.node.wait(GRACE_SECONDS + 2.0), 0)
+        self.assertLess(time.monotonic() - started, GRACE_SECONDS)
+
+    def assert_answered(self, sent: list[SentRequest]) -> None:
+        """Check that each request got a complete response."""
+        self.assertEqual([request for request in sent if not request.complete], [])
+
+    def ran(self) -> set[str]:
+        """Return the ids of the requests that endpoints ran."""
+        return {
+            headers["x-request-id"]
+            for endpoint in self.deployment.endpoints.values()
+            for headers in endpoint.executed_requests
+        }
+
+    # Guards against a connection that stays open after an answer of the stop, so that
+    # the next request on it is cut at the end of the grace time.
+    def test_each_request_on_a_kept_connection_is_answered(self):
+        callers = [self.caller(f"c{number}") for number in range(16)]
+        tasks = [gevent.spawn(caller.run) for caller in callers]
+        gevent.sleep(0.7)
+        started = time.monotonic()
+        self.node.terminate()
+        self.assert_stopped(started)
+        gevent.joinall(tasks, timeout=5.0, raise_error=True)
+        sent = [request for caller in callers for request in caller.sent]
+        self.assert_answered(sent)
+        self.assertEqual([request.status for request in sent[:1]], [200])
+        refused = {request.id for request in sent if request.status == 503}
+        self.assertEqual(refused & self.ran(), set())
+
+    # Guards against a request whose body is complete late in the grace time, and that
+    # is sent to an endpoint although the node ends before the answer.
+    def test_a_request_whose_body_arrives_late_is_refused(self):
+        kept, slow = self.caller("kept"), self.caller("slow")
+        first = gevent.spawn(kept.send)
+        gevent.sleep(0.5)
+        started = time.monotonic()
+        self.node.terminate()
+        task = gevent.spawn(slow.send, pauses=(2.0, 2.0), deadline_ms=9000)
+        self.assert_stopped(started)
+        gevent.joinall([first, task], timeout=5.0, raise_error=True)
+        self.assert_answered(kept.sent + slow.sent)
+        self.assertEqual([request.status for request in kept.sent], [200])
+        self.assertNotIn("slow-0", self.ran())
