Decide when a response starts whether its connection closes

Callers with a kept connection got an answer seconds after SIGTERM that left the connection open, and their next request on it came late in the grace time. The decision was made when the request had been read, before the stop began. It is now made when the head of the response is written; a connection whose response had started before the stop still carries one more request.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -39,20 +39,25 @@
 
 
 class CallerResponseWriter(ResponseWriter):
-    """Writer of the response to one request."""
+    """Writer of the response to one request.
 
-    __slots__ = ("_close", "_conn", "request", "started", "status")
+    ``closes`` is true if the connection carries no request after this one.
+    """
+
+    __slots__ = ("_conn", "closes", "request", "started", "status")
 
-    def __init__(self, conn: "CallerConnection", close: bool):
+    def __init__(self, conn: "CallerConnection", close: bool = False):
         self._conn = conn
-        self._close = close
+        self.closes = close
         self.request = None
         self.started = False
         self.status = 0
 
     def start(self, status: int, headers: Headers) -> bytes:
         """Return the encoded head of the response."""
-        if self._close:
+        # The node may have begun to stop while the request was served.
+        self.closes = self.closes or self._conn.draining
+        if self.closes:
             headers = [*headers, (b"Connection", b"close")]
         self.started, self.status = True, status
         http = self._conn.http
@@ -92,6 +97,11 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
         )
 
+    @property
+    def draining(self) -> bool:
+        """Return whether each response closes its connection."""
+        return self._server.draining
+
     def run(self) -> None:
         """Serve requests until either side ends the connection."""
         try:
@@ -149,8 +159,7 @@
         except InvalidRequest as exc:
             self._refuse(call.id if call else "", exc)
             return False
-        close = self._server.draining
-        response = self._response = CallerResponseWriter(self, close)
+        response = self._response = CallerResponseWriter(self)
         watch = DisconnectWatch(self._sock)
         watch.start()
         try:
@@ -165,7 +174,7 @@
         finally:
             watch.stop()
         self.busy, self._call = False, None
-        if not complete or close:
+        if not complete or response.closes:
             return False
         try:
             self.http.start_next_cycle()
