Take requests in a stop only if they can be done before its end

Callers lost requests that were complete late in the grace time, on kept connections and with bodies that arrive slowly: nothing asked whether there was time, so they were sent and cut. PlannedStop decides it at one place: a deadline before the end is enough, otherwise the slowest tenth of the latest requests of the route at this node, those in progress included. It is asked when the head has arrived (so that no 100 is sent for a body of no use), with each piece of the body, before each attempt and while a request waits; what cannot be done gets 503 at once and a connection that closes.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -18,6 +18,8 @@
 from rattanwick.internal.gateway.connection_pool import is_readable
 from rattanwick.internal.gateway.interfaces import InvalidRequest
 from rattanwick.internal.gateway.model import Call, Headers
+from rattanwick.internal.gateway.placement import RefusalReason
+from rattanwick.internal.gateway.planned_stop import STOPPING_RETRY_AFTER_SECONDS
 from rattanwick.internal.gateway.unanswered import log_unanswered
 
 if TYPE_CHECKING:
@@ -155,6 +157,7 @@
                 list(request.headers.raw_items()),
                 arrived,
             )
+            self._check_stop()
             call.body = self._read_body()
         except InvalidRequest as exc:
             self._refuse(call.id if call else "", exc)
@@ -208,6 +211,13 @@
         if size > max_bytes:
             raise InvalidRequest(431, f"header: must be at most {max_bytes} bytes")
 
+    def _check_stop(self) -> None:
+        """Raise InvalidRequest if the request cannot be done before the node stops."""
+        if not self._server.relay.can_finish(self._call):
+            raise InvalidRequest(
+                503, RefusalReason.NODE_STOPPING, STOPPING_RETRY_AFTER_SECONDS
+            )
+
     def _read_body(self) -> bytes:
         parts, size = [], 0
         while True:
@@ -227,6 +237,7 @@
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     self.write(self.http.send(interim))
                 self._receive(self._limits.header_seconds, idle=False)
+                self._check_stop()
             else:
                 raise RequestNotReceived()
 
@@ -263,12 +274,17 @@
     def _refuse(self, call_id: str, exc: InvalidRequest) -> None:
         log.info(
             "refused",
-            extra={"request": call_id, "status": exc.status, "reason": exc.reason},
+            extra={
+                "request": call_id,
+                "status": exc.status,
+                "reason": exc.reason,
+                "return_after": exc.retry_after,
+            },
         )
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers, body = self._server.codec.encode_refusal(
-            call_id, exc.status, exc.reason, None
+            call_id, exc.status, exc.reason, exc.retry_after
         )
         CallerResponseWriter(self, close=True).send_complete(exc.status, headers, body)
         self._linger()
--- a/src/rattanwick/internal/gateway/interfaces.py
+++ b/src/rattanwick/internal/gateway/interfaces.py
@@ -19,12 +19,16 @@
 
 
 class InvalidRequest(Exception):
-    """A request cannot be accepted; ``status`` is the HTTP status of the answer."""
+    """A request cannot be accepted; ``status`` is the HTTP status of the answer.
 
-    def __init__(self, status: int, reason: str):
+    ``retry_after`` is in seconds, None if the caller is not asked back.
+    """
+
+    def __init__(self, status: int, reason: str, retry_after: float | None = None):
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after = retry_after
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -65,6 +65,14 @@
         self._crash_checks = CrashChecks(state)
         self._blocks = PromptBlocks(state)
 
+    def can_finish(self, call: Call) -> bool:
+        """Return whether a request that is complete now can end before a stop does."""
+        cfg = self._state.configuration
+        route = cfg.find_route(call.host, call.path) if cfg else None
+        return route is None or self._state.stop.can_finish(
+            route, _deadline(route, call)
+        )
+
     def serve(self, call: Call, response: ResponseWriter) -> bool:
         """Answer a request and return whether its connection may carry another one.
 
@@ -116,15 +124,12 @@
             if wait is not None:
                 return self._refuse_over_limit(call, response, cfg, org, cost, wait)
         self._state.retry_budget.note_request(service.name, now)
-        timeout = route.timeout
-        if call.timeout_seconds is not None:
-            timeout = min(timeout, call.timeout_seconds)
         request = ActiveRequest(
             call=call,
             route=route,
             organisation=org,
             service=service,
-            deadline=call.arrived + timeout,
+            deadline=_deadline(route, call),
             urgency=_urgency(route, org),
             fingerprint=request_fingerprint,
             parts=parts,
@@ -133,6 +138,8 @@
             last_event_id=call.last_event_id if route.resumable else "",
         )
         response.request = request
+        times = self._state.stop.answer_times
+        times.start(route.name, id(request), self._state.timers.now())
         try:
             self._run(request, response)
         except ResponseAborted:
@@ -141,6 +148,8 @@
             self._log_end(request, "caller_gone", response)
             raise
         finally:
+            sent = request.attempts > 0
+            times.end(route.name, id(request), self._state.timers.now(), sent)
             if not request.may_have_run:
                 self._state.limits.refund(name, cost)
         return True
@@ -381,6 +390,14 @@
         response.send_complete(status, headers, body)
 
 
+def _deadline(route: Route, call: Call) -> float:
+    """Return the end of the time that a caller and its route allow, monotonic."""
+    timeout = route.timeout
+    if call.timeout_seconds is not None:
+        timeout = min(timeout, call.timeout_seconds)
+    return call.arrived + timeout
+
+
 def _urgency(route: Route, org: Organisation | None) -> int:
     """Return the urgency of a request at endpoints; 0 is served first.
 
--- a/src/rattanwick/internal/gateway/request_placement.py
+++ b/src/rattanwick/internal/gateway/request_placement.py
@@ -16,6 +16,7 @@
     sample_engines,
     sample_service_endpoints,
 )
+from rattanwick.internal.gateway.planned_stop import STOPPING_RETRY_AFTER_SECONDS
 
 # Longest wait for a free endpoint, as a share of the route's objective. A wait of up to
 # an eighth of the objective costs a caller less than a refusal.
@@ -48,6 +49,10 @@
             request.age_seconds = now - request.call.arrived
             if request.deadline - now < MIN_TIME_LEFT_SECONDS:
                 return NotPlaced(RefusalReason.TOO_LATE, 0.0)
+            if not self._state.stop.can_finish(request.route, request.deadline):
+                return NotPlaced(
+                    RefusalReason.NODE_STOPPING, STOPPING_RETRY_AFTER_SECONDS
+                )
             placed = self._choose(request, now, waited < max_permit_wait)
             if isinstance(placed, Placed):
                 request.permit = self._state.endpoint_limits.take(placed.view.endpoint)
