Answer each request that was read, whatever exception ends its service

Callers got a connection that ended with no byte if an exception that no part expects came up: one number in an endpoint's entry was enough to lose every request of its service. The exception ended where the connection's greenlet ends, which knows no request. AnswerGuard now holds the promise at one place: 503 if the request has certainly not run, 502 otherwise, a break only for a response that has started; the exception is logged with the request's id and phase, and counted. A request counts as possibly run before its first byte is sent, not after.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -39,11 +39,13 @@
     """Writer of the response to one request.
 
     ``started`` is true once the head has been sent; ``status`` is the status in it.
-    ``request`` is the request's state once it has passed the checks.
+    ``request`` is the request's state once it has passed the checks. If ``closes`` is
+    true, the connection carries no request after this one.
     """
 
     started: bool
     status: int
+    closes: bool
     request: "ActiveRequest | None" = None
 
     @abstractmethod
--- /dev/null
+++ b/src/rattanwick/internal/gateway/answer_guard.py
@@ -0,0 +1,72 @@
+"""Guarantee that a request that was read gets an answer, whatever ends it."""
+
+from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.metrics import counter
+from rattanwick.internal.gateway.active_request import (
+    CallerConnectionClosed,
+    Phase,
+    ResponseAborted,
+    ResponseWriter,
+)
+from rattanwick.internal.gateway.interfaces import MessageCodec
+from rattanwick.internal.gateway.placement import MIN_RETRY_AFTER_SECONDS
+from rattanwick.internal.gateway.planned_stop import PlannedStop
+from rattanwick.internal.gateway.unanswered import log_unanswered
+
+log = get_logger("callers")
+
+exceptions_total = counter(
+    "relay_unexpected_exceptions",
+    "Requests that an unexpected exception ended, by phase",
+    ("phase",),
+)
+
+
+class AnswerGuard:
+    """Answers to requests that ended with an exception instead of an answer."""
+
+    def __init__(self, codec: MessageCodec, stop: PlannedStop):
+        self._codec = codec
+        self._stop = stop
+
+    def answer(
+        self, call_id: str, phase: Phase, response: ResponseWriter, exc: BaseException
+    ) -> None:
+        """Answer a request that ended with an exception.
+
+        The status is 503 if the request has certainly not run, 502 otherwise. A
+        response that has started is not continued: the caller must see it break off.
+        """
+        if isinstance(exc, CallerConnectionClosed):
+            if isinstance(exc, ResponseAborted):
+                self._log_unanswered(call_id, phase, response, exc)
+            return
+        exceptions_total.labels(str(phase)).inc()
+        log.error(
+            "unexpected exception ended a request",
+            extra={"request": call_id, "phase": str(phase)},
+            exc_info=exc,
+        )
+        if response.started:
+            self._log_unanswered(call_id, phase, response, exc)
+            return
+        request = response.request
+        ran = request is not None and request.may_have_run
+        status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
+        headers, body = self._codec.encode_refusal(
+            call_id, status, "internal_error", retry_after
+        )
+        try:
+            response.closes = True
+            response.send_complete(status, headers, body)
+        except Exception as failure:
+            self._log_unanswered(call_id, phase, response, failure)
+
+    def _log_unanswered(
+        self,
+        call_id: str,
+        phase: Phase,
+        response: ResponseWriter,
+        exc: BaseException,
+    ) -> None:
+        log_unanswered(call_id, phase, repr(exc), response.status, self._stop)
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -133,14 +133,14 @@
         try:
             self._send()
         except ProtocolError as exc:
+            request.may_have_run = self._may_have_run_before
             return self._not_sent(exc.reason)
         except ConnectionLost as exc:
             if exc.sent:
-                request.may_have_run = True
                 return Lost(exc.reason, disconnected=True)
+            request.may_have_run = self._may_have_run_before
             return self._not_sent(f"connection was already closed: {exc.reason}")
         request.attempts += 1
-        request.may_have_run = True
         self._state.endpoint_limits.count_sent(request.permit)
         objective = request.route.objective
         self._state.note_prompt(request.service.name, self._pending_tokens, objective)
@@ -166,6 +166,8 @@
             last_event_id=request.last_event_id,
         )
         headers = self._codec.encode_call(call, ctx)
+        # Whatever ends the sending, the endpoint may have got the request.
+        request.may_have_run = True
         self._connection.send(
             call.method, call.target, headers, call.body, self._time_left()
         )
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -4,15 +4,14 @@
 import time
 from typing import TYPE_CHECKING
 
+import gevent
 import h11
 from gevent import get_hub, getcurrent
 
-from rattanwick.internal.base.errors import ConnectionLost
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
     Phase,
-    ResponseAborted,
     ResponseWriter,
 )
 from rattanwick.internal.gateway.connection_pool import is_readable
@@ -41,16 +40,13 @@
 
 
 class CallerResponseWriter(ResponseWriter):
-    """Writer of the response to one request.
-
-    ``closes`` is true if the connection carries no request after this one.
-    """
+    """Writer of the response to one request."""
 
     __slots__ = ("_conn", "closes", "request", "started", "status")
 
-    def __init__(self, conn: "CallerConnection", close: bool = False):
+    def __init__(self, conn: "CallerConnection"):
         self._conn = conn
-        self.closes = close
+        self.closes = False
         self.request = None
         self.started = False
         self.status = 0
@@ -61,9 +57,10 @@
         self.closes = self.closes or self._conn.draining
         if self.closes:
             headers = [*headers, (b"Connection", b"close")]
+        # This raises if the head cannot be encoded; another one may then be sent.
+        head = h11.Response(status_code=status, headers=headers, reason=b"")
         self.started, self.status = True, status
-        http = self._conn.http
-        return http.send(h11.Response(status_code=status, headers=headers, reason=b""))
+        return self._conn.http.send(head)
 
     def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response; a Content-Length in ``headers`` is replaced."""
@@ -93,7 +90,8 @@
         self._limits = server.limits()
         self.busy = False
         self._call: Call | None = None  # the request in progress
-        self._response: CallerResponseWriter | None = None
+        self._response = CallerResponseWriter(self)
+        self._received = False  # the request in progress was read to its end
         self._closing = False
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
@@ -109,7 +107,7 @@
         try:
             while self._serve_one():
                 pass
-        except (CallerConnectionClosed, RequestNotReceived, ConnectionLost):
+        except RequestNotReceived:
             pass
         finally:
             self._sock.close()
@@ -126,17 +124,27 @@
         except OSError:
             pass  # the caller has closed the connection already
 
+    @property
+    def _call_id(self) -> str:
+        return self._call.id if self._call else ""
+
+    @property
+    def _phase(self) -> Phase:
+        if not self._received:
+            return Phase.BODY
+        request = self._response.request
+        return request.phase if request else Phase.CHECKS
+
     def log_unanswered(self, cause: str) -> None:
         """Log that the request in progress, if any, gets no complete answer."""
-        if self._call is None:
-            return
-        response = self._response
-        if response is None:
-            phase, status = Phase.BODY, 0
-        else:
-            request, status = response.request, response.status
-            phase = Phase.CHECKS if request is None else request.phase
-        log_unanswered(self._call.id, phase, cause, status, self._server.stop)
+        if self._call is not None:
+            log_unanswered(
+                self._call_id,
+                self._phase,
+                cause,
+                self._response.status,
+                self._server.stop,
+            )
 
     def write(self, data: bytes) -> None:
         """Send bytes to the caller; raise CallerConnectionClosed if that fails."""
@@ -148,36 +156,22 @@
 
     def _serve_one(self) -> bool:
         """Serve one request; return whether the connection may carry another."""
-        call = self._call = self._response = None
-        try:
-            request, arrived = self._read_head()
-            call = self._call = self._server.codec.decode_call(
-                request.method,
-                request.target,
-                list(request.headers.raw_items()),
-                arrived,
-            )
-            self._check_stop()
-            call.body = self._read_body()
-        except InvalidRequest as exc:
-            self._refuse(call.id if call else "", exc)
-            return False
+        self._call, self._received = None, False
         response = self._response = CallerResponseWriter(self)
-        watch = DisconnectWatch(self._sock)
-        watch.start()
         try:
-            complete = self._server.relay.serve(call, response)
-        except CallerConnectionClosed as exc:
-            if isinstance(exc, ResponseAborted):
-                self.log_unanswered(str(exc))
-            raise
-        except BaseException as exc:
-            self.log_unanswered(repr(exc))
+            try:
+                self._receive_call()
+            except InvalidRequest as exc:
+                self._refuse(exc)
+                return False
+            self._answer_call()
+        except RequestNotReceived:
             raise
-        finally:
-            watch.stop()
+        except (Exception, gevent.Timeout, gevent.GreenletExit) as exc:
+            self._server.guard.answer(self._call_id, self._phase, response, exc)
+            return False
         self.busy, self._call = False, None
-        if not complete or response.closes:
+        if response.closes:
             return False
         try:
             self.http.start_next_cycle()
@@ -185,6 +179,24 @@
             return False
         return True
 
+    def _receive_call(self) -> None:
+        """Read a request to its end."""
+        request, arrived = self._read_head()
+        self._call = self._server.codec.decode_call(
+            request.method, request.target, list(request.headers.raw_items()), arrived
+        )
+        self._check_stop()
+        self._call.body = self._read_body()
+        self._received = True
+
+    def _answer_call(self) -> None:
+        watch = DisconnectWatch(self._sock)
+        watch.start()
+        try:
+            self._server.relay.serve(self._call, self._response)
+        finally:
+            watch.stop()
+
     def _read_head(self) -> tuple[h11.Request, float]:
         limit = self._limits.idle_seconds + IDLE_GRACE_SECONDS
         while True:
@@ -271,11 +283,11 @@
             raise RequestNotReceived()
         self.http.receive_data(data)
 
-    def _refuse(self, call_id: str, exc: InvalidRequest) -> None:
+    def _refuse(self, exc: InvalidRequest) -> None:
         log.info(
             "refused",
             extra={
-                "request": call_id,
+                "request": self._call_id,
                 "status": exc.status,
                 "reason": exc.reason,
                 "return_after": exc.retry_after,
@@ -284,9 +296,10 @@
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers, body = self._server.codec.encode_refusal(
-            call_id, exc.status, exc.reason, exc.retry_after
+            self._call_id, exc.status, exc.reason, exc.retry_after
         )
-        CallerResponseWriter(self, close=True).send_complete(exc.status, headers, body)
+        self._response.closes = True
+        self._response.send_complete(exc.status, headers, body)
         self._linger()
 
     def _linger(self) -> None:
