Answer the requests in progress before the process of a stop ends

Callers whose request was waiting or at an endpoint when the grace time ended got a connection that closed with no byte: the process ended without a word to them. A connection shuts down its side and reads on for a moment, so that no reset discards the last answer, and the process waits for all connections, not only for those with a request in progress.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -20,6 +20,10 @@
     """The connection to the caller is closed or must be closed."""
 
 
+class NodeStopping(Exception):
+    """The process ends before the request can be done."""
+
+
 class ResponseAborted(CallerConnectionClosed):
     """The caller's connection must be closed before the response is complete."""
 
--- a/src/rattanwick/internal/gateway/answer_guard.py
+++ b/src/rattanwick/internal/gateway/answer_guard.py
@@ -4,13 +4,20 @@
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
+    NodeStopping,
     Phase,
     ResponseAborted,
     ResponseWriter,
 )
 from rattanwick.internal.gateway.interfaces import MessageCodec
-from rattanwick.internal.gateway.placement import MIN_RETRY_AFTER_SECONDS
-from rattanwick.internal.gateway.planned_stop import PlannedStop
+from rattanwick.internal.gateway.placement import (
+    MIN_RETRY_AFTER_SECONDS,
+    RefusalReason,
+)
+from rattanwick.internal.gateway.planned_stop import (
+    STOPPING_RETRY_AFTER_SECONDS,
+    PlannedStop,
+)
 from rattanwick.internal.gateway.unanswered import log_unanswered
 
 log = get_logger("callers")
@@ -20,6 +27,11 @@
     "Requests that an unexpected exception ended, by phase",
     ("phase",),
 )
+ended_by_stop_total = counter(
+    "relay_requests_ended_by_stop",
+    "Requests that were answered because the process ends, by phase",
+    ("phase",),
+)
 
 
 class AnswerGuard:
@@ -34,30 +46,52 @@
     ) -> None:
         """Answer a request that ended with an exception.
 
-        The status is 503 if the request has certainly not run, 502 otherwise. A
-        response that has started is not continued: the caller must see it break off.
+        The status is 503 if the request has certainly not run, otherwise 504 at the end
+        of a stop and 502 after an unexpected exception. A response that has started is
+        not continued: the caller must see it break off.
         """
         if isinstance(exc, CallerConnectionClosed):
             if isinstance(exc, ResponseAborted):
                 self._log_unanswered(call_id, phase, response, exc)
             return
+        request = response.request
+        ran = request is not None and request.may_have_run
+        if isinstance(exc, NodeStopping):
+            ended_by_stop_total.labels(str(phase)).inc()
+            log.info(
+                "node stops before the request can be done",
+                extra={"request": call_id, "phase": str(phase), "may_have_run": ran},
+            )
+            status, reason = 504 if ran else 503, RefusalReason.NODE_STOPPING
+            retry_after = None if ran else STOPPING_RETRY_AFTER_SECONDS
+            self._send(call_id, phase, response, exc, status, reason, retry_after)
+            return
         exceptions_total.labels(str(phase)).inc()
         log.error(
             "unexpected exception ended a request",
             extra={"request": call_id, "phase": str(phase)},
             exc_info=exc,
         )
+        status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
+        self._send(call_id, phase, response, exc, status, "internal_error", retry_after)
+
+    def _send(
+        self,
+        call_id: str,
+        phase: Phase,
+        response: ResponseWriter,
+        exc: BaseException,
+        status: int,
+        reason: str,
+        retry_after: float | None,
+    ) -> None:
+        """Send an answer, or log that there is none if a response has started."""
         if response.started:
             self._log_unanswered(call_id, phase, response, exc)
             return
-        request = response.request
-        ran = request is not None and request.may_have_run
-        status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
-        headers, body = self._codec.encode_refusal(
-            call_id, status, "internal_error", retry_after
-        )
+        headers, body = self._codec.encode_refusal(call_id, status, reason, retry_after)
+        response.closes = True
         try:
-            response.closes = True
             response.send_complete(status, headers, body)
         except Exception as failure:
             self._log_unanswered(call_id, phase, response, failure)
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -11,6 +11,7 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
+    NodeStopping,
     Phase,
     ResponseWriter,
 )
@@ -28,10 +29,11 @@
 
 READ_BYTES = 65_536
 SEND_TIMEOUT_SECONDS = 10.0  # for one write; then the connection counts as closed
-# Time for a caller that is still sending to read a refusal. Closing the connection at
-# once would reset it, and the refusal would be discarded.
+# Time for a caller to read the last response of a connection. If the connection were
+# closed with bytes unread, a reset would discard the response.
 LINGER_TIMEOUT_SECONDS = 0.5
 MAX_LINGER_BYTES = 1 << 20
+MAX_LINGER_SECONDS = 5.0
 IDLE_GRACE_SECONDS = 1.0  # added to the configured limit of idle connections
 
 
@@ -92,6 +94,8 @@
         self._call: Call | None = None  # the request in progress
         self._response = CallerResponseWriter(self)
         self._received = False  # the request in progress was read to its end
+        self._task = getcurrent()
+        self._interruptible = False  # whether ``end_request`` may end the request
         self._closing = False
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
@@ -110,6 +114,9 @@
         except RequestNotReceived:
             pass
         finally:
+            self._call = None
+            if self._response.started:
+                self._linger()
             self._sock.close()
 
     def close_if_idle(self) -> None:
@@ -124,6 +131,19 @@
         except OSError:
             pass  # the caller has closed the connection already
 
+    def end_request(self) -> None:
+        """Answer the request in progress, if any, because the process ends.
+
+        A complete response that is being written is not interrupted.
+        """
+        get_hub().loop.run_callback(self._interrupt)
+
+    def _interrupt(self) -> None:
+        writes_answer = self._response.started and self._phase is not Phase.STREAMING
+        if self.busy and self._interruptible and not writes_answer:
+            # Called by the hub, so that it takes effect before the request can end.
+            self._task.throw(NodeStopping())
+
     @property
     def _call_id(self) -> str:
         return self._call.id if self._call else ""
@@ -159,12 +179,15 @@
         self._call, self._received = None, False
         response = self._response = CallerResponseWriter(self)
         try:
+            self._interruptible = True
             try:
                 self._receive_call()
-            except InvalidRequest as exc:
-                self._refuse(exc)
-                return False
-            self._answer_call()
+                self._answer_call()
+            finally:
+                self._interruptible = False
+        except InvalidRequest as exc:
+            self._refuse(exc)
+            return False
         except RequestNotReceived:
             raise
         except (Exception, gevent.Timeout, gevent.GreenletExit) as exc:
@@ -299,16 +322,28 @@
             self._call_id, exc.status, exc.reason, exc.retry_after
         )
         self._response.closes = True
-        self._response.send_complete(exc.status, headers, body)
-        self._linger()
+        try:
+            self._response.send_complete(exc.status, headers, body)
+        except CallerConnectionClosed as closed:
+            log.info(
+                "refusal not sent",
+                extra={"request": self._call_id, "reason": str(closed)},
+            )
 
     def _linger(self) -> None:
-        """Read what the caller still sends, so that no reset discards the refusal."""
+        """Read what the caller still sends, so that no reset discards the response."""
+        # A caller may read the response only once it has sent its whole body.
+        sending = self.http.their_state is h11.SEND_BODY
+        pause = self._limits.header_seconds if sending else LINGER_TIMEOUT_SECONDS
+        ends_at = time.monotonic() + MAX_LINGER_SECONDS
         try:
             self._sock.shutdown(std_socket.SHUT_WR)
-            self._sock.settimeout(LINGER_TIMEOUT_SECONDS)
             read = 0
-            while read < MAX_LINGER_BYTES and (data := self._sock.recv(READ_BYTES)):
+            while read < MAX_LINGER_BYTES and time.monotonic() < ends_at:
+                self._sock.settimeout(pause)
+                data = self._sock.recv(READ_BYTES)
+                if not data:
+                    break
                 read += len(data)
         except OSError:
             pass  # the caller has closed the connection; nothing more can be sent
--- a/src/rattanwick/internal/gateway/caller_server.py
+++ b/src/rattanwick/internal/gateway/caller_server.py
@@ -41,7 +41,7 @@
         self.stop = stop
         self.guard = AnswerGuard(codec, stop)
         self.draining = False
-        self._connections: set[CallerConnection] = set()
+        self.connections: set[CallerConnection] = set()
         self._server = StreamServer(address, self._serve, backlog=LISTEN_BACKLOG)
 
     def start(self) -> None:
@@ -54,12 +54,17 @@
 
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
-        for conn in list(self._connections):
+        for conn in list(self.connections):
             conn.close_if_idle()
 
+    def end_requests(self) -> None:
+        """Answer the requests in progress now, because the process is about to end."""
+        for conn in list(self.connections):
+            conn.end_request()
+
     def log_unanswered(self, cause: str) -> None:
         """Log the requests in progress, which get no complete answer."""
-        for conn in self._connections:
+        for conn in self.connections:
             conn.log_unanswered(cause)
 
     def stop_accepting(self) -> None:
@@ -74,12 +79,12 @@
     @property
     def busy(self) -> int:
         """Return the number of requests in progress."""
-        return sum(conn.busy for conn in self._connections)
+        return sum(conn.busy for conn in self.connections)
 
     def _serve(self, sock, _address) -> None:
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
         conn = CallerConnection(self, sock)
-        self._connections.add(conn)
+        self.connections.add(conn)
         try:
             conn.run()
         except gevent.GreenletExit:
@@ -87,4 +92,4 @@
         except Exception:
             log.exception("connection failed")
         finally:
-            self._connections.discard(conn)
+            self.connections.discard(conn)
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -1,7 +1,6 @@
 """A gateway node: its components, started in order and stopped gracefully."""
 
 import signal
-import time
 
 import gevent
 from gevent.event import Event
@@ -32,6 +31,7 @@
 from rattanwick.internal.gateway.peer_exchange import PeerExchange
 from rattanwick.internal.gateway.relay import Relay
 from rattanwick.internal.gateway.settings import GatewaySettings
+from rattanwick.internal.gateway.shutdown import GracefulShutdown
 from rattanwick.internal.gateway.table_watch import TableWatch, poll_interval_factor
 from rattanwick.internal.gateway.usage_reports import UsageReports
 
@@ -50,15 +50,6 @@
 MEMBER_READ_INTERVAL_SECONDS = 10.0
 LEADER_TASK_INTERVAL_SECONDS = 0.5
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
-# Time from the start of a stop until idle connections are closed. Meanwhile callers
-# learn of other nodes.
-IDLE_CLOSE_DELAY_SECONDS = 1.6
-# Time from the start of a stop until no more connections are accepted. A request that
-# is accepted later may not end before the platform kills the process.
-STOP_ACCEPTING_DELAY_SECONDS = 2.5
-# The process ends this long before the platform would kill it.
-EXIT_MARGIN_SECONDS = 0.4
-DRAIN_CHECK_INTERVAL_SECONDS = 0.05
 
 
 class GatewayNode:
@@ -266,38 +257,15 @@
         log.info("reload requested", extra={"effect": "none until the next start"})
 
     def _drain(self) -> None:
-        """Stop serving without interrupting requests.
-
-        Returns once no request is in progress, at the latest shortly before the grace
-        time ends.
-        """
-        started = time.monotonic()
+        """Stop serving, and return when the process may end."""
         self.state.leaving = True
-        self._callers.drain()
+        shutdown = GracefulShutdown(
+            self._callers, self.state.stop, self.settings.bounds.grace
+        )
+        shutdown.begin()
         self.peers.broadcast_state()
-        log.info("stopping", extra={"requests": self._callers.busy})
         gevent.spawn(self._deregister)
-        limit = started + self.settings.bounds.grace - EXIT_MARGIN_SECONDS
-        self.state.stop.begin(limit)
-        accepting = True
-        while time.monotonic() < limit:
-            elapsed = time.monotonic() - started
-            if elapsed >= IDLE_CLOSE_DELAY_SECONDS:
-                self._callers.close_idle()
-            if accepting and elapsed >= STOP_ACCEPTING_DELAY_SECONDS:
-                self._callers.stop_accepting()
-                accepting = False
-            if not accepting and self._callers.busy == 0:
-                break
-            gevent.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-        self._callers.log_unanswered("process ends")
-        log.info(
-            "stopped",
-            extra={
-                "requests": self._callers.busy,
-                "seconds": round(time.monotonic() - started, 2),
-            },
-        )
+        shutdown.wait()
 
     def _deregister(self) -> None:
         """Release leadership and remove this node from the table of members."""
--- a/tests/failure/test_gateway_planned_stop.py
+++ b/tests/failure/test_gateway_planned_stop.py
@@ -1,7 +1,10 @@
 """Requests at a node that stops, in one process."""
 
+from unittest import mock
+
 import gevent
 
+from fakes.gateway_endpoint import FakeGatewayEndpoint
 from rattanwick.internal.gateway.model import CallKind
 from tests.gateway_case import Answer, RelayCase, make_route, read_all
 
@@ -110,3 +113,120 @@
         self.assertEqual(task.get(timeout=2.0).status, 502)
         ran = len(self.endpoint.executed_requests) + len(other.executed_requests)
         self.assertEqual(ran, 1)
+
+
+class EndOfStopTests(RelayCase):
+    """Guard against requests that end with the process, without a word."""
+
+    KEEP_ALIVE = {"Connection": "keep-alive"}
+
+    def send(self, path: str, body: bytes = b"body", **options):
+        """Send a request and return the connection once the node has read it."""
+        sock = self.connect()
+        options.setdefault("headers", self.KEEP_ALIVE)
+        sock.sendall(self.request_bytes(path, method="POST", body=body, **options))
+        gevent.sleep(0.1)
+        return sock
+
+    def end(self, sock) -> Answer:
+        """End the requests in progress and return the answer."""
+        self.server.drain()
+        self.server.end_requests()
+        answer = Answer(read_all(sock))
+        sock.close()
+        return answer
+
+    # Guards against a 504, after which a caller may not repeat the request, and against
+    # no answer, for a request that was not sent.
+    def test_a_request_that_waits_for_an_endpoint_gets_503(self):
+        self.configure(make_route("/wait/", objective=8.0))
+        answer = self.end(self.send("/wait/x"))
+        self.assertEqual((answer.status, answer.body), (503, b"node_stopping\n"))
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertIn("retry-after", answer.headers)
+
+    # Guards against the same while the connection to the endpoint is opened.
+    def test_a_request_whose_endpoint_is_being_connected_gets_503(self):
+        endpoint = self.add_endpoint("i-1")
+        with mock.patch.object(
+            self.state.connections, "acquire", lambda *_, **__: gevent.sleep(2.0)
+        ):
+            answer = self.end(self.send("/unsafe/x"))
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(endpoint.executed_requests, [])
+
+    # Guards against a 503, which says "not run", for a request that an endpoint has.
+    def test_a_request_that_was_sent_gets_504(self):
+        endpoint = self.add_endpoint("i-1")
+        endpoint.work_seconds = 1.0
+        answer = self.end(self.send("/unsafe/x"))
+        self.assertEqual((answer.status, answer.body), (504, b"node_stopping\n"))
+        self.assertEqual(len(endpoint.executed_requests), 1)
+
+    # Guards against a caller that gets nothing because its body is not complete.
+    def test_a_request_whose_body_is_incomplete_gets_503(self):
+        headers = {**self.KEEP_ALIVE, "Content-Length": "9"}
+        answer = self.end(self.send("/unsafe/x", headers=headers))
+        self.assertEqual(answer.status, 503)
+
+    # Guards against a stream that looks complete when it is broken off, and against a
+    # second head inside it.
+    def test_a_stream_that_has_begun_is_broken_off(self):
+        endpoint = self.add_endpoint("i-1", "engine")
+        for path in ("/stream/x", "/resume/x"):
+            with self.subTest(path):
+                endpoint.event_seconds = 0.08
+                sock = self.send(path)
+                endpoint.event_seconds = 1.0
+                answer = self.end(sock)
+                self.assertEqual(answer.status, 200)
+                self.assertIn(b"data: piece 1", answer.body)
+                self.assertEqual(answer.raw.count(b"HTTP/1.1"), 1)
+                self.assertFalse(answer.raw.endswith(b"0\r\n\r\n"))
+
+    # Guards against a stream whose caller gets 200 for nothing.
+    def test_a_stream_without_an_event_gets_504(self):
+        self.add_endpoint("i-1", "engine").event_seconds = 1.0
+        self.assertEqual(self.end(self.send("/stream/x")).status, 504)
+
+    # Guards against an answer that is cut although it is on its way to the caller.
+    def test_an_answer_that_a_caller_reads_slowly_is_not_cut(self):
+        endpoint = self.add_endpoint("i-1")
+        body = b"x" * (4 << 20)
+        with mock.patch.object(
+            FakeGatewayEndpoint,
+            "_send_whole_response",
+            lambda fake, sock, headers, fault: fake._send_response(
+                sock, "200 OK", headers, body, {}
+            ),
+        ):
+            answer = self.end(self.send("/unsafe/x"))
+        self.assertEqual((answer.status, len(answer.body)), (200, len(body)))
+        self.assertEqual(len(endpoint.executed_requests), 1)
+
+    # Guards against a reset that discards an answer, since the node had bytes unread.
+    def test_an_answer_arrives_although_the_caller_has_sent_more(self):
+        endpoint = self.add_endpoint("i-1")
+        endpoint.work_seconds = 0.2
+        for number in range(5):
+            sock = self.send("/safe/x", call_id=f"c-{number}")
+            sock.sendall(self.request_bytes("/safe/x", call_id="later") * 20)
+            self.server.drain()
+            gevent.sleep(0.3)
+            answer = Answer(read_all(sock))
+            sock.close()
+            self.assertEqual((answer.status, answer.body), (200, b"whole"))
+        seen = {headers["x-request-id"] for headers in endpoint.executed_requests}
+        self.assertNotIn("later", seen)
+
+    # Guards against a process that ends while an answer is still in its buffers.
+    def test_a_connection_counts_as_open_until_its_answer_is_read(self):
+        sock = self.send("/none/x")
+        self.server.drain()
+        sock.sendall(self.request_bytes("/none/x"))
+        gevent.sleep(0.1)
+        self.assertEqual((self.server.busy, len(self.server.connections)), (0, 1))
+        read_all(sock)
+        sock.close()
+        gevent.sleep(0.05)
+        self.assertEqual(len(self.server.connections), 0)
--- a/tests/scenario/test_gateway_planned_stop.py
+++ b/tests/scenario/test_gateway_planned_stop.py
@@ -85,3 +85,20 @@
         self.assert_answered(kept.sent + slow.sent)
         self.assertEqual([request.status for request in kept.sent], [200])
         self.assertNotIn("slow-0", self.ran())
+
+    # Guards against a process that ends with requests in progress and says nothing.
+    def test_a_request_that_still_runs_at_the_end_gets_504(self):
+        caller, reader = self.caller("sent"), self.caller("reader")
+        started = time.monotonic()
+        self.node.terminate()
+        tasks = [
+            gevent.spawn_later(2.2, caller.send, deadline_ms=9000),
+            gevent.spawn_later(2.2, reader.send, b"b" * 9, (1.0,) * 5),
+        ]
+        self.assert_stopped(started)
+        gevent.joinall(tasks, timeout=5.0, raise_error=True)
+        self.assertEqual([request.status for request in caller.sent], [504])
+        self.assert_answered(caller.sent)
+        for request in reader.sent:
+            self.assertEqual(request.status, 503)
+        self.assertEqual(self.ran(), {"sent-0"})
