Serve connections that wait in the kernel's queue before it is closed

Callers whose connection the kernel had accepted, and whose request had arrived whole, got a reset when a stopping node closed its listening socket. The node now accepts what is in the queue first and serves or refuses it like any other request.

--- a/src/rattanwick/internal/gateway/caller_server.py
+++ b/src/rattanwick/internal/gateway/caller_server.py
@@ -68,7 +68,17 @@
             conn.log_unanswered(cause)
 
     def stop_accepting(self) -> None:
-        """Stop accepting connections."""
+        """Serve the connections that the kernel has accepted; accept no more.
+
+        The kernel would reset them, although their requests may have arrived whole.
+        """
+        if self._server.closed:
+            return
+        try:
+            while (accepted := self._server.do_read()) is not None:
+                self._server.do_handle(*accepted)
+        except OSError as exc:
+            log.warning("connection not accepted", extra={"error": str(exc)})
         self._server.close()
 
     @property
--- a/tests/failure/test_gateway_planned_stop.py
+++ b/tests/failure/test_gateway_planned_stop.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 import gevent
+from gevent import monkey, socket
 
 from fakes.gateway_endpoint import FakeGatewayEndpoint
 from rattanwick.internal.gateway.model import CallKind
@@ -26,6 +27,26 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers.get("connection"), "close")
 
+    # Guards against requests that are reset in the kernel's queue when it is closed.
+    def test_connections_that_wait_to_be_accepted_are_served(self):
+        self.add_endpoint("i-1")
+        address = "127.0.0.1", self.server.port
+        # Without gevent, so that the server cannot accept them meanwhile.
+        make_socket = monkey.get_original("socket", "socket")
+        waiting = [make_socket() for _ in range(8)]
+        for number, sock in enumerate(waiting):
+            sock.connect(address)
+            sock.sendall(self.request_bytes("/safe/x", call_id=f"c-{number}"))
+        self.server.drain()
+        self.server.stop_accepting()
+        statuses = []
+        for sock in waiting:
+            with socket.socket(fileno=sock.detach()) as conn:
+                statuses.append(Answer(read_all(conn)).status)
+        self.assertEqual(statuses, [200] * len(waiting))
+        with self.assertRaises(OSError):
+            socket.create_connection(address, 1.0)
+
 
 class AdmissionTests(RelayCase):
     """Guard against requests that are taken in a stop and cannot be done in time."""
