Raise a caller's disconnection only within its request

If a caller disconnected in the same iteration of the event loop in which its endpoint answered, the exception reached the connection's greenlet after the response, in whatever it did then: the next request, or the answer of last resort. kill() delivers it in a later iteration; it is now thrown by the hub at once, while the watch is known to be active. The test saw the exception in what followed the request before.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -381,5 +381,5 @@
             data = b""
         self._watcher.stop()
         if not data:
-            # The greenlet closes its connection wherever the exception reaches it.
-            self._task.kill(CallerConnectionClosed("connection closed"), block=False)
+            # Called by the hub, so that it takes effect before the request can end.
+            self._task.throw(CallerConnectionClosed("connection closed"))
--- a/tests/failure/test_gateway_callers.py
+++ b/tests/failure/test_gateway_callers.py
@@ -1,7 +1,12 @@
 """Connections of callers: malformed requests, reuse, and a node that stops."""
 
+import unittest
+
 import gevent
+from gevent import socket
 
+from rattanwick.internal.gateway.active_request import CallerConnectionClosed
+from rattanwick.internal.gateway.caller_connection import DisconnectWatch
 from tests.gateway_case import Answer, RelayCase, read_all
 
 
@@ -106,3 +111,43 @@
         sock = self.connect()
         sock.sendall(b"GET /safe/x HTT")
         self.assertEqual(Answer(read_all(sock)).status, 408)
+
+
+class DisconnectTests(unittest.TestCase):
+    """Guard against a disconnection that ends something else than its request."""
+
+    def serve(self, caller, endpoint, outcomes: list[str]) -> None:
+        """Wait for an endpoint as a request does, then do something else."""
+        watch = DisconnectWatch(caller)
+        watch.start()
+        try:
+            endpoint.recv(1)
+            outcomes.append("answered")
+        except CallerConnectionClosed:
+            outcomes.append("ended")
+        finally:
+            watch.stop()
+        try:
+            gevent.sleep(0.02)
+        except CallerConnectionClosed:
+            outcomes.append("hit the next request")
+
+    # Guards against an exception that arrives after the response, or within the next
+    # request, if the caller disconnects at the moment when the endpoint answers.
+    def test_a_disconnection_has_no_effect_after_the_response(self):
+        for closes_first in (False, True):
+            with self.subTest(closes_first=closes_first):
+                caller, peer = socket.socketpair()
+                endpoint, sender = socket.socketpair()
+                outcomes = []
+                task = gevent.spawn(self.serve, caller, endpoint, outcomes)
+                gevent.sleep(0.01)
+                # Both are seen by the same iteration of the event loop.
+                if closes_first:
+                    peer.close()
+                sender.send(b"x")
+                peer.close()
+                task.join()
+                self.assertIn(outcomes, (["answered"], ["ended"]))
+                for sock in (caller, endpoint, sender):
+                    sock.close()
