Answer callers that close only their sending side

A caller that shut down its sending side after a request got no answer: the node takes this for a disconnection and ends the work, since it cannot distinguish the two. It still ends the work, but now sends what it knows: 503 if the request has not run, 502 if it may have. Both tests got no byte before.

--- a/src/rattanwick/internal/gateway/answer_guard.py
+++ b/src/rattanwick/internal/gateway/answer_guard.py
@@ -53,9 +53,10 @@
         if isinstance(exc, CallerConnectionClosed):
             if isinstance(exc, ResponseAborted):
                 self._log_unanswered(call_id, phase, response, exc)
+            elif not response.started:
+                self._answer_closed_caller(call_id, response)
             return
-        request = response.request
-        ran = request is not None and request.may_have_run
+        ran = _may_have_run(response)
         if isinstance(exc, NodeStopping):
             ended_by_stop_total.labels(str(phase)).inc()
             log.info(
@@ -75,6 +76,21 @@
         status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
         self._send(call_id, phase, response, exc, status, "internal_error", retry_after)
 
+    def _answer_closed_caller(self, call_id: str, response: ResponseWriter) -> None:
+        """Answer a caller that may have closed only its sending side.
+
+        The two ways of closing cannot be distinguished, so the work has ended.
+        """
+        status = 502 if _may_have_run(response) else 503
+        headers, body = self._codec.encode_refusal(
+            call_id, status, "connection_closed", None
+        )
+        response.closes = True
+        try:
+            response.send_complete(status, headers, body)
+        except CallerConnectionClosed as exc:
+            log.debug("caller is gone", extra={"request": call_id, "reason": str(exc)})
+
     def _send(
         self,
         call_id: str,
@@ -104,3 +120,7 @@
         exc: BaseException,
     ) -> None:
         log_unanswered(call_id, phase, repr(exc), response.status, self._stop)
+
+
+def _may_have_run(response: ResponseWriter) -> bool:
+    return response.request is not None and response.request.may_have_run
--- a/tests/failure/test_gateway_answers.py
+++ b/tests/failure/test_gateway_answers.py
@@ -3,11 +3,12 @@
 from unittest import mock
 
 import gevent
+from gevent import socket
 
 from rattanwick.internal.gateway.caller_connection import CallerResponseWriter
 from rattanwick.internal.gateway.connection_pool import EndpointConnection
 from rattanwick.platform.codec import PlatformCodec
-from tests.gateway_case import Answer, RelayCase
+from tests.gateway_case import Answer, RelayCase, make_route, read_all
 
 # What no part of the relay expects: faults of the code or of a value, a timer that was
 # not stopped, and the end of the greenlet.
@@ -72,3 +73,27 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.raw.count(b"HTTP/1.1"), 1)
         self.assertFalse(answer.raw.endswith(b"0\r\n\r\n"))
+
+
+class HalfClosedTests(RelayCase):
+    """Guard against a caller that closes its sending side and gets nothing."""
+
+    def ask_and_close_sending(self, path: str) -> Answer:
+        """Send a request, close the sending side and read the answer."""
+        sock = self.connect()
+        try:
+            sock.sendall(self.request_bytes(path, method="POST", body=b"b"))
+            gevent.sleep(0.1)
+            sock.shutdown(socket.SHUT_WR)
+            return Answer(read_all(sock))
+        finally:
+            sock.close()
+
+    def test_a_request_that_was_sent_gets_502(self):
+        endpoint = self.add_endpoint("i-1")
+        endpoint.work_seconds = 1.0
+        self.assertEqual(self.ask_and_close_sending("/unsafe/x").status, 502)
+
+    def test_a_request_that_waits_gets_503(self):
+        self.configure(make_route("/wait/", objective=8.0))
+        self.assertEqual(self.ask_and_close_sending("/wait/x").status, 503)
