Reset a connection of HTTP/1.0 whose stream is broken off

A caller that speaks HTTP/1.0 gets a stream without chunks, which ends with its connection. When the node broke such a stream off, at the end of a stop or because its endpoint failed, the connection closed in the usual way and the stream looked complete. It is now reset. The test read the broken stream to a clean end before.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -1,6 +1,7 @@
 """Connection of a caller: its requests are read and their responses written."""
 
 import socket as std_socket
+import struct
 import time
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,8 @@
 # Time for a caller to read the last response of a connection. If the connection were
 # closed with bytes unread, a reset would discard the response.
 LINGER_TIMEOUT_SECONDS = 0.5
+HTTP_1_0 = b"1.0"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for 0 s
 MAX_LINGER_BYTES = 1 << 20
 MAX_LINGER_SECONDS = 5.0
 IDLE_GRACE_SECONDS = 1.0  # added to the configured limit of idle connections
@@ -114,9 +117,9 @@
         except RequestNotReceived:
             pass
         finally:
-            self._call = None
+            self.busy, self._call = False, None
             if self._response.started:
-                self._linger()
+                self._end_response()
             self._sock.close()
 
     def close_if_idle(self) -> None:
@@ -330,6 +333,20 @@
                 extra={"request": self._call_id, "reason": str(closed)},
             )
 
+    def _end_response(self) -> None:
+        """Let the caller read the last response, or see that it is incomplete."""
+        if (
+            self.http.our_state is h11.SEND_BODY
+            and self.http.their_http_version == HTTP_1_0
+        ):
+            # Without chunks, the end of the connection would look like that of the
+            # response.
+            self._sock.setsockopt(
+                std_socket.SOL_SOCKET, std_socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        else:
+            self._linger()
+
     def _linger(self) -> None:
         """Read what the caller still sends, so that no reset discards the response."""
         # A caller may read the response only once it has sent its whole body.
--- a/tests/failure/test_gateway_answers.py
+++ b/tests/failure/test_gateway_answers.py
@@ -97,3 +97,30 @@
     def test_a_request_that_waits_gets_503(self):
         self.configure(make_route("/wait/", objective=8.0))
         self.assertEqual(self.ask_and_close_sending("/wait/x").status, 503)
+
+
+class BrokenStreamTests(RelayCase):
+    """Guard against a stream that ends early and looks complete."""
+
+    # Guards against the end of a connection that looks like the end of a response which
+    # has neither a length nor chunks.
+    def test_a_broken_stream_of_http_1_0_is_reset(self):
+        endpoint = self.add_endpoint("i-1", "engine")
+        endpoint.event_seconds = 0.05
+        data = self.request_bytes("/stream/x", method="POST", body=b"b")
+        for fault, is_complete in (("", True), ("cut_between_events", False)):
+            with self.subTest(fault):
+                endpoint.fault = fault
+                sock = self.connect()
+                sock.sendall(data.replace(b"HTTP/1.1", b"HTTP/1.0"))
+                self.assertEqual(self.read_to_end(sock), is_complete)
+                sock.close()
+
+    def read_to_end(self, sock) -> bool:
+        """Read a connection; return whether it ends without a reset."""
+        try:
+            while sock.recv(65536):
+                pass
+        except ConnectionResetError:
+            return False
+        return True
