Move the disconnect watch and the terms of a request to own modules

The watch on a caller's socket, the deadline and urgency of a request, and the limit of idle connections go where their subject is. The code is moved and not changed.

--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -15,7 +15,10 @@
     Phase,
     ResponseWriter,
 )
-from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.internal.gateway.connection_pool import (
+    EndpointConnection,
+    max_idle_connections,
+)
 from rattanwick.internal.gateway.crash_check import CrashChecks, LostAttempt
 from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.interfaces import MessageCodec
@@ -48,9 +51,6 @@
 ATTEMPT_TIMEOUT_SHARE = 0.5
 # The load of a prompt with this many uncached tokens or more is sent to peers at once.
 MIN_BROADCAST_TOKENS = 1000
-# Share of the connections that an endpoint accepts. All nodes together keep at most
-# this share idle.
-MAX_IDLE_SHARE = 0.5
 
 
 class Attempt:
@@ -339,19 +339,15 @@
         if self._connection is None:
             return
         if self._complete:
+            max_idle = max_idle_connections(
+                self._request.service, self._state.count_active_nodes()
+            )
             self._state.connections.release(
-                self._connection, self._keep_alive, self._max_idle_connections()
+                self._connection, self._keep_alive, max_idle
             )
         else:
             self._connection.close()
 
-    def _max_idle_connections(self) -> int:
-        """Return how many idle connections this node may keep to the endpoint."""
-        max_connections = self._request.service.max_connections
-        return max(
-            1, int(MAX_IDLE_SHARE * max_connections / self._state.count_active_nodes())
-        )
-
     def _record_outcome(self, outcome: Outcome) -> None:
         """Update the endpoint's failure rate, and log a failed attempt."""
         attempts_total.labels(type(outcome).__name__).inc()
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -15,7 +15,7 @@
     TimedOut,
 )
 from rattanwick.internal.base.log import get_logger
-from rattanwick.internal.gateway.model import Endpoint, Headers
+from rattanwick.internal.gateway.model import Endpoint, Headers, Service
 
 log = get_logger("links")
 
@@ -34,6 +34,9 @@
 # Idle connections are closed this long before the keep-alive time ends.
 KEEP_ALIVE_MARGIN_SECONDS = 0.3
 MAX_IDLE_CONNECTIONS = 24  # to one endpoint; ``release`` can lower the limit
+# Share of the connections that an endpoint accepts. All nodes together keep at most
+# this share idle.
+MAX_IDLE_SHARE = 0.5
 
 # If a reused connection fails this soon after a request was sent, the endpoint had
 # closed it while it was idle.
@@ -48,6 +51,11 @@
 POLLIN = 1  # select.POLLIN
 
 
+def max_idle_connections(service: Service, nodes: int) -> int:
+    """Return how many idle connections one of ``nodes`` may keep to an endpoint."""
+    return max(1, int(MAX_IDLE_SHARE * service.max_connections / nodes))
+
+
 def is_readable(sock) -> bool:
     """Return whether a socket has bytes to read, was closed by the peer or failed."""
     poller = poll()
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -43,13 +43,12 @@
     MIN_TIME_LEFT_SECONDS,
     RequestPlacement,
 )
+from rattanwick.internal.gateway.request_terms import deadline_of, urgency_of
 
 log = get_logger("relay")
 
 NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5
 MAX_MISDIRECTED_ATTEMPTS = 2  # attempts that reached a reused address (status 421)
-ROUTE_PRIORITY_LEVELS = 3  # route priorities within each organisation priority
-MAX_URGENCY = 9
 # Of a request whose prompt is blocked. It will crash endpoints whenever it is sent, and
 # callers do not repeat a request after this status.
 BLOCKED_STATUS = 400
@@ -70,7 +69,7 @@
         cfg = self._state.configuration
         route = cfg.find_route(call.host, call.path) if cfg else None
         return route is None or self._state.stop.can_finish(
-            route, _deadline(route, call)
+            route, deadline_of(route, call)
         )
 
     def serve(self, call: Call, response: ResponseWriter) -> bool:
@@ -129,8 +128,8 @@
             route=route,
             organisation=org,
             service=service,
-            deadline=_deadline(route, call),
-            urgency=_urgency(route, org),
+            deadline=deadline_of(route, call),
+            urgency=urgency_of(route, org),
             fingerprint=request_fingerprint,
             parts=parts,
             trial=trial,
@@ -388,22 +387,3 @@
     ) -> None:
         headers, body = self._codec.encode_refusal(call.id, status, reason, retry_after)
         response.send_complete(status, headers, body)
-
-
-def _deadline(route: Route, call: Call) -> float:
-    """Return the end of the time that a caller and its route allow, monotonic."""
-    timeout = route.timeout
-    if call.timeout_seconds is not None:
-        timeout = min(timeout, call.timeout_seconds)
-    return call.arrived + timeout
-
-
-def _urgency(route: Route, org: Organisation | None) -> int:
-    """Return the urgency of a request at endpoints; 0 is served first.
-
-    The organisation's priority counts before the route's.
-    """
-    rank = min(route.priority, ROUTE_PRIORITY_LEVELS - 1)
-    if org is not None and org.priority is not None:
-        rank += ROUTE_PRIORITY_LEVELS * org.priority
-    return min(rank, MAX_URGENCY)
--- a/tests/failure/test_gateway_callers.py
+++ b/tests/failure/test_gateway_callers.py
@@ -6,7 +6,7 @@
 from gevent import socket
 
 from rattanwick.internal.gateway.active_request import CallerConnectionClosed
-from rattanwick.internal.gateway.caller_connection import DisconnectWatch
+from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
 from tests.gateway_case import Answer, RelayCase, read_all
 
 
