Test what may change while a node stops

One test for each pair that callers can meet: a configuration that removes the route or the key of a request that runs, or of one whose body is still arriving, an endpoint that leaves, is removed or crashes, a pipelined request, a second SIGTERM with SIGHUP and SIGINT around it, and a stop of all nodes at once.

--- a/tests/failure/test_gateway_planned_stop.py
+++ b/tests/failure/test_gateway_planned_stop.py
@@ -1,12 +1,13 @@
 """Requests at a node that stops, in one process."""
 
+from dataclasses import replace
 from unittest import mock
 
 import gevent
 from gevent import monkey, socket
 
 from fakes.gateway_endpoint import FakeGatewayEndpoint
-from rattanwick.internal.gateway.model import CallKind
+from rattanwick.internal.gateway.model import CallKind, Organisation
 from tests.gateway_case import Answer, RelayCase, make_route, read_all
 
 
@@ -251,3 +252,80 @@
         sock.close()
         gevent.sleep(0.05)
         self.assertEqual(len(self.server.connections), 0)
+
+
+class ChangesDuringStopTests(RelayCase):
+    """Guard against changes in a stop that end a request that was taken."""
+
+    def setUp(self):
+        super().setUp()
+        self.endpoint = self.add_endpoint("i-1")
+        self.endpoint.work_seconds = 0.3
+
+    def ask_while(self, change) -> Answer:
+        """Begin a stop and make a change while a request is at an endpoint."""
+        task = gevent.spawn(self.ask, "/unsafe/x", method="POST", body=b"b")
+        gevent.sleep(0.1)
+        self.server.drain()
+        self.state.stop.begin(self.timers.now() + 2.0)
+        change()
+        return task.get(timeout=2.0)
+
+    # Guards against a configuration that takes a request's route from under it.
+    def test_a_configuration_without_the_route(self):
+        answer = self.ask_while(lambda: self.configure(make_route("/other/")))
+        self.assertEqual((answer.status, answer.body), (200, b"whole"))
+
+    # Guards against a key that is withdrawn while its request runs.
+    def test_a_configuration_without_the_key(self):
+        others = Organisation("other", frozenset(("k",)), 1, 0.0, 0.0, True, 200)
+        answer = self.ask_while(
+            lambda: self.configure(make_route("/unsafe/"), organisation=others)
+        )
+        self.assertEqual(answer.status, 200)
+
+    # Guards against an endpoint that leaves, whose requests still end there.
+    def test_an_endpoint_that_leaves(self):
+        view = self.state.endpoints.get("i-1")
+
+        def leave():
+            view.endpoint = replace(view.endpoint, leaving=True)
+
+        self.assertEqual(self.ask_while(leave).status, 200)
+
+    def test_an_endpoint_that_is_removed(self):
+        answer = self.ask_while(self.state.endpoints._views.clear)
+        self.assertEqual(answer.status, 200)
+
+    # Guards against an endpoint that is lost in the stop, after which a caller must not
+    # be told that its request did not run.
+    def test_an_endpoint_that_crashes(self):
+        answer = self.ask_while(self.endpoint.crash)
+        self.assertEqual(answer.status, 502)
+
+    # Guards against a body that arrives after its route was removed: there must be an
+    # answer.
+    def test_a_body_that_is_complete_after_its_route_was_removed(self):
+        sock = self.connect()
+        headers = {"Content-Length": "2"}
+        sock.sendall(self.request_bytes("/unsafe/x", method="POST", headers=headers))
+        gevent.sleep(0.05)
+        self.configure(make_route("/other/"))
+        sock.sendall(b"hi")
+        self.assertEqual(Answer(read_all(sock)).status, 404)
+        sock.close()
+
+    # Guards against two requests in one packet, of which the second is passed on
+    # although its connection closes.
+    def test_a_pipelined_request_is_not_passed_on(self):
+        sock = self.connect()
+        headers = {"Connection": "keep-alive"}
+        for call_id in ("first", "second"):
+            sock.sendall(self.request_bytes("/safe/x", call_id, headers=headers))
+        gevent.sleep(0.1)
+        self.server.drain()
+        answer = Answer(read_all(sock))
+        sock.close()
+        self.assertEqual((answer.status, answer.body), (200, b"whole"))
+        seen = [headers["x-request-id"] for headers in self.endpoint.executed_requests]
+        self.assertEqual(seen, ["first"])
--- a/tests/scenario/test_gateway_planned_stop.py
+++ b/tests/scenario/test_gateway_planned_stop.py
@@ -1,5 +1,6 @@
 """Planned stops of a gateway node as a process, with endpoints that take long."""
 
+import signal
 import tempfile
 import time
 import unittest
@@ -102,3 +103,41 @@
         for request in reader.sent:
             self.assertEqual(request.status, 503)
         self.assertEqual(self.ran(), {"sent-0"})
+
+    # Guards against a second signal that ends the process in the middle of its stop.
+    def test_signals_in_a_stop_change_nothing(self):
+        for endpoint in self.deployment.endpoints.values():
+            endpoint.work_seconds = 1.0
+        callers = [self.caller(f"c{number}") for number in range(8)]
+        tasks = [gevent.spawn(caller.run) for caller in callers]
+        gevent.sleep(0.5)
+        started = time.monotonic()
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            self.node.send_signal(number)
+            gevent.sleep(0.3)
+        self.node.send_signal(signal.SIGINT)
+        self.assert_stopped(started)
+        gevent.joinall(tasks, timeout=5.0, raise_error=True)
+        sent = [request for caller in callers for request in caller.sent]
+        self.assert_answered(sent)
+        # Each request that can be done in time is served.
+        self.assertEqual({request.status for request in sent}, {200})
+
+    # Guards against requests that are lost if no other node is left.
+    def test_all_nodes_stop_at_once(self):
+        addresses = [self.deployment.callers_address(name) for name in NODES]
+        callers = [
+            RecordingCaller(addresses[number % 2], f"c{number}", "/safe/x")
+            for number in range(12)
+        ]
+        tasks = [gevent.spawn(caller.run) for caller in callers]
+        gevent.sleep(0.5)
+        started = time.monotonic()
+        nodes = list(self.deployment.nodes.values())
+        for node in nodes:
+            node.terminate()
+        for node in nodes:
+            self.assertEqual(node.wait(GRACE_SECONDS + 2.0), 0)
+        self.assertLess(time.monotonic() - started, GRACE_SECONDS)
+        gevent.joinall(tasks, timeout=5.0, raise_error=True)
+        self.assert_answered([request for c in callers for request in c.sent])
