Answer requests that have arrived when the product's interface stops

The same fault as on the users' platform: a stopping node reset the connections in the kernel's queue, and shut down a connection that counted as idle although a request had arrived on it. Callers got no byte. The waiting connections are now accepted first, and a connection with bytes to read is not shut down. The test got an empty answer before.

--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -14,6 +14,7 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import CallerSettings
 from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.gateway.connection_pool import is_readable
 from rattanwick.internal.requests.admission import BODY_READ_KEY
 from rattanwick.internal.requests.caller_errors import OUTCOME_HEADER, error_body
 from rattanwick.internal.requests.disconnects import CONNECTION_KEY
@@ -269,13 +270,29 @@
         they do.
         """
         self.stopping = True
+        self._accept_waiting()
         self.close()
         for conn in list(self.idle_connections):
-            _shut_down(conn)
+            if not is_readable(conn):
+                _shut_down(conn)
         ended = self._none_in_flight.wait(limit_seconds) or self._in_flight == 0
         self.stop(timeout=1.0)
         return ended
 
+    def _accept_waiting(self) -> None:
+        """Serve the connections that the kernel has accepted.
+
+        It would reset them with the listening socket, although their requests may have
+        arrived whole.
+        """
+        if self.closed:
+            return
+        try:
+            while (accepted := self.do_read()) is not None:
+                self.do_handle(*accepted)
+        except OSError as exc:
+            log.warning("connection not accepted: %s", exc)
+
 
 class ReloadingTlsContext:
     """TLS context of the server, which reloads its key when the files change."""
--- a/tests/failure/test_callers_and_drain.py
+++ b/tests/failure/test_callers_and_drain.py
@@ -4,7 +4,7 @@
 import time
 
 import gevent
-from gevent import socket
+from gevent import monkey, socket
 
 from fakes.collaborators import SharedHandlersNetwork, node, request_dependencies
 from fakes.endpoint_text import chat_text_of as chat_text
@@ -363,6 +363,27 @@
         self.assertEqual(text_of(caller.answer().body), chat_text(prompt))
         self.assertTrue(stopping.get(timeout=2.0))
 
+    # Guards against requests that had arrived and are reset with the listening socket,
+    # or with a connection that counts as idle.
+    def test_requests_that_have_arrived_are_answered_by_a_graceful_stop(self):
+        request = b"GET /v1/entry HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n"
+        address = "127.0.0.1", self.server.server_port
+        # Without gevent, so that the server cannot accept or read meanwhile.
+        make_socket = monkey.get_original("socket", "socket")
+        conns = [make_socket() for _ in range(4)]
+        for conn in conns[:2]:
+            conn.connect(address)
+        gevent.sleep(0.05)
+        for conn in conns[2:]:
+            conn.connect(address)
+        for conn in conns:
+            conn.sendall(request)
+        stopping = gevent.spawn(self.server.close_gracefully, None)
+        for conn in conns:
+            with socket.socket(fileno=conn.detach()) as caller:
+                self.assertIn(b"HTTP/1.1 ", caller.recv(65536)[:9])
+        self.assertTrue(stopping.get(timeout=2.0))
+
 
 class TraceTests(RequestCase):
     """Guard against steps that have no span under the caller's span.
