Announce the end of a connection in answers of the product's interface

As on the users' platform, an answer that was written during a stop to a request read before it did not say that its connection closes, so a caller could send its next request on it and lose it. The header is now added when the response starts.

--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -162,6 +162,14 @@
             else:
                 server.idle_connections.add(conn)
 
+    def finalize_headers(self):
+        """Announce that the connection closes if the server has begun to stop."""
+        super().finalize_headers()
+        names = {name.lower() for name, _ in self.response_headers}
+        if self.server.stopping and b"connection" not in names:
+            self.response_headers.append((b"Connection", b"close"))
+            self.close_connection = True
+
     def _log_error(self, t, v, tb):
         if isinstance(v, TimeoutError):
             log.info("caller did not read or write for %d s", IDLE_TIMEOUT_SECONDS)
--- a/tests/failure/test_callers_and_drain.py
+++ b/tests/failure/test_callers_and_drain.py
@@ -363,6 +363,17 @@
         self.assertEqual(text_of(caller.answer().body), chat_text(prompt))
         self.assertTrue(stopping.get(timeout=2.0))
 
+    # Guards against a caller that sends its next request on a connection that closes.
+    def test_an_answer_during_a_graceful_stop_says_that_its_connection_closes(self):
+        self.fakes["s1"].call_seconds = self.fakes["s2"].call_seconds = 0.2
+        task = gevent.spawn(self.call, "POST", SERVICE, b"{}", Connection="keep-alive")
+        self.wait_until(lambda: self.ledger("s1", "s2"))
+        stopping = gevent.spawn(self.server.close_gracefully, None)
+        answer = task.get(timeout=2.0)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers.get("connection"), "close")
+        self.assertTrue(stopping.get(timeout=2.0))
+
     # Guards against requests that had arrived and are reset with the listening socket,
     # or with a connection that counts as idle.
     def test_requests_that_have_arrived_are_answered_by_a_graceful_stop(self):
