Explain requests that a stop or an exception ended

A request that was answered at the end of a stop, or after an unexpected exception, had no line "ended", so the command explain said that lines were missing. AnswerGuard writes the line with its outcome, the phase and the status, and explain tells what it means. The check of the time left is skipped while no stop has begun. The new test found "no line for the end of the request" before.

--- a/src/rattanwick/internal/gateway/answer_guard.py
+++ b/src/rattanwick/internal/gateway/answer_guard.py
@@ -59,21 +59,31 @@
         ran = _may_have_run(response)
         if isinstance(exc, NodeStopping):
             ended_by_stop_total.labels(str(phase)).inc()
+            status, reason = 504 if ran else 503, RefusalReason.NODE_STOPPING
             log.info(
-                "node stops before the request can be done",
-                extra={"request": call_id, "phase": str(phase), "may_have_run": ran},
+                "ended",
+                extra={
+                    "request": call_id,
+                    "outcome": f"ended_by_stop: {phase}",
+                    "status": status,
+                    "may_have_run": ran,
+                },
             )
-            status, reason = 504 if ran else 503, RefusalReason.NODE_STOPPING
             retry_after = None if ran else STOPPING_RETRY_AFTER_SECONDS
             self._send(call_id, phase, response, exc, status, reason, retry_after)
             return
         exceptions_total.labels(str(phase)).inc()
+        status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
         log.error(
-            "unexpected exception ended a request",
-            extra={"request": call_id, "phase": str(phase)},
+            "ended",
+            extra={
+                "request": call_id,
+                "outcome": f"exception: {exc!r}",
+                "status": status,
+                "phase": str(phase),
+            },
             exc_info=exc,
         )
-        status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
         self._send(call_id, phase, response, exc, status, "internal_error", retry_after)
 
     def _answer_closed_caller(self, call_id: str, response: ResponseWriter) -> None:
--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -37,6 +37,13 @@
     "related lines show which parts, and the crashes",
     "refused: blocked_part": "the prompt holds parts that had crashed several "
     "endpoints, the one that ran this request among them",
+    "node_stopping": "the node was stopping and had not enough time left for such a "
+    "request",
+    "refused: node_stopping": "the node was stopping and had not enough time left for "
+    "such a request",
+    "ended_by_stop": "the request was still in progress when the process had to end",
+    "exception": "an exception that no part of the node expects; the line holds its "
+    "traceback",
     "crashes_endpoints": "the same request had crashed as many endpoints as allowed",
 }
 
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -66,6 +66,8 @@
 
     def can_finish(self, call: Call) -> bool:
         """Return whether a request that is complete now can end before a stop does."""
+        if self._state.stop.time_left() is None:
+            return True
         cfg = self._state.configuration
         route = cfg.find_route(call.host, call.path) if cfg else None
         return route is None or self._state.stop.can_finish(
--- a/tests/unit/test_gateway_explanation.py
+++ b/tests/unit/test_gateway_explanation.py
@@ -87,6 +87,20 @@
         self.assertEqual(named, ["i-1"])
         self.assertIn("requests per second", found.cause)
 
+    # Guards against a request that the stop of its node ended and that looks as if
+    # lines were missing.
+    def test_a_request_that_a_stop_ended_names_the_stop(self):
+        lines, _ = read_lines(
+            [
+                line(1.0, "node: stopping"),
+                line(3.0, "callers: ended", **R, outcome="ended_by_stop: sent"),
+            ]
+        )
+        found = explain("r", lines)
+        self.assertIn("the process had to end", found.cause)
+        events = [item.message for item in found.related_lines]
+        self.assertEqual(events, ["node: stopping"])
+
     def test_unreadable_lines_are_counted_and_left_out(self):
         texts = [*self.TEXTS, self.TEXTS[0][:40], "no line", "", '["a"]']
         lines, unreadable = read_lines(texts)
