Write no answer of last resort on an idle connection

An exception in a connection's greenlet while no request had arrived wrote a 503 that nobody had asked for. A caller would take it for the answer to its next request. Only a request of which bytes have arrived is answered now.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -195,6 +195,8 @@
         except RequestNotReceived:
             raise
         except (Exception, gevent.Timeout, gevent.GreenletExit) as exc:
+            if not self.busy:
+                raise  # no request has arrived that could be answered
             self._server.guard.answer(self._call_id, self._phase, response, exc)
             return False
         self.busy, self._call = False, None
--- a/tests/failure/test_gateway_answers.py
+++ b/tests/failure/test_gateway_answers.py
@@ -57,6 +57,18 @@
                 answer = self.ask_with(PlatformCodec, "decode_call", exc)
                 self.assertEqual(answer.status, 503)
 
+    # Guards against an answer that nobody has asked for, which a caller would take for
+    # that of its next request.
+    def test_an_exception_on_an_idle_connection_writes_nothing(self):
+        for exc in (gevent.GreenletExit(), OverflowError("number")):
+            with self.subTest(repr(exc)):
+                sock = self.connect()
+                gevent.sleep(0.05)
+                for conn in self.server.connections:
+                    conn._task.kill(exc, block=False)
+                self.assertEqual(read_all(sock), b"")
+                sock.close()
+
     # Guards against a stream that looks complete, or has a second head inside.
     def test_an_exception_in_a_stream_breaks_it(self):
         endpoint = self.add_endpoint("i-1", "engine")
