Leave requests without an answer out of the estimate of answer times

A caller that left after 0.1 s counted as an answer after 0.1 s, so a stopping node took requests for shorter than they are and cut them later. Only requests that ended with an answer count now.

--- a/src/rattanwick/internal/gateway/answer_times.py
+++ b/src/rattanwick/internal/gateway/answer_times.py
@@ -19,17 +19,17 @@
         """Record that a request is in progress; ``request`` identifies it."""
         self._running[route][request] = now
 
-    def end(self, route: str, request: object, now: float, sent: bool) -> None:
+    def end(self, route: str, request: object, now: float, answered: bool) -> None:
         """Record the end of a request.
 
-        Its time counts if it was ``sent`` to an endpoint. A refusal tells nothing about
-        the time of an answer.
+        Its time counts if it was sent to an endpoint and ``answered``. A refusal, or a
+        caller that left, tells nothing about the time of an answer.
         """
         running = self._running[route]
         started = running.pop(request)
         if not running:
             del self._running[route]
-        if sent:
+        if answered:
             times = self._recent.setdefault(route, deque(maxlen=MAX_TIMES))
             times.append(now - started)
 
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -141,16 +141,17 @@
         response.request = request
         times = self._state.stop.answer_times
         times.start(route.name, id(request), self._state.timers.now())
+        answered = False
         try:
             self._run(request, response)
+            answered = request.attempts > 0
         except ResponseAborted:
             raise
         except CallerConnectionClosed:
             self._log_end(request, "caller_gone", response)
             raise
         finally:
-            sent = request.attempts > 0
-            times.end(route.name, id(request), self._state.timers.now(), sent)
+            times.end(route.name, id(request), self._state.timers.now(), answered)
             if not request.may_have_run:
                 self._state.limits.refund(name, cost)
         return True
--- a/tests/failure/test_gateway_planned_stop.py
+++ b/tests/failure/test_gateway_planned_stop.py
@@ -123,6 +123,17 @@
         answer = task.get(timeout=2.0)
         self.assertEqual((answer.status, answer.body), (503, b"node_stopping\n"))
 
+    # Guards against callers that leave early and make their requests look short.
+    def test_a_request_whose_caller_left_does_not_lower_the_estimate(self):
+        self.endpoint.work_seconds = 1.0
+        sock = self.connect()
+        sock.sendall(self.post({}, b"body"))
+        gevent.sleep(0.1)
+        sock.close()
+        gevent.sleep(0.1)
+        times = self.state.stop.answer_times
+        self.assertEqual(times.expected("slow", self.timers.now(), 7.0), 7.0)
+
     # Guards against a second attempt that the end of the node would cut.
     def test_a_retry_that_cannot_be_done_is_not_sent(self):
         self.endpoint.fault = "busy"
--- a/tests/unit/test_gateway_planned_stop.py
+++ b/tests/unit/test_gateway_planned_stop.py
@@ -19,7 +19,7 @@
         """Record requests that took these times."""
         for number, duration in enumerate(seconds):
             self.times.start(route, number, 0.0)
-            self.times.end(route, number, duration, sent=True)
+            self.times.end(route, number, duration, answered=True)
 
     def test_the_default_stands_for_a_route_without_times(self):
         self.note(1.0, route="other")
@@ -52,12 +52,12 @@
         self.assertEqual(self.times.expected("safe", 50.01, 7.0), 0.1)
         self.assertAlmostEqual(self.times.expected("safe", 54.0, 7.0), 4.0)
 
-    # Guards against refusals that are taken for quick answers.
-    def test_requests_that_were_not_sent_do_not_count(self):
+    # Guards against refusals, or callers that left, that are taken for quick answers.
+    def test_requests_without_an_answer_do_not_count(self):
         self.note(2.0)
         for number in range(100, 150):
             self.times.start("safe", number, 0.0)
-            self.times.end("safe", number, 0.001, sent=False)
+            self.times.end("safe", number, 0.001, answered=False)
         self.assertEqual(self.times.expected("safe", 0.0, 7.0), 2.0)
 
 
@@ -111,4 +111,4 @@
         times = self.stop.answer_times
         for number in range(20):
             times.start(self.route.name, number, self.now - seconds)
-            times.end(self.route.name, number, self.now, sent=True)
+            times.end(self.route.name, number, self.now, answered=True)
