Close the listening socket in a stop with a short grace time

With a grace time below 3.1 s a stop ended before the time at which no more connections are accepted, so the kernel accepted connections until the process was gone and callers got resets. The queue is now emptied and the socket closed at the end of each stop. The test could still connect before.

--- a/src/rattanwick/internal/gateway/shutdown.py
+++ b/src/rattanwick/internal/gateway/shutdown.py
@@ -59,6 +59,8 @@
             if not accepting and not self._callers.connections:
                 break
             gevent.sleep(CHECK_INTERVAL_SECONDS)
+        if accepting:
+            self._callers.stop_accepting()
         unfinished = self._callers.busy
         self._callers.end_requests()
         while self._callers.connections and time.monotonic() < self._exit_at:
--- a/tests/failure/test_gateway_planned_stop.py
+++ b/tests/failure/test_gateway_planned_stop.py
@@ -8,6 +8,7 @@
 
 from fakes.gateway_endpoint import FakeGatewayEndpoint
 from rattanwick.internal.gateway.model import CallKind, Organisation
+from rattanwick.internal.gateway.shutdown import GracefulShutdown
 from tests.gateway_case import Answer, RelayCase, make_route, read_all
 
 
@@ -48,6 +49,17 @@
         with self.assertRaises(OSError):
             socket.create_connection(address, 1.0)
 
+    # Guards against connections that are accepted by the kernel until the process is
+    # gone if its grace time is shorter than the usual time of accepting.
+    def test_a_short_stop_closes_the_listening_socket_too(self):
+        shutdown = GracefulShutdown(self.server, self.state.stop, grace=1.0)
+        shutdown.begin()
+        started = self.timers.now()
+        shutdown.wait()
+        self.assertLess(self.timers.now() - started, 0.7)
+        with self.assertRaises(OSError):
+            socket.create_connection(("127.0.0.1", self.server.port), 1.0)
+
 
 class AdmissionTests(RelayCase):
     """Guard against requests that are taken in a stop and cannot be done in time."""
