Close connections in a stop only once they were idle for a moment

Callers that had just connected, or read a response, and sent a request at once had it crossed by the close of the connection: any connection without bytes counted as idle at each check, 20 times a second from 1.6 s after SIGTERM. It must now have been idle for 0.25 s. The new test got no answer with no such time. The older test of a request that is sent while its connection is closed waits that time first; what it asks is unchanged.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -38,6 +38,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for 0 s
 MAX_LINGER_BYTES = 1 << 20
 MAX_LINGER_SECONDS = 5.0
+# A caller that has just connected, or read a response, often sends a request at once.
+# It would cross the close.
+MIN_IDLE_SECONDS = 0.25
 IDLE_GRACE_SECONDS = 1.0  # added to the configured limit of idle connections
 
 
@@ -98,6 +101,7 @@
         self._call: Call | None = None  # the request in progress
         self._response = CallerResponseWriter(self)
         self._received = False  # the request in progress was read to its end
+        self._idle_since = time.monotonic()  # last response, or the start
         self._task = getcurrent()
         self._interruptible = False  # whether ``end_request`` may end the request
         self._closing = False
@@ -124,8 +128,9 @@
             self._sock.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request has arrived or is in progress."""
-        if self.busy or is_readable(self._sock):
+        """Close the connection unless a request has arrived or may be on its way."""
+        idle_seconds = time.monotonic() - self._idle_since
+        if self.busy or idle_seconds < MIN_IDLE_SECONDS or is_readable(self._sock):
             return
         # A request that arrives after this is not read: the connection could not carry
         # the response, but the request would run.
@@ -200,6 +205,7 @@
             self._server.guard.answer(self._call_id, self._phase, response, exc)
             return False
         self.busy, self._call = False, None
+        self._idle_since = time.monotonic()
         if response.closes:
             return False
         try:
--- a/tests/failure/test_gateway_callers.py
+++ b/tests/failure/test_gateway_callers.py
@@ -6,6 +6,7 @@
 from gevent import socket
 
 from rattanwick.internal.gateway.active_request import CallerConnectionClosed
+from rattanwick.internal.gateway.caller_connection import MIN_IDLE_SECONDS
 from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
 from tests.gateway_case import Answer, RelayCase, read_all
 
@@ -88,10 +89,23 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers["connection"], "close")
 
+    # Guards against a connection that is closed as idle between its start, or the last
+    # response, and the request that follows at once.
+    def test_a_connection_is_not_idle_just_after_its_start_or_a_response(self):
+        self.add_endpoint("i-1")
+        sock = self.connect()
+        for number in range(2):
+            gevent.sleep(0.01)
+            self.server.close_idle()
+            gevent.sleep(0.01)
+            sock.sendall(self.keep_alive_request(f"c-{number}"))
+            self.assertEqual(Answer(sock.recv(65536)).body, b"whole")
+        sock.close()
+
     def test_a_request_sent_while_its_connection_is_closed_does_not_run(self):
         endpoint = self.add_endpoint("i-1")
         sock = self.connect()
-        gevent.sleep(0.05)
+        gevent.sleep(MIN_IDLE_SECONDS + 0.05)
         self.server.close_idle()
         try:
             sock.sendall(self.keep_alive_request("c-0"))
