Bound each field of an endpoint's entry where it is decoded

Callers of a service lost their connections without an answer while one entry among its endpoints was odd, for as long as the entry stood. With slots of 400 digits the placement of every request of the service failed ("int too large to convert to float"). With a port of 300 digits, or a host of 300 characters, with an empty label or with half a surrogate pair, each request that was placed there failed in the connect call, which raises OverflowError and UnicodeError, and not OSError, for such addresses. Other odd entries, such as port 0 or 65536, a host name or a key that no header can hold, were accepted as endpoints too.

Every field now has bounds, and is checked once, in decode_endpoint. The address must be an IPv4 address with a port from 1 to 65535 in ASCII digits, so no entry makes a node resolve a name. The id must be printable ASCII, because it is sent in a header. The start of a process fits into the integers that nodes send each other. An entry that breaks a rule raises ValueError, as a malformed one did before, so it is logged and names no endpoint, and the entries beside it hold. The message names the field and shortens the value, which may be huge or nested.

--- a/src/rattanwick/platform/records.py
+++ b/src/rattanwick/platform/records.py
@@ -1,6 +1,8 @@
 """Decoding of the rows that operators and endpoints write to the store."""
 
 import json
+import re
+from ipaddress import AddressValueError, IPv4Address
 
 from rattanwick.internal.gateway.model import (
     CallerLimits,
@@ -14,11 +16,25 @@
     ScalingSpec,
     Service,
 )
+from rattanwick.internal.gateway.shapes import MAX_EXACT_INTEGER
+from rattanwick.platform.fields import (
+    check_integer,
+    field_of,
+    flag_of,
+    parse_object,
+    text_of,
+)
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 ENDPOINT_TABLE = "servers"
 ENDPOINT_STATES = ("ready", "draining")
+ENDPOINT_ID = re.compile(r"[!-~]{1,200}")  # sent as the value of a header
+ADDRESS = re.compile(r"(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})")
+PORTS = range(1, 65_536)
+MAX_LOGGED_ADDRESS = 40  # characters
+MAX_SLOTS = 100_000
+MAX_BORN_MS = MAX_EXACT_INTEGER - 1  # peers send it to each other
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -116,34 +132,37 @@
 
 
 def decode_endpoint(key: str, value: bytes) -> Endpoint:
-    """Return an endpoint; raise ValueError if the entry is malformed."""
+    """Return an endpoint; raise ValueError if the entry is malformed.
+
+    Whatever is returned can be connected to, sent in a header and used in sums.
+    """
     try:
-        raw = json.loads(value)
-        state = raw["state"]
-        host, _, port = raw["address"].rpartition(":")
-        service, zone, slots = raw["service"], raw["zone"], raw["slots"]
-    except (KeyError, TypeError, AttributeError, RecursionError) as exc:
-        raise ValueError(f"endpoint entry: {type(exc).__name__} {exc}")
-    if state not in ENDPOINT_STATES:
-        raise ValueError(f"endpoint entry: unknown state {state!r}")
-    if not all(isinstance(item, str) and item for item in (service, zone, host)):
-        raise ValueError(
-            "endpoint entry: service, zone and host must be non-empty strings"
-        )
-    if type(slots) is not int or slots < 1 or not port.isdigit():
-        raise ValueError(
-            "endpoint entry: slots must be a positive integer and port a number"
+        if not ENDPOINT_ID.fullmatch(key):
+            raise ValueError("key: cannot be sent in a header")
+        raw = parse_object(value)
+        state = field_of(raw, "state")
+        if type(state) is not str or state not in ENDPOINT_STATES:
+            raise ValueError("state: is unknown")
+        return Endpoint(
+            id=key,
+            service=text_of(raw, "service"),
+            address=_decode_address(text_of(raw, "address")),
+            data_centre=text_of(raw, "zone"),
+            slots=check_integer(field_of(raw, "slots"), "slots", 1, MAX_SLOTS),
+            leaving=state == "draining",
+            reclaimable=flag_of(raw, "spot"),
+            born_ms=check_integer(raw.get("born", 0), "born", 0, MAX_BORN_MS),
         )
-    born = raw.get("born", 0)
-    if type(born) is not int:
-        raise ValueError("endpoint entry: born is not an integer")
-    return Endpoint(
-        id=key,
-        service=service,
-        address=f"{host}:{int(port)}",
-        data_centre=zone,
-        slots=slots,
-        leaving=state == "draining",
-        reclaimable=raw.get("spot") is True,
-        born_ms=born,
-    )
+    except ValueError as exc:
+        raise ValueError(f"endpoint entry: {exc}")
+
+
+def _decode_address(text: str) -> str:
+    """Return an address as IP:PORT; a name would have to be resolved first."""
+    match = ADDRESS.fullmatch(text)
+    if match is None or int(match["port"]) not in PORTS:
+        raise ValueError(f"address: {text[:MAX_LOGGED_ADDRESS]!r} is not IP:PORT")
+    try:
+        return f"{IPv4Address(match['ip'])}:{int(match['port'])}"
+    except AddressValueError as exc:
+        raise ValueError(f"address: {exc}")
