Apply the other entries of endpoints when one of them fails

A node applies the changed entries of one page in a loop. An exception other than ValueError for one of them left the entries after it unapplied. The copy of the table already held them as known, so the next read of the table reported no change, and callers were not sent to those endpoints, or were still sent to leaving ones, until their entries changed again. Decoding is bounded now and no such exception is known; the loop must not depend on that.

A failure with one entry is now logged with its traceback, the entry names no endpoint, and the rest is applied. The new test makes the decoding of one entry fail. Before, the OverflowError left apply(), and the sound endpoint beside the entry was not known.

--- a/src/rattanwick/internal/gateway/endpoint_directory.py
+++ b/src/rattanwick/internal/gateway/endpoint_directory.py
@@ -85,16 +85,22 @@
         now = self._timers.now()
         self.loaded = True
         self.changed_at = now
+        may_have_lapsed = (
+            store_failed_seconds is not None
+            and store_failed_seconds < STORE_FAILURE_SECONDS
+        )
         for key in sorted(changed):
             row = rows.get(key)
-            if row is None:
-                may_have_lapsed = (
-                    store_failed_seconds is not None
-                    and store_failed_seconds < STORE_FAILURE_SECONDS
-                )
-                self._remove(key, now, may_have_lapsed)
-            else:
-                self._put(key, row)
+            try:
+                if row is None:
+                    self._remove(key, now, may_have_lapsed)
+                else:
+                    self._put(key, row)
+            except Exception:
+                # Each change is reported only once, so the other entries must be
+                # applied now.
+                self._views.pop(key, None)
+                log.exception("entry not applied", extra={"endpoint": key})
 
     def _put(self, key: str, row: StoredRow) -> None:
         self.version = max(self.version, row.version)
--- a/tests/failure/test_gateway_odd_entries.py
+++ b/tests/failure/test_gateway_odd_entries.py
@@ -1,5 +1,7 @@
 """Requests of a service while an entry among its endpoints is odd."""
 
+from unittest.mock import patch
+
 from rattanwick.internal.gateway.connection_pool import connection_keys
 from rattanwick.internal.gateway.interfaces import StoredRow
 from tests.gateway_case import RelayCase
@@ -42,6 +44,21 @@
                 self.assertIsNone(self.state.endpoints.get(key))
                 self.check_only_sound_endpoint_is_used()
 
+    def test_an_entry_that_cannot_be_applied_does_not_hide_the_others(self):
+        """Guard against endpoints that a node does not know until their next change."""
+        decode = self.state.endpoints._codec.decode_endpoint
+
+        def fail(key: str, value: bytes):
+            if key == "odd":
+                raise OverflowError("unexpected failure")
+            return decode(key, value)
+
+        self.apply("odd", encode(ENTRY))
+        self.state.endpoints._views.pop("sound")
+        with patch.object(self.state.endpoints._codec, "decode_endpoint", fail):
+            self.apply("odd", encode({**ENTRY, "slots": 9}))
+        self.check_only_sound_endpoint_is_used()
+
     def check_only_sound_endpoint_is_used(self):
         """Check the endpoints in use, and that requests of both kinds are served."""
         views = self.state.endpoints.all()
