Read the other rows of a page when one row is malformed

One row that another writer had left in a table made the whole page of the store invalid: a value that is no base64, a version of another type, a row without a key. The page was refused as a failure of the store, and the next call returned the same page, so a node stopped following the table for as long as the row stood. It did not learn of new, leaving or removed endpoints, and a node that started then never became ready. Nesting of thousands of levels raised RecursionError, which the readers of other tables do not catch, and a page version without bound was accepted and could not be sent to peers afterwards.

A row whose key is usable is now passed on with a value that no decoder accepts, and with the page's version if its own is malformed. So it replaces what was known of the row, names nothing, and the next valid change replaces it in turn. A row without a usable key counts as no row. In a list of changes it is unknown which row has changed, and each change is reported only once, so the whole table is then read, as after a loss of history. The page's own version must be valid, between 0 and the largest integer that nodes send each other, since it says which changes have been read. A row cannot have a higher version than its page.

--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -12,13 +12,18 @@
     TimedOut,
     Unavailable,
 )
+from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.interfaces import (
     HistoryLost,
     RowPage,
     RowStore,
     StoredRow,
 )
+from rattanwick.internal.gateway.shapes import MAX_EXACT_INTEGER
 from rattanwick.internal.platform.http import HttpPool, HttpResponse
+from rattanwick.platform.fields import check_object, check_text
+
+log = get_logger("store")
 
 # Generous, so that a store that is several hundred times slower than usual still
 # counts as available.
@@ -27,6 +32,8 @@
 LONG_POLL_MARGIN_SECONDS = 1.5  # added to the wait in the request
 POOL_CONNECTIONS = 4
 PEER = "store"
+MAX_VERSION = MAX_EXACT_INTEGER - 1  # peers send versions to each other
+UNREADABLE = b""  # value of a malformed row; no decoder accepts it
 
 
 class PlatformStore(RowStore):
@@ -52,7 +59,7 @@
             if not body.get("truncated"):
                 return RowPage(tuple(rows), page.version)
             if not page.rows:
-                raise ProtocolError("decode", PEER, "truncated page has no rows")
+                raise ProtocolError("decode", PEER, "truncated page has no usable rows")
             start = rows[-1].key + "\x00"
 
     def wait_for_changes(self, table: str, after: int, wait: float) -> RowPage:
@@ -60,7 +67,12 @@
         query = {"table": table, "start_after": after, "wait_ms": int(wait * 1000)}
         timeout = wait + LONG_POLL_MARGIN_SECONDS
         response = self._get("follow", "/api/rows-feed", query, timeout)
-        return _decode_page(_decode_body(response))
+        body = _decode_body(response)
+        page = _decode_page(body)
+        if len(page.rows) < len(body.get("rows", [])):
+            # Each change is reported only once, and it is unknown which row changed.
+            raise HistoryLost("follow", PEER, "a changed row has no usable key")
+        return page
 
     def write(self, table: str, key: str, value: bytes | None, expected: int) -> int:
         """Write a row if it has version ``expected``; a value of None removes it.
@@ -102,14 +114,12 @@
                 raise MaybeApplied("write", PEER, exc.reason)
             raise Unavailable("write", PEER, exc.reason)
         if response.status == 412:
-            found = _decode_page(_decode_body(response)).rows
+            found = _decode_rows(_decode_body(response), MAX_VERSION)
             raise Conflict("write", PEER, f"row {key} has changed", found)
         _check_status("write", response)
         version = _decode_body(response).get("ver")
-        if type(version) is not int:
-            raise MaybeApplied(
-                "write", PEER, f"response has no valid version: {version!r}"
-            )
+        if not _is_version(version, MAX_VERSION):
+            raise MaybeApplied("write", PEER, "response has no valid version")
         return version
 
     def _get(self, step: str, path: str, query: dict, timeout: float) -> HttpResponse:
@@ -135,37 +145,62 @@
 def _decode_body(response: HttpResponse) -> dict:
     try:
         body = json.loads(response.body)
-    except ValueError as exc:
-        raise ProtocolError("decode", PEER, str(exc))
+    except (ValueError, RecursionError) as exc:
+        raise ProtocolError("decode", PEER, f"{type(exc).__name__} {exc}")
     if not isinstance(body, dict):
         raise ProtocolError("decode", PEER, "body is not an object")
     return body
 
 
 def _decode_page(body: dict) -> RowPage:
-    """Return the rows of a response; raise ProtocolError if one is malformed.
+    """Return the usable rows of a response.
 
-    One malformed row invalidates the whole page. Each change is reported only once, so
-    without that row the copy of the table would stay out of date.
+    Raises ProtocolError if the page's own version is malformed, since it tells which
+    changes have been read.
     """
-    raw_rows, version = body.get("rows", []), body.get("ver", 0)
-    if not isinstance(raw_rows, list) or type(version) is not int:
-        raise ProtocolError("decode", PEER, "rows or version have the wrong type")
-    return RowPage(tuple(_decode_row(raw) for raw in raw_rows), version)
+    version = body.get("ver")
+    if not _is_version(version, MAX_VERSION):
+        raise ProtocolError("decode", PEER, "page has no valid version")
+    return RowPage(_decode_rows(body, version), version)
 
 
-def _decode_row(raw) -> StoredRow:
-    if not isinstance(raw, dict) or not isinstance(raw.get("key"), str):
-        raise ProtocolError("decode", PEER, f"row without a key: {raw!r:.80}")
-    key, version = raw["key"], raw.get("ver", 0)
-    if type(version) is not int:
-        raise ProtocolError(
-            "decode", PEER, f"row {key} has no valid version: {version!r}"
-        )
-    if raw.get("deleted") or raw.get("value") is None:
+def _decode_rows(body: dict, newest: int) -> tuple[StoredRow, ...]:
+    """Return the rows of a response that have a usable key.
+
+    ``newest`` is the highest version that a row can have.
+    """
+    raw_rows = body.get("rows", [])
+    if not isinstance(raw_rows, list):
+        raise ProtocolError("decode", PEER, "rows are not a list")
+    rows = (_decode_row(raw, newest) for raw in raw_rows)
+    return tuple(row for row in rows if row is not None)
+
+
+def _decode_row(raw, newest: int) -> StoredRow | None:
+    """Return a row, or None if it has no usable key.
+
+    A malformed row must not hide the others of its page. Its value is then UNREADABLE,
+    so that it replaces what was known of the row.
+    """
+    try:
+        key = check_text(check_object(raw, "row").get("key"), "key")
+    except ValueError as exc:
+        log.warning("row without a usable key ignored", extra={"error": str(exc)})
+        return None
+    version, value, error = raw.get("ver"), raw.get("value"), ""
+    if not _is_version(version, newest):
+        version, error = newest, "version"
+    if raw.get("deleted") or value is None:
         return StoredRow(key, None, version)
     try:
-        value = base64.b64decode(raw["value"], validate=True)
-    except (TypeError, ValueError) as exc:
-        raise ProtocolError("decode", PEER, f"value of row {key} is not base64: {exc}")
+        value = base64.b64decode(value, validate=True)
+    except (TypeError, ValueError):
+        error = "value"
+    if error:
+        log.warning("malformed row", extra={"key": key, "field": error})
+        value = UNREADABLE
     return StoredRow(key, value, version)
+
+
+def _is_version(value, newest: int) -> bool:
+    return type(value) is int and 0 <= value <= newest
