Refuse a configuration with an odd field as a whole

A configuration of valid JSON with fields of odd types or sizes was put in force. With 16 of these, all requests of a route lost their connections without an answer: a prefix or a split's service that is a list, a time-out of NaN, an organisation whose name is a number or cannot be sent in a header, tokens of 400 digits. Three others ended the application of the configuration halfway: the new version was in force for routing and the limits of the former one for organisations. Others changed what callers may do without a trace: keys given as one text made each of its letters a key, and "public": "no" opened a route to everybody.

All fields now have their type and bounds, checked by the same functions as those of the endpoints' entries.

--- a/src/rattanwick/platform/fields.py
+++ b/src/rattanwick/platform/fields.py
@@ -75,9 +75,9 @@
     return default
 
 
-def text_of(raw: dict, field: str) -> str:
+def text_of(raw: dict, field: str, max_bytes: int = MAX_TEXT_BYTES) -> str:
     """Return a required text."""
-    return check_text(field_of(raw, field), field)
+    return check_text(field_of(raw, field), field, max_bytes)
 
 
 def number_of(
