Check the rows by which nodes know each other

A row of the table of members was taken as it came. If another writer had left one that is no list (3 of the 47 odd rows of the new test), the TypeError ended the task that reads the table, for good: the node learned of no further member that had not sent it anything. A port that is a text or out of range was worse (10 of 47): sendto() raises TypeError or OverflowError for it, and not OSError, so the sending of the node's state ended at that member each time, and the members after it in rotation heard nothing and no longer directed callers to this node.

decode_member checks the shape of a row with the same function as the datagrams of peers, and that the address is an IP address with a valid port. A malformed row is logged with the member's id and skipped; the others are used. The task that reads the table also goes on after an unexpected error, with its traceback in the log. The row's encoding moves beside its decoding.

--- a/src/rattanwick/internal/gateway/members.py
+++ b/src/rattanwick/internal/gateway/members.py
@@ -1,8 +1,13 @@
 """Other nodes of the deployment, known from the store and from their datagrams."""
 
 from dataclasses import dataclass
+from ipaddress import IPv4Address
+
+from msgpack import packb, unpackb
 
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.gateway.settings import GatewaySettings
+from rattanwick.internal.gateway.shapes import matches
 
 log = get_logger("members")
 
@@ -12,6 +17,9 @@
 STANDBY_TIMEOUT_SECONDS = 5.0
 # Silence after which a node no longer counts as part of the deployment.
 MEMBER_RETENTION_SECONDS = 20.0
+# Start of the process, IP, port for peers, IP:PORT for callers, data centre.
+ROW_SHAPE = (int, str, int, str, str)
+PORTS = range(1, 65_536)
 
 
 @dataclass(slots=True)
@@ -41,6 +49,37 @@
         return now - self.last_heard_at < limit and not self.leaving
 
 
+def encode_member(settings: GatewaySettings, boot: int) -> bytes:
+    """Return the row by which this node is known to nodes that start later."""
+    return packb(
+        [
+            boot,
+            settings.ip,
+            settings.peer_port,
+            settings.callers_address,
+            settings.data_centre,
+        ]
+    )
+
+
+def decode_member(node_id: str, value: bytes, last_heard_at: float) -> Member:
+    """Return the member that a row names; raise ValueError if it is malformed.
+
+    Datagrams can be sent to its address. ``last_heard_at`` is in monotonic seconds.
+    """
+    try:
+        fields = unpackb(value)
+    except Exception as exc:
+        raise ValueError(f"{type(exc).__name__} {exc}")
+    if not matches(fields, ROW_SHAPE):
+        raise ValueError("wrong shape")
+    boot, ip, port, caller_address, data_centre = fields
+    if port not in PORTS:
+        raise ValueError(f"port {port} is out of range")
+    address = str(IPv4Address(ip)), port
+    return Member(node_id, boot, address, caller_address, data_centre, last_heard_at)
+
+
 class Members:
     """Registry of the other nodes of the deployment."""
 
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -5,7 +5,6 @@
 import gevent
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
-from msgpack import packb, unpackb
 
 from rattanwick import __version__
 from rattanwick.internal.base.errors import StepError
@@ -24,7 +23,7 @@
     StoredRow,
 )
 from rattanwick.internal.gateway.leadership import Leadership
-from rattanwick.internal.gateway.members import Member
+from rattanwick.internal.gateway.members import decode_member, encode_member
 from rattanwick.internal.gateway.model import CallerLimits
 from rattanwick.internal.gateway.node_directory import NodeDirectory
 from rattanwick.internal.gateway.node_state import make_node_state
@@ -190,9 +189,8 @@
         while not self.state.leaving:
             try:
                 if not written:
-                    self._store.put(
-                        MEMBER_TABLE, self.settings.node_id, self._own_row()
-                    )
+                    row = encode_member(self.settings, self.peers.boot)
+                    self._store.put(MEMBER_TABLE, self.settings.node_id, row)
                     written = True
                 self._add_members(self._store.read(MEMBER_TABLE).rows)
                 pause = MEMBER_READ_INTERVAL_SECONDS * poll_interval_factor(
@@ -201,28 +199,21 @@
             except StepError as exc:
                 log.info("members not read", extra={"error": str(exc)})
                 pause = IDLE_CHECK_INTERVAL_SECONDS
+            except Exception:
+                # An unexpected error must not end this task.
+                log.exception("members not read")
+                pause = MEMBER_READ_INTERVAL_SECONDS
             self._timers.sleep(pause)
 
-    def _own_row(self) -> bytes:
-        settings = self.settings
-        return packb(
-            [
-                self.peers.boot,
-                settings.ip,
-                settings.peer_port,
-                settings.callers_address,
-                settings.data_centre,
-            ]
-        )
-
     def _add_members(self, rows: tuple[StoredRow, ...]) -> None:
         """Add members that have sent nothing yet, so that this node sends to them.
 
         They count as silent until their first datagram.
         """
+        last_heard_at = self._timers.now() - MEMBER_READ_INTERVAL_SECONDS
         for row in rows:
             try:
-                boot, ip, port, callers, data_centre = unpackb(row.value)
+                member = decode_member(row.key, row.value, last_heard_at)
             except ValueError as exc:
                 log.warning(
                     "malformed member row ignored",
@@ -230,13 +221,8 @@
                 )
                 continue
             known = self.state.members.get(row.key)
-            if known is None or known.boot < boot:
-                last_heard_at = self._timers.now() - MEMBER_READ_INTERVAL_SECONDS
-                self.state.members.put(
-                    Member(
-                        row.key, boot, (ip, port), callers, data_centre, last_heard_at
-                    )
-                )
+            if known is None or known.boot < member.boot:
+                self.state.members.put(member)
 
     def _run_leader_tasks(self) -> None:
         while not self._stopping.is_set():
--- /dev/null
+++ b/tests/failure/test_gateway_odd_rows.py
@@ -0,0 +1,115 @@
+"""Rows of the nodes' own tables that another writer has changed."""
+
+import unittest
+from dataclasses import replace
+
+import gevent
+from gevent import socket
+from msgpack import ExtType, Timestamp, packb
+
+from fakes.gateway_rows import MemoryRowStore
+from fakes.gateway_settings import make_settings
+from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.gateway.members import encode_member
+from rattanwick.internal.gateway.node import MEMBER_TABLE, GatewayNode
+from rattanwick.platform.codec import PlatformCodec
+
+NESTED = packb([[]]).replace(b"\x90", b"\x91" * 5000 + b"\x90")
+ODD_PACKED = (
+    b"",
+    b"\xc1",
+    b"\xff\xff",
+    b"\xa2\xff\xfe",  # a text that is not UTF-8
+    b"\xdd\xff\xff\xff\xff",  # an array of 2**32 - 1 elements
+    b"\x81\x80\x00",  # a map with a map as its key
+    NESTED,
+    packb(None),
+    packb(5),
+    packb("text"),
+    packb([]),
+    packb({}),
+    packb([1, 2]),
+    packb(ExtType(5, b"x")),
+    packb(Timestamp(1, 2)),
+)
+MEMBER = [1, "127.0.0.1", 7600, "127.0.0.1:8000", "a"]
+ODD_MEMBERS = (
+    *ODD_PACKED,
+    packb([*MEMBER, 1]),
+    *(
+        packb([*MEMBER[:index], value, *MEMBER[index + 1 :]])
+        for index, values in enumerate(
+            (
+                (None, "1", 1.5, True, 2**64 - 1, [], ExtType(5, b"x")),
+                (None, 5, "", "nowhere", "127.0.0.1\0", "::1", b"127.0.0.1"),
+                (None, "7600", 7600.0, True, 0, -1, 65536, 2**63, []),
+                (None, 5, b"x", {}),
+                (None, 5, b"x", {}),
+            )
+        )
+        for value in values
+    ),
+)
+
+
+class OddMemberTests(unittest.TestCase):
+    """Guard against a row that cuts a node off from the others.
+
+    A row of another shape ended the reading of the table for good. A port out of range
+    or of another type ended the sending of the node's state, for each state.
+    """
+
+    def setUp(self):
+        self.timers = GeventTimerService()
+        self.addCleanup(self.timers.stop)
+        self.store = MemoryRowStore()
+        self.node = GatewayNode(
+            make_settings("n1"), self.store, None, PlatformCodec(), self.timers
+        )
+        self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(self.peer.close)
+        self.peer.bind(("127.0.0.1", 0))
+        self.peer.settimeout(1.0)
+        datagrams = self.node.peers._datagrams
+        datagrams.start()
+        self.addCleanup(datagrams.stop)
+
+    def test_an_odd_row_does_not_cut_off_the_other_members(self):
+        port = self.peer.getsockname()[1]
+        for number, value in enumerate(ODD_MEMBERS):
+            with self.subTest(number=number, value=value[:40]):
+                sound = packb([number, "127.0.0.1", port, "127.0.0.1:1", "a"])
+                self.store.set_row(MEMBER_TABLE, "n0", value)
+                self.store.set_row(MEMBER_TABLE, "n2", sound)
+                with self.assertLogs("rattanwick.node", "WARNING"):
+                    self.node._add_members(self.store.read(MEMBER_TABLE).rows)
+                self.assertIsNone(self.node.state.members.get("n0"))
+                self.assertEqual(self.node.state.members.get("n2").boot, number)
+                self.node.peers.send_state()
+                self.assertTrue(self.peer.recv(65536))
+
+    def test_the_table_is_read_again_after_an_unexpected_error(self):
+        """Guard against a task that ends for good, so that new members stay unknown."""
+        calls = []
+
+        def fail(rows):
+            calls.append(rows)
+            raise TypeError("unexpected failure")
+
+        self.node._add_members = fail
+        task = gevent.spawn(self.node._sync_members)
+        self.addCleanup(task.kill)
+        with gevent.Timeout(2.0):
+            while not calls:
+                gevent.sleep(0.01)
+        gevent.sleep(0.05)
+        self.assertFalse(task.ready())
+
+    def test_the_own_row_is_read_as_it_was_written(self):
+        settings = replace(make_settings("n2"), peer_port=7600)
+        self.store.set_row(MEMBER_TABLE, "n2", encode_member(settings, 5))
+        self.node._add_members(self.store.read(MEMBER_TABLE).rows)
+        member = self.node.state.members.get("n2")
+        self.assertEqual(member.address, (settings.ip, settings.peer_port))
+        self.assertEqual(member.caller_address, settings.callers_address)
+        self.assertEqual((member.boot, member.data_centre), (5, settings.data_centre))
