Report usage although the row of recorded counts is odd

The leader reads the counts recorded for the newest windows from a row of the store before it reports a window. The row was taken as msgpack of any shape. With a row that holds a number, a list or none, keys that are texts, or eight windows of the far future, each step of the reports raised TypeError or KeyError. No leader reported any usage for as long as the row stood, since the step that would have replaced it was the one that failed.

The row must now hold counts that are not negative, by window and organisation; otherwise it is logged and counts as empty, so the next recorded window replaces it. Windows that have not begun are left out. shapes.py gets the shape Amount for numbers that are not negative, which the messages of peers need too.

--- a/src/rattanwick/internal/gateway/shapes.py
+++ b/src/rattanwick/internal/gateway/shapes.py
@@ -1,9 +1,19 @@
 """Check of the types of decoded messages."""
 
+from dataclasses import dataclass
 from math import isfinite
 from types import UnionType
 
-Shape = type | UnionType | dict | list | tuple
+
+@dataclass(slots=True, frozen=True)
+class Amount:
+    """Shape of a number that is not negative."""
+
+    kind: type  # int or float
+    optional: bool = False  # whether None matches too
+
+
+Shape = type | UnionType | Amount | dict | list | tuple
 
 MAX_EXACT_INTEGER = 1 << 53  # above, sums of floats lose their last digits
 
@@ -11,11 +21,16 @@
 def matches(value, shape: Shape) -> bool:
     """Return whether a value has a shape.
 
-    A shape is a type; a union of types, of which one must match; a dictionary that maps
-    the shape of the keys to that of the values; a list that holds the shape of the
-    elements; or a tuple of shapes, for a list with exactly these elements. Numbers must
-    be finite and below MAX_EXACT_INTEGER in size. An integer also matches float.
+    A shape is a type; a union of types, of which one must match; an Amount; a
+    dictionary that maps the shape of the keys to that of the values; a list that holds
+    the shape of the elements; or a tuple of shapes, for a list with exactly these
+    elements. Numbers must be finite and below MAX_EXACT_INTEGER in size. An integer
+    also matches float.
     """
+    if isinstance(shape, Amount):
+        if value is None:
+            return shape.optional
+        return matches(value, shape.kind) and value >= 0
     if isinstance(shape, dict):
         ((key_shape, value_shape),) = shape.items()
         return isinstance(value, dict) and all(
--- a/src/rattanwick/internal/gateway/usage_reports.py
+++ b/src/rattanwick/internal/gateway/usage_reports.py
@@ -7,6 +7,7 @@
 from rattanwick.internal.gateway.interfaces import Cloud, RowStore, StoredRow
 from rattanwick.internal.gateway.leadership import LEADERSHIP_TABLE, Leadership
 from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.shapes import Amount, matches
 
 log = get_logger("duties")
 
@@ -15,6 +16,7 @@
 # their counts, and there is time for several attempts before a report is late.
 REPORT_DELAY_SECONDS = 2.0
 MAX_RECORDED_WINDOWS = 8
+ROW_SHAPE = {int: {str: Amount(int)}}  # as UsageReports._recorded
 
 
 class UsageReports:
@@ -96,7 +98,9 @@
         except StepError as exc:
             log.info("usage not recorded", extra={"window": window, "error": str(exc)})
             return None
-        self._recorded = recorded
+        # Later windows would displace those that are reported now.
+        newest = self._state.usage.window_of(self._state.timers.wall_time())
+        self._recorded = {w: c for w, c in recorded.items() if w <= newest}
         return recorded[window]
 
     def _read_row(self) -> bool:
@@ -114,6 +118,16 @@
     def _decode_row(self, row: StoredRow) -> None:
         self._version = row.version
         try:
-            self._recorded = unpackb(row.value, strict_map_key=False)
-        except ValueError as exc:
-            log.error("malformed usage row ignored", extra={"error": str(exc)})
+            recorded = unpackb(row.value, strict_map_key=False)
+        except Exception as exc:
+            log.error(
+                "malformed usage row ignored",
+                extra={"error": f"{type(exc).__name__} {exc}"},
+            )
+            return
+        if not matches(recorded, ROW_SHAPE):
+            log.error("malformed usage row ignored", extra={"error": "wrong shape"})
+            return
+        # Later windows would displace those that are reported now.
+        newest = self._state.usage.window_of(self._state.timers.wall_time())
+        self._recorded = {w: c for w, c in recorded.items() if w <= newest}
--- a/tests/failure/test_gateway_odd_rows.py
+++ b/tests/failure/test_gateway_odd_rows.py
@@ -10,9 +10,12 @@
 from fakes.gateway_rows import MemoryRowStore
 from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.gateway.leadership import LEADERSHIP_TABLE
 from rattanwick.internal.gateway.members import encode_member
 from rattanwick.internal.gateway.node import MEMBER_TABLE, GatewayNode
+from rattanwick.internal.gateway.usage_reports import USAGE_KEY
 from rattanwick.platform.codec import PlatformCodec
+from tests.failure.test_gateway_leadership import LeadershipCase
 
 NESTED = packb([[]]).replace(b"\x90", b"\x91" * 5000 + b"\x90")
 ODD_PACKED = (
@@ -113,3 +116,35 @@
         self.assertEqual(member.address, (settings.ip, settings.peer_port))
         self.assertEqual(member.caller_address, settings.callers_address)
         self.assertEqual((member.boot, member.data_centre), (5, settings.data_centre))
+
+
+class OddUsageRowTests(LeadershipCase):
+    """Guard against a row that ends the reports of usage for as long as it stands."""
+
+    ODD_ROWS = (
+        *(value for value in ODD_PACKED if value != packb({})),
+        packb({"1": {}}),
+        packb({1: 5}),
+        packb({1: [["org", 1]]}),
+        packb({1: {5: 1}}),
+        packb({1: {"org": "1"}}),
+        packb({1: {"org": -1}}),
+        packb({1: {"org": 1.5}}),
+        packb({1: {"org": 2**63}}),
+        packb({2**50 + n: {"org": 1} for n in range(8)}),
+    )
+
+    def test_usage_is_reported_despite_an_odd_row(self):
+        for number, value in enumerate(self.ODD_ROWS):
+            with self.subTest(number=number, value=value[:40]):
+                self.doCleanups()
+                self.setUp()
+                self.acquire(self.first)
+                self.store.set_row(LEADERSHIP_TABLE, USAGE_KEY, value)
+                wall = self.timers.wall_time()
+                self.first.state.usage.note_began("org", wall)
+                window = self.first.state.usage.window_of(wall)
+                length = self.first.state.settings.bounds.usage_window
+                self.timers.advance((window + 1) * length - wall + 2.5)
+                self.first.usage.step()
+                self.assertIn((window, {"org": 1}), self.cloud.reports)
