Elect a leader although the leader's row holds an odd fence

The values of the row that names the leader were converted with int() and str(), so a text of 400 digits and any integer counted as a fence. The next node raised it by one and could not encode it: OverflowError after it had taken itself for the leader. It never confirmed its row, so nobody reported usage or ordered endpoints for as long as the row stood. With a fence of 2**53 - 1 the node did become the leader, and its peers then refused its states as malformed, since they check integers against that bound: it was left out of the directory. With a fence of -2 the leader's calls carried -1.

A row of another shape, with a negative number or with a fence that leaves no room to be raised now counts as malformed, like one that is no msgpack. Such a row names no leader, and the next fence is above the row's version, as before. The new test drives a node through each odd row.

--- a/src/rattanwick/internal/gateway/leadership.py
+++ b/src/rattanwick/internal/gateway/leadership.py
@@ -16,11 +16,15 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.interfaces import RowStore, StoredRow
 from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.shapes import MAX_EXACT_INTEGER, Amount, matches
 
 log = get_logger("duties")
 
 LEADERSHIP_TABLE = "duties"
 LEADER_KEY = "holder"
+ROW_SHAPE = (str, Amount(int), Amount(int))  # node id, start of the process, fence
+# Higher fences could not be raised for long: peers send them to each other.
+MAX_FENCE = MAX_EXACT_INTEGER // 2
 # Time for which the leader may act after a confirmation; shorter than the lease.
 CONFIRMATION_LIFETIME_SECONDS = 0.8
 # A leader that fails to confirm its row for this time steps down for another node.
@@ -44,10 +48,12 @@
 def decode_leader(row: StoredRow) -> Leader:
     """Return the leader that a row names; raise ValueError if the row is malformed."""
     try:
-        node_id, boot, fence = unpackb(row.value)
-        return Leader(str(node_id), int(boot), int(fence), row.version)
+        fields = unpackb(row.value)
     except Exception as exc:
         raise ValueError(f"leader row: {type(exc).__name__} {exc}")
+    if not matches(fields, ROW_SHAPE) or fields[2] > MAX_FENCE:
+        raise ValueError("leader row: wrong shape")
+    return Leader(*fields, row.version)
 
 
 class Leadership:
--- a/tests/failure/test_gateway_odd_rows.py
+++ b/tests/failure/test_gateway_odd_rows.py
@@ -10,7 +10,7 @@
 from fakes.gateway_rows import MemoryRowStore
 from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.timers import GeventTimerService
-from rattanwick.internal.gateway.leadership import LEADERSHIP_TABLE
+from rattanwick.internal.gateway.leadership import LEADER_KEY, LEADERSHIP_TABLE
 from rattanwick.internal.gateway.members import encode_member
 from rattanwick.internal.gateway.node import MEMBER_TABLE, GatewayNode
 from rattanwick.internal.gateway.usage_reports import USAGE_KEY
@@ -118,6 +118,35 @@
         self.assertEqual((member.boot, member.data_centre), (5, settings.data_centre))
 
 
+class OddLeaderRowTests(LeadershipCase):
+    """Guard against a row that keeps every node from becoming the leader."""
+
+    ODD_ROWS = (
+        *ODD_PACKED,
+        packb(["n3", 1, 2, 3]),
+        packb([5, 1, 2]),
+        packb(["n3", "1", 2]),
+        packb(["n3", -1, 2]),
+        packb(["n3", 1, None]),
+        packb(["n3", 1, 2.5]),
+        packb(["n3", 1, -2]),
+        packb(["n3", 1, True]),
+        packb(["n3", 1, 2**53 - 1]),
+        packb(["n3", 1, 2**64 - 1]),
+        packb(["n3", 1, "9" * 400]),
+    )
+
+    def test_a_node_becomes_the_leader_despite_an_odd_row(self):
+        for number, value in enumerate(self.ODD_ROWS):
+            with self.subTest(number=number, value=value[:40]):
+                self.doCleanups()
+                self.setUp()
+                self.store.set_row(LEADERSHIP_TABLE, LEADER_KEY, value)
+                self.acquire(self.first)
+                # Peers must be able to receive the fence.
+                self.assertIn(self.first.leadership.confirm(), range(1, 2**53))
+
+
 class OddUsageRowTests(LeadershipCase):
     """Guard against a row that ends the reports of usage for as long as it stands."""
 
