Refuse blocks of prompt parts with a negative number of trials

The number of trials in a row of the table of blocks, and in the messages of peers, only had to be an integer. With -3 each step that saves blocks raised IndexError, as the number is the index of the delay before the next trial. A node that had read such a row saved no block, removed no expired row and made no trial for as long as the block was known, so after a restart of all nodes callers' requests with a blocked part reached endpoints again.

Trials, crashes and the numbers of queries must not be negative now, in rows as in messages; a row or message that breaks this is logged and ignored like one of another shape. Before, the new tests failed for one row with that IndexError and for the three odd messages, which were accepted.

--- a/src/rattanwick/internal/gateway/blocked_part_rows.py
+++ b/src/rattanwick/internal/gateway/blocked_part_rows.py
@@ -7,7 +7,7 @@
 from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.interfaces import RowStore, StoredRow
 from rattanwick.internal.gateway.node_state import NodeState
-from rattanwick.internal.gateway.shapes import matches
+from rattanwick.internal.gateway.shapes import Amount, matches
 
 log = get_logger("parts")
 
@@ -21,7 +21,7 @@
 MAX_SAVE_ATTEMPTS = 3  # against conflicting writes, until the next interval
 # Parts, organisations, crashes, endpoints, nodes, times made and used in Unix seconds,
 # trials.
-ROW_SHAPE = ([str], [str], int, [str], [str], float, float, int)
+ROW_SHAPE = ([str], [str], Amount(int), [str], [str], float, float, Amount(int))
 
 
 class BlockRows:
--- a/src/rattanwick/internal/gateway/part_messages.py
+++ b/src/rattanwick/internal/gateway/part_messages.py
@@ -4,7 +4,7 @@
 
 from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.crash_evidence import LostRequest
-from rattanwick.internal.gateway.shapes import matches
+from rattanwick.internal.gateway.shapes import Amount, matches
 
 MAX_BLOCKS_PER_MESSAGE = 20
 # Of all requests of a crash in one message, so that it fits into a datagram.
@@ -76,9 +76,22 @@
 MESSAGE_SHAPE = (
     [(str, float, [(str, [str], float)])],
     [(str, float)],
-    [(str, [str], [str], int, [str], [str], float, float, int, bool)],
-    int,
-    int,
+    [
+        (
+            str,
+            [str],
+            [str],
+            Amount(int),
+            [str],
+            [str],
+            float,
+            float,
+            Amount(int),
+            bool,
+        )
+    ],
+    Amount(int),
+    Amount(int),
 )
 
 
--- a/tests/failure/test_gateway_odd_rows.py
+++ b/tests/failure/test_gateway_odd_rows.py
@@ -10,12 +10,16 @@
 from fakes.gateway_rows import MemoryRowStore
 from fakes.gateway_settings import make_settings
 from rattanwick.internal.base.timers import GeventTimerService
+from rattanwick.internal.gateway.blocked_part_rows import BLOCK_TABLE, BlockRows
+from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.leadership import LEADER_KEY, LEADERSHIP_TABLE
 from rattanwick.internal.gateway.members import encode_member
 from rattanwick.internal.gateway.node import MEMBER_TABLE, GatewayNode
+from rattanwick.internal.gateway.peer_messages import PROTOCOL_VERSION, decode_datagram
 from rattanwick.internal.gateway.usage_reports import USAGE_KEY
 from rattanwick.platform.codec import PlatformCodec
 from tests.failure.test_gateway_leadership import LeadershipCase
+from tests.gateway_case import make_state
 
 NESTED = packb([[]]).replace(b"\x90", b"\x91" * 5000 + b"\x90")
 ODD_PACKED = (
@@ -147,6 +151,52 @@
                 self.assertIn(self.first.leadership.confirm(), range(1, 2**53))
 
 
+class OddBlockTests(unittest.TestCase):
+    """Guard against a block that keeps a node from saving any block.
+
+    A block with fewer than -2 trials raised IndexError whenever blocks were saved.
+    """
+
+    def setUp(self):
+        self.state = make_state()
+        self.store = MemoryRowStore()
+        self.rows = BlockRows(self.state, self.store)
+
+    def check_blocks_are_saved(self):
+        """Check that a new block is saved, and is the only one that is known."""
+        guard, now = self.state.part_guard, self.state.timers.now()
+        block = Block("sound", frozenset("x"), frozenset("o"), 3, (), (), now, now)
+        guard.learn(block, "test")
+        guard.unsaved.add("sound")
+        self.rows.step()
+        self.assertTrue(guard.blocks.get("sound").saved)
+        self.assertEqual([block.id for block in guard.blocks.all()], ["sound"])
+
+    def test_an_odd_row_names_no_block(self):
+        # As BlockRows writes it.
+        now = self.state.timers.wall_time()
+        fields = [["x"], ["o"], 3, ["i"], ["n"], now, now, 0]
+        odd_trials = [packb([*fields[:-1], value]) for value in (-3, "0", 2**60, None)]
+        odd_counts = [packb([*fields[:2], -1, *fields[3:]])]
+        for value in (*ODD_PACKED, *odd_trials, *odd_counts):
+            with self.subTest(value=value[:40]):
+                self.setUp()
+                self.store.set_row(BLOCK_TABLE, "odd", value)
+                self.assertTrue(self.rows.load())
+                self.check_blocks_are_saved()
+
+    def test_an_odd_message_names_no_block(self):
+        block = ["odd", ["x"], ["o"], 3, ["i"], ["n"], 0.0, 0.0, -3, True]
+        for fields in (
+            [[], [], [block], 0, 0],
+            [[], [], [], -1, 0],
+            [[], [], [], 0, -1],
+        ):
+            with self.subTest(fields=fields), self.assertRaises(ValueError):
+                decode_datagram(packb([PROTOCOL_VERSION, 5, "n2", 1, fields]))
+        self.check_blocks_are_saved()
+
+
 class OddUsageRowTests(LeadershipCase):
     """Guard against a row that ends the reports of usage for as long as it stands."""
 
