Refuse states of peers with numbers that no node sends

The fields of a peer's state only had to be finite numbers. A port above 65535 ended the sending of a node's own state whenever that peer's turn came, because sendto() raises OverflowError for it, and not OSError; the node fell silent for the members after it. The others of the odd states did not raise an exception but distorted decisions: a negative number of running requests attracts requests, negative tokens keep the record of cached prompt parts from being trimmed, a negative age keeps a request blocked for as long, and a negative count lowers the reported usage.

The shapes of these fields are now amounts, which must not be negative; a port and a share have an upper bound too. All nodes send such values: their counters are paired and their ages are differences of one clock. A datagram that breaks this is logged and ignored as a whole, before anything of it is taken in.

--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -14,7 +14,7 @@
 from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.node_state import Placement
 from rattanwick.internal.gateway.part_messages import PeerParts, parts_from_fields
-from rattanwick.internal.gateway.shapes import Shape, matches
+from rattanwick.internal.gateway.shapes import Amount, Shape, matches
 from rattanwick.internal.gateway.table_watch import TableChanges
 from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
 
@@ -34,37 +34,40 @@
     PARTS = 5
 
 
-LOAD_SHAPE = (int, int, int, int)
+LOAD_SHAPE = (Amount(int),) * 4
+MAX_PORT = 65_535
+# Sums of tokens and seconds, and a share, as PrefillEstimator.seen() returns them.
+PREFILL_SHAPE = (*(Amount(float),) * 5, Amount(float, most=1.0))
 # By name of a field of PeerLoads, PeerState or TableChanges.
 FIELD_SHAPES: dict[str, Shape] = {
     "node_id": str,
-    "boot": int,
-    "sequence": int,
+    "boot": Amount(int),
+    "sequence": Amount(int),
     "brief": bool,
-    "port": int,
+    "port": Amount(int, most=MAX_PORT),
     "callers": str,
     "data_centre": str,
     "ready": bool,
     "leaving": bool,
     "standby": bool,
-    "cores": float,
-    "request_rate": float,
+    "cores": Amount(float),
+    "request_rate": Amount(float),
     "store_failing": bool,
-    "fence": int,
-    "versions": {str: int},
+    "fence": Amount(int),
+    "versions": {str: Amount(int)},
     "spent": {str: (float, float)},
-    "usage": {int: {str: int}},
+    "usage": {int: {str: Amount(int)}},
     "loads": {str: LOAD_SHAPE},
-    "prompt_tokens": {str: int},
-    "prefill_seen": {str: (float,) * 6},
-    "crashes": [(str, str, float)],
-    "placed": int,
-    "placements": [(str, [(str, int)])],
+    "prompt_tokens": {str: Amount(int)},
+    "prefill_seen": {str: PREFILL_SHAPE},
+    "crashes": [(str, str, Amount(float))],
+    "placed": Amount(int),
+    "placements": [(str, [(str, Amount(int))])],
     "table": str,
-    "after": int,
-    "version": int,
-    "rows": [(str, bytes | None, int)],
-    "failed_seconds": float | None,
+    "after": Amount(int),
+    "version": Amount(int),
+    "rows": [(str, bytes | None, Amount(int))],
+    "failed_seconds": Amount(float, optional=True),
 }
 
 # By endpoint: pending prompt tokens, running requests, output tokens expected of them,
--- a/src/rattanwick/internal/gateway/shapes.py
+++ b/src/rattanwick/internal/gateway/shapes.py
@@ -4,19 +4,20 @@
 from math import isfinite
 from types import UnionType
 
+MAX_EXACT_INTEGER = 1 << 53  # above, sums of floats lose their last digits
+
 
 @dataclass(slots=True, frozen=True)
 class Amount:
     """Shape of a number that is not negative."""
 
     kind: type  # int or float
+    most: float = MAX_EXACT_INTEGER
     optional: bool = False  # whether None matches too
 
 
 Shape = type | UnionType | Amount | dict | list | tuple
 
-MAX_EXACT_INTEGER = 1 << 53  # above, sums of floats lose their last digits
-
 
 def matches(value, shape: Shape) -> bool:
     """Return whether a value has a shape.
@@ -30,7 +31,7 @@
     if isinstance(shape, Amount):
         if value is None:
             return shape.optional
-        return matches(value, shape.kind) and value >= 0
+        return matches(value, shape.kind) and 0 <= value <= shape.most
     if isinstance(shape, dict):
         ((key_shape, value_shape),) = shape.items()
         return isinstance(value, dict) and all(
