Fit the prefill model whatever peers report as observed

Nodes fit the prefill time of engines to their own and their peers' observations. A peer's sums of zero, with a share of zero for the initial observations, left no weight at all, and the fit divided by zero. Every request of the service at every node that had received the state lost its connection without an answer, since the model is needed to place it.

The initial observations now keep a weight of a millionth. It decides nothing beside a single real observation, and leaves the division defined.

--- a/src/rattanwick/internal/gateway/prefill.py
+++ b/src/rattanwick/internal/gateway/prefill.py
@@ -16,6 +16,8 @@
 # number of first events that each counts as.
 PRIOR_SIZES = (500.0, 8_000.0)
 PRIOR_WEIGHT = 15.0
+# They keep some weight, so that the fit is defined whatever peers have observed.
+MIN_PRIOR_WEIGHT = 1e-6
 # Share of the total weight that is given to an empty prompt with the initial start
 # time. Prompts of nearly one size give only one point of the line, and noise would
 # determine its slope.
@@ -137,7 +139,7 @@
             if service in seen:
                 total.merge(seen[service])
         for size in PRIOR_SIZES:
-            count = PRIOR_WEIGHT * total.assumed
+            count = max(PRIOR_WEIGHT * total.assumed, MIN_PRIOR_WEIGHT)
             total.add(size, INITIAL_PREFILL_MODEL.seconds(size), count)
         total.add(0.0, INITIAL_START_SECONDS, START_PRIOR_SHARE * total.weight)
         slope = min(max(total.slope(), 1 / MAX_RATE), 1 / MIN_RATE)
--- a/tests/failure/test_gateway_odd_messages.py
+++ b/tests/failure/test_gateway_odd_messages.py
@@ -56,3 +56,24 @@
                     with self.assertLogs("rattanwick.peers", "WARNING"):
                         self.receive(**{name: value})
                     self.assertIsNone(self.state.members.get("n2"))
+
+    def test_a_model_can_be_fitted_to_any_observations(self):
+        """Guard against a division by zero in each request of a service."""
+        figures = (0.0, 1.0, 2.0**53 - 1)
+        for first in figures:
+            for second in figures:
+                for assumed in (0.0, 1.0):
+                    sums = [first, second, first, second, first, assumed]
+                    with self.subTest(sums=sums):
+                        self.receive(
+                            prefill_seen={"engine": sums}, sequence=self.next_sequence()
+                        )
+                        estimator = self.state.prefill_estimator
+                        model = estimator.for_service("engine")
+                        self.assertGreater(model.rate, 0)
+                        self.assertGreater(model.seconds(1000), 0)
+
+    def next_sequence(self) -> int:
+        """Return a higher sequence than that of the last state."""
+        self.message = replace(self.message, sequence=self.message.sequence + 1)
+        return self.message.sequence
