Give versions of the store an era

The store may come back from an older copy and give its numbers out again, so a number alone does not tell which of two rows is newer. A version is now the pair of the era, read from the header Store-Era of each answer, and the number; it compares by the era first. Conditional writes with a version of an earlier era are refused before they are sent, since the number may belong to another row by now. A write whose answer shows a new era counts as possibly applied, and an answer of an earlier era changes nothing.

Peers send versions as [era, number], in states, changes and copies, and check their shapes before anything is taken in; so the protocol version rises. The digest of the blocked parts, which is no version, gets a field of its own in the state. Repeated headers of an answer are joined by commas instead of keeping the last one, so that a repeated Store-Era counts as malformed.

--- a/bench/capacity_lab.py
+++ b/bench/capacity_lab.py
@@ -21,7 +21,13 @@
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.gateway import autoscaler, capacity
 from rattanwick.internal.gateway.autoscaler import Autoscaler
-from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    Cloud,
+    EndpointOrder,
+    StoredRow,
+    Version,
+)
 from rattanwick.internal.gateway.model import (
     CallerLimits,
     Configuration,
@@ -330,7 +336,7 @@
             self._state, cloud, StaticLeadership(), lambda service: 0
         )
         self._previous_entries: dict[str, bytes] = {}
-        self._version = 0
+        self._version = NO_VERSION
 
     def step(self, read_tokens: float) -> None:
         """Give the engines and the load to the node state and run the autoscaler."""
@@ -352,7 +358,7 @@
             for key in entries.keys() | self._previous_entries.keys()
             if entries.get(key) != self._previous_entries.get(key)
         }
-        self._version += 1
+        self._version = Version(0, self._version.number + 1)
         rows = {key: StoredRow(key, val, self._version) for key, val in entries.items()}
         self._state.endpoints.apply(rows, changed, None)
         self._previous_entries = entries
--- a/fakes/gateway_platform.py
+++ b/fakes/gateway_platform.py
@@ -12,7 +12,13 @@
 from fakes.addresses import LOOPBACK, address_of
 from fakes.gateway_rows import MemoryRowStore
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
-from rattanwick.internal.gateway.interfaces import HistoryLost, RowPage, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    HistoryLost,
+    RowPage,
+    StoredRow,
+    Version,
+)
 
 SOCKET_KEY = "fake.socket"  # WSGI environment
 
@@ -60,7 +66,7 @@
         """Stop accepting connections; open connections go on."""
         self._server.stop(timeout=0.1)
 
-    def put_json(self, table: str, key: str, value: dict) -> int:
+    def put_json(self, table: str, key: str, value: dict) -> Version:
         """Write a JSON row regardless of faults; return its version."""
         return self.rows.set_row(table, key, json.dumps(value).encode())
 
@@ -75,13 +81,17 @@
         except HistoryLost:
             status, answer = "410 Gone", {}
         except Conflict as exc:
-            status, answer = "412 Precondition Failed", _encode(exc.current, 0)
+            status = "412 Precondition Failed"
+            answer = _encode(exc.current, self.rows.version)
         except MaybeApplied:
             # A lost answer: the connection closes without a response.
             environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
             return []
         data = json.dumps(answer).encode()
-        start_response(status, [("Content-Length", str(len(data)))])
+        headers = [("Content-Length", str(len(data)))]
+        if path.startswith("/api/"):
+            headers.append(("Store-Era", str(self.rows.era)))
+        start_response(status, headers)
         return [data]
 
     def _handle(self, path: str, query: dict, body: bytes, environ: dict):
@@ -90,17 +100,20 @@
             return "200 OK", {**_page(page), "truncated": False}
         if path == "/api/rows-feed":
             wait = int(query["wait_ms"]) / 1000
-            after = int(query["start_after"])
+            after = Version(self.rows.era, int(query["start_after"]))
             return "200 OK", _page(
                 self.rows.wait_for_changes(query["table"], after, wait)
             )
         if path == "/api/rows-tx":
-            return "200 OK", {"ver": self._transact(json.loads(body))}
+            return "200 OK", {"ver": self._transact(json.loads(body)).number}
         return self._handle_leader_call(path, json.loads(body), environ)
 
-    def _transact(self, raw: dict) -> int:
-        expected = {row["key"]: row["ver"] for row in raw["expected_rev"]}
-        version = 0
+    def _transact(self, raw: dict) -> Version:
+        expected = {
+            row["key"]: Version(self.rows.era, row["ver"]) if row["ver"] else NO_VERSION
+            for row in raw["expected_rev"]
+        }
+        version = NO_VERSION
         for row in (*raw["upserts"], *raw["remove"]):
             value = base64.b64decode(row["value"]) if "value" in row else None
             key = row["key"]
@@ -130,13 +143,13 @@
     return _encode(page.rows, page.version)
 
 
-def _encode(rows: tuple[StoredRow, ...], version: int) -> dict:
+def _encode(rows: tuple[StoredRow, ...], version: Version) -> dict:
     encoded = []
     for row in rows:
-        item = {"key": row.key, "ver": row.version}
+        item = {"key": row.key, "ver": row.version.number}
         if row.value is None:
             item["deleted"] = True
         else:
             item["value"] = base64.b64encode(row.value).decode()
         encoded.append(item)
-    return {"rows": encoded, "ver": version}
+    return {"rows": encoded, "ver": version.number}
--- a/src/rattanwick/internal/gateway/blocked_part_rows.py
+++ b/src/rattanwick/internal/gateway/blocked_part_rows.py
@@ -5,7 +5,12 @@
 from rattanwick.internal.base.errors import Conflict, StepError
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.blocked_parts import Block
-from rattanwick.internal.gateway.interfaces import RowStore, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    RowStore,
+    StoredRow,
+    Version,
+)
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.shapes import Amount, matches
 
@@ -31,7 +36,7 @@
         self._state = state
         self._guard = state.part_guard
         self._store = store
-        self._versions: dict[str, int] = {}  # of the rows, by block id
+        self._versions: dict[str, Version] = {}  # of the rows, by block id
         self._saving = False
 
     def start(self) -> None:
@@ -115,10 +120,10 @@
                     BLOCK_TABLE,
                     block.id,
                     self._encode(block, block.trials),
-                    self._versions.get(block.id, 0),
+                    self._versions.get(block.id, NO_VERSION),
                 )
             except Conflict as exc:
-                self._versions[block.id] = 0
+                self._versions[block.id] = NO_VERSION
                 for row in exc.current or ():
                     self._apply(row)
                 continue
--- a/src/rattanwick/internal/gateway/endpoint_directory.py
+++ b/src/rattanwick/internal/gateway/endpoint_directory.py
@@ -3,7 +3,11 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.gateway.endpoint_view import CACHE_SHARE, EndpointView
-from rattanwick.internal.gateway.interfaces import MessageCodec, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    MessageCodec,
+    StoredRow,
+)
 from rattanwick.internal.gateway.model import Configuration, Endpoint
 
 log = get_logger("endpoints")
@@ -30,7 +34,7 @@
         # Endpoints that crashed, and when, in monotonic seconds.
         self._crashed: dict[str, tuple[Endpoint, float]] = {}
         self.loaded = False  # whether the entries have been read
-        self.version = 0  # newest version of an entry
+        self.version = NO_VERSION  # newest of an entry
         self.changed_at = 0.0  # monotonic seconds
 
     def use_configuration(self, cfg: Configuration) -> None:
--- a/src/rattanwick/internal/gateway/interfaces.py
+++ b/src/rattanwick/internal/gateway/interfaces.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from rattanwick.internal.base.errors import StepError
 from rattanwick.internal.gateway.model import (
@@ -18,6 +19,20 @@
     """The changes after a version are no longer available."""
 
 
+class Version(NamedTuple):
+    """Version of a row or table; versions of a later era are newer.
+
+    A new era begins when the store is restored from an older copy. It then gives out
+    again the numbers after that copy.
+    """
+
+    era: int
+    number: int
+
+
+NO_VERSION = Version(0, 0)  # of a row that does not exist, in every era
+
+
 class InvalidRequest(Exception):
     """A request cannot be accepted; ``status`` is the HTTP status of the answer.
 
@@ -37,7 +52,7 @@
 
     key: str
     value: bytes | None
-    version: int
+    version: Version
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,42 +60,51 @@
     """Rows as of one version of the store."""
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: Version
 
 
 class RowStore(ABC):
     """The platform's store: tables of rows with versions.
 
     Calls raise Unavailable if the store certainly did nothing. Calls that read also
-    raise TimedOut or ConnectionLost if no response came.
+    raise TimedOut or ConnectionLost if no response came, and Unavailable if the
+    response is of an earlier era than another one before it.
     """
 
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Return the latest era that a response has named; 0 if none has."""
+
     @abstractmethod
     def read(self, table: str) -> RowPage:
         """Return all rows of a table."""
 
     @abstractmethod
-    def wait_for_changes(self, table: str, after: int, wait: float) -> RowPage:
+    def wait_for_changes(self, table: str, after: Version, wait: float) -> RowPage:
         """Return rows changed after a version, waiting up to ``wait`` seconds.
 
-        Raises HistoryLost if the whole table must be read again.
+        Raises HistoryLost if the whole table must be read again, as it must be if the
+        store is in another era than that of ``after``.
         """
 
     @abstractmethod
-    def write(self, table: str, key: str, value: bytes | None, expected: int) -> int:
+    def write(
+        self, table: str, key: str, value: bytes | None, expected: Version
+    ) -> Version:
         """Write a row, or remove it if ``value`` is None, and return the new version.
 
-        ``expected`` is the version that the row must have, 0 if there must be none.
-        Raises Conflict with the row found if it has another version, and MaybeApplied
-        if no response came.
+        ``expected`` is the version that the row must have, NO_VERSION if there must be
+        none. Raises Conflict if it has another version, with the row found if it is
+        known; a version of an earlier era is another one. Raises MaybeApplied if no
+        response came, or if the store has been restored since the call was sent.
         """
 
     @abstractmethod
-    def put(self, table: str, key: str, value: bytes | None) -> int:
+    def put(self, table: str, key: str, value: bytes | None) -> Version:
         """Write a row unconditionally and return the new version.
 
-        The row is removed if ``value`` is None. Raises MaybeApplied if no response
-        came.
+        The row is removed if ``value`` is None. Raises MaybeApplied as ``write`` does.
         """
 
 
--- a/src/rattanwick/internal/gateway/leadership.py
+++ b/src/rattanwick/internal/gateway/leadership.py
@@ -14,7 +14,12 @@
 
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, StepError
 from rattanwick.internal.base.log import get_logger
-from rattanwick.internal.gateway.interfaces import RowStore, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    RowStore,
+    StoredRow,
+    Version,
+)
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.shapes import MAX_EXACT_INTEGER, Amount, matches
 
@@ -42,7 +47,7 @@
     node_id: str
     boot: int  # start of the leader's process, in Unix milliseconds
     fence: int
-    version: int  # of the row
+    version: Version  # of the row
 
 
 def decode_leader(row: StoredRow) -> Leader:
@@ -70,7 +75,7 @@
         # The times below are in monotonic seconds.
         self._stepped_down_at = -1e9
         # Version of another leader's row as last read, and when it was first read.
-        self._seen_version = -1
+        self._seen_version: Version | None = None
         self._seen_since = 0.0
         self._no_leader_since: float | None = None
 
@@ -152,7 +157,8 @@
             ):
                 return
         fence = known.fence + 1 if known else 1
-        self._own_row = Leader(own, self._boot, fence, known.version if known else 0)
+        version = known.version if known else NO_VERSION
+        self._own_row = Leader(own, self._boot, fence, version)
         if self._write_row(fence) is None:
             self.step_down("leadership not acquired")
             return
@@ -177,7 +183,7 @@
                     return decode_leader(row)
                 except ValueError as exc:
                     log.error("malformed leader row ignored", extra={"error": str(exc)})
-                    return Leader("", 0, row.version, row.version)
+                    return Leader("", 0, row.version.number, row.version)
         return None
 
     def _write_row(self, fence: int) -> int | None:
--- a/src/rattanwick/internal/gateway/members.py
+++ b/src/rattanwick/internal/gateway/members.py
@@ -6,6 +6,7 @@
 from msgpack import packb, unpackb
 
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.gateway.interfaces import Version
 from rattanwick.internal.gateway.settings import GatewaySettings
 from rattanwick.internal.gateway.shapes import matches
 
@@ -41,7 +42,7 @@
     store_failing: bool = False  # its calls to the store fail
     fence: int = 0  # its fencing token as the leader; 0 if it is not the leader
     # By table: the version of the newest change that it knows.
-    versions: dict[str, int] | None = None
+    versions: dict[str, Version] | None = None
 
     def is_live(self, now: float) -> bool:
         """Return whether the node has sent something recently and is not leaving."""
--- a/src/rattanwick/internal/gateway/part_exchange.py
+++ b/src/rattanwick/internal/gateway/part_exchange.py
@@ -20,7 +20,6 @@
 
 log = get_logger("parts")
 
-DIGEST_NAME = "blocked_parts"  # of the digest among the versions in a state
 # A node that received nothing for this time may have been paused or cut off. Each
 # active node sends its state every 0.8 s.
 MAX_CONTACT_GAP_SECONDS = 2.0
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -13,7 +13,7 @@
 from rattanwick.internal.gateway.limit_messages import PeerLimits
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
-from rattanwick.internal.gateway.part_exchange import DIGEST_NAME, PartExchange
+from rattanwick.internal.gateway.part_exchange import PartExchange
 from rattanwick.internal.gateway.part_messages import PeerParts
 from rattanwick.internal.gateway.peer_messages import (
     MAX_DATAGRAM_BYTES,
@@ -207,11 +207,6 @@
         """Return the sum of the prompt tokens that peers counted for a service."""
         return sum(counts.get(service, 0) for counts in self._prompt_tokens.values())
 
-    def _versions(self) -> dict[str, int]:
-        versions = self._copies.versions()
-        digest = self._state.part_guard.blocks.digest()
-        return {**versions, DIGEST_NAME: digest} if digest else versions
-
     def _own_state(self, now: float) -> PeerState:
         state, settings = self._state, self._state.settings
         sent_since = now - PLACEMENT_SEND_COUNT * self._round_seconds()
@@ -231,7 +226,8 @@
             store_failing=state.store_failing,
             request_rate=round(state.requests.per_second(now), 2),
             fence=state.fence,
-            versions=self._versions(),
+            versions=self._copies.versions(),
+            block_digest=state.part_guard.blocks.digest(),
             spent=state.limits.spent(now),
             usage=state.usage.own(),
             loads=self._own_loads(now),
@@ -328,7 +324,7 @@
         )
         if state.members.put(member):
             self._limits.inform(member)
-        self._parts.compare(member, message.versions.get(DIGEST_NAME, 0))
+        self._parts.compare(member, message.block_digest)
         self._apply_spending(peer, message, now)
         self._prompt_tokens[peer] = message.prompt_tokens
         state.prefill_estimator.update_from_peer(message.node_id, message.prefill_seen)
--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -9,16 +9,16 @@
 
 from msgpack import packb, unpackb
 
-from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from rattanwick.internal.gateway.limit_messages import PeerLimits, limits_from_fields
 from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.node_state import Placement
 from rattanwick.internal.gateway.part_messages import PeerParts, parts_from_fields
 from rattanwick.internal.gateway.shapes import Amount, Shape, matches
-from rattanwick.internal.gateway.table_watch import TableChanges
+from rattanwick.internal.gateway.table_watch import TableChanges, TableCopy
 from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 MAX_DATAGRAM_BYTES = 8192
 # Changes that do not fit, such as a large configuration, are fetched as a copy.
 MAX_CHANGES_BYTES = 48 << 10
@@ -38,7 +38,8 @@
 MAX_PORT = 65_535
 # Sums of tokens and seconds, and a share, as PrefillEstimator.seen() returns them.
 PREFILL_SHAPE = (*(Amount(float),) * 5, Amount(float, most=1.0))
-# By name of a field of PeerLoads, PeerState or TableChanges.
+VERSION_SHAPE = (Amount(int), Amount(int))  # era, number
+# By name of a field of PeerLoads, PeerState, TableChanges or TableCopy.
 FIELD_SHAPES: dict[str, Shape] = {
     "node_id": str,
     "boot": Amount(int),
@@ -54,7 +55,8 @@
     "request_rate": Amount(float),
     "store_failing": bool,
     "fence": Amount(int),
-    "versions": {str: Amount(int)},
+    "versions": {str: VERSION_SHAPE},
+    "block_digest": int,
     "spent": {str: (float, float)},
     "usage": {int: {str: Amount(int)}},
     "loads": {str: LOAD_SHAPE},
@@ -64,9 +66,10 @@
     "placed": Amount(int),
     "placements": [(str, [(str, Amount(int))])],
     "table": str,
-    "after": Amount(int),
-    "version": Amount(int),
-    "rows": [(str, bytes | None, Amount(int))],
+    "after": VERSION_SHAPE,
+    "version": VERSION_SHAPE,
+    "changed": VERSION_SHAPE,
+    "rows": [(str, bytes | None, VERSION_SHAPE)],
     "failed_seconds": Amount(float, optional=True),
 }
 
@@ -113,8 +116,8 @@
     request_rate: float  # callers' requests per second
     store_failing: bool  # its calls to the store fail
     fence: int  # fencing token of the leader; 0 if the node is not the leader
-    # By table, of the newest known change; also the digest of the blocked parts.
-    versions: dict[str, int]
+    versions: dict[str, Version]  # by table, of the newest known change
+    block_digest: int  # of the blocked parts; 0 if there are none
     spent: dict[str, list[float]]  # by organisation: spent, level of the bucket
     usage: dict[int, dict[str, int]]  # by window and organisation, requests
     loads: Loads
@@ -220,7 +223,55 @@
     if not matches(node_id, FIELD_SHAPES["node_id"]):
         raise ValueError("datagram: node_id has the wrong shape")
     changes = _check_shapes(TableChanges(**fields))
-    return node_id, replace(changes, rows=tuple(StoredRow(*r) for r in changes.rows))
+    rows = _decode_rows(changes.rows)
+    after, version = _decode_version(changes.after), _decode_version(changes.version)
+    return node_id, replace(changes, after=after, version=version, rows=rows)
+
+
+def _decode_version(fields: list[int]) -> Version:
+    version = Version(*fields)
+    if min(version) < 0:
+        raise ValueError(f"version {version} is negative")
+    return version
+
+
+def _decode_rows(rows: list[list]) -> tuple[StoredRow, ...]:
+    return tuple(
+        StoredRow(key, value, _decode_version(version)) for key, value, version in rows
+    )
+
+
+def encode_copy(copy: TableCopy) -> bytes:
+    """Return the message that holds a copy of a table."""
+    fields = {
+        "version": copy.version,
+        "changed": copy.changed,
+        "failed_seconds": copy.failed_seconds,
+        "rows": [[row.key, row.value, row.version] for row in copy.rows.values()],
+    }
+    return packb(pack_compressed(fields))
+
+
+def decode_copy(packed: object) -> TableCopy:
+    """Return the copy in an unpacked message; raise ValueError if it is malformed."""
+    try:
+        copy = _check_shapes(TableCopy(**unpack_compressed(packed, "copy")))
+        return TableCopy(
+            _decode_version(copy.version),
+            _decode_version(copy.changed),
+            copy.failed_seconds,
+            {row.key: row for row in _decode_rows(copy.rows)},
+        )
+    except TypeError as exc:
+        raise ValueError(f"copy: {exc}")
+
+
+def _decode_state(fields: list) -> PeerState:
+    state = _check_shapes(PeerState(*fields))
+    state.versions = {
+        table: _decode_version(version) for table, version in state.versions.items()
+    }
+    return state
 
 
 def decode_datagram(
@@ -244,7 +295,7 @@
             return _decode_parts(*fields, now)
         if kind != DatagramKind.STATE:
             raise ValueError(f"unknown datagram kind {kind!r}")
-        return _check_shapes(PeerState(*fields))
+        return _decode_state(fields)
     except ValueError:
         raise
     except Exception as exc:
--- a/src/rattanwick/internal/gateway/table_copies.py
+++ b/src/rattanwick/internal/gateway/table_copies.py
@@ -10,19 +10,21 @@
 
 from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.log import get_logger
-from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.interfaces import NO_VERSION, Version
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.peer_messages import (
     MAX_CHANGES_BYTES,
+    decode_copy,
     encode_changes,
+    encode_copy,
 )
 from rattanwick.internal.gateway.table_watch import (
     TableChanges,
+    TableCopy,
     TableWatch,
     batching_seconds,
 )
-from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
 
 log = get_logger("peers")
 
@@ -65,7 +67,7 @@
         """Start serving copies to peers."""
         self._server.start()
 
-    def versions(self) -> dict[str, int]:
+    def versions(self) -> dict[str, Version]:
         """Return the version of the newest known change, by table."""
         return {t: watch.changed_version for t, watch in self._watches.items()}
 
@@ -112,9 +114,10 @@
         live = self._state.members.live(now)
         for table, watch in self._watches.items():
             peer_versions = [
-                ((member.versions or {}).get(table, 0), member) for member in live
+                ((member.versions or {}).get(table, NO_VERSION), member)
+                for member in live
             ]
-            ahead = max((version for version, _ in peer_versions), default=0)
+            ahead = max((version for version, _ in peer_versions), default=NO_VERSION)
             if ahead <= watch.changed_version:
                 self._behind_since.pop(table, None)
                 self._cancelled.discard(table)
@@ -144,23 +147,21 @@
                 sock = socket.create_connection(member.address, COPY_TIMEOUT_SECONDS)
                 try:
                     sock.sendall(packb(watch.table))
-                    copy = unpack_compressed(_read_message(sock), "copy")
+                    copy = decode_copy(_read_message(sock))
                 finally:
                     sock.close()
-            rows = {key: StoredRow(key, value, ver) for key, value, ver in copy["rows"]}
-            watch.note_peer_failure(copy["failed_seconds"])
-            changed_version = copy["changed"]
-            replaced = watch.replace_with_copy(rows, copy["version"], changed_version)
+            watch.note_peer_failure(copy.failed_seconds)
+            replaced = watch.replace_with_copy(copy.rows, copy.version, copy.changed)
             log.info(
                 "copy fetched",
                 extra={
                     "peer": member.node_id,
                     "table": watch.table,
-                    "version": changed_version,
+                    "version": copy.changed,
                     "taken": replaced,
                 },
             )
-        except (OSError, ValueError, KeyError, ProtocolError) as exc:
+        except (OSError, ValueError, ProtocolError) as exc:
             log.warning(
                 "copy not fetched",
                 extra={"peer": member.node_id, "table": watch.table, "error": str(exc)},
@@ -180,16 +181,13 @@
                         "copy of unknown table requested", extra={"peer": address[0]}
                     )
                     return
-                rows = [
-                    [row.key, row.value, row.version] for row in watch.rows.values()
-                ]
-                copy = {
-                    "version": watch.version,
-                    "changed": watch.changed_version,
-                    "failed_seconds": watch.failed_seconds(),
-                    "rows": rows,
-                }
-                sock.sendall(packb(pack_compressed(copy)))
+                copy = TableCopy(
+                    watch.version,
+                    watch.changed_version,
+                    watch.failed_seconds(),
+                    watch.rows,
+                )
+                sock.sendall(encode_copy(copy))
         except (OSError, ValueError) as exc:
             log.warning("copy not sent", extra={"peer": address[0], "error": str(exc)})
         finally:
--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -11,10 +11,12 @@
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
     HistoryLost,
     RowPage,
     RowStore,
     StoredRow,
+    Version,
 )
 
 log = get_logger("store")
@@ -45,13 +47,23 @@
     """All rows of a table that changed between two versions, in order."""
 
     table: str
-    after: int  # version of the newest change before these
-    version: int  # store version; all changes up to it are included
+    after: Version  # of the newest change before these
+    version: Version  # of the store; all changes up to it are included
     rows: tuple[StoredRow, ...]
     # Time since a call that read the table last failed; None if none has failed.
     failed_seconds: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class TableCopy:
+    """Copy of a whole table, as one node sends it to another."""
+
+    version: Version  # as in TableWatch, like the other fields
+    changed: Version
+    failed_seconds: float | None
+    rows: dict[str, StoredRow]
+
+
 def batching_seconds(nodes: int) -> float:
     """Return the seconds to wait after a change before the next call."""
     return min(MIN_BATCHING_SECONDS * poll_interval_factor(nodes), MAX_BATCHING_SECONDS)
@@ -81,8 +93,8 @@
     ):
         self.table = table
         self.rows: dict[str, StoredRow] = {}
-        self.version = 0  # store version; ``rows`` has all changes up to it
-        self.changed_version = 0  # of the newest known change to this table
+        self.version = NO_VERSION  # of the store; ``rows`` has all changes up to it
+        self.changed_version = NO_VERSION  # of the newest known change to this table
         self.loaded = Event()  # set once the table has been read
         # Monotonic seconds; None while this node's calls succeed.
         self.failing_since: float | None = None
@@ -144,7 +156,7 @@
             self.last_failure = failed
 
     def replace_with_copy(
-        self, rows: dict[str, StoredRow], version: int, changed_version: int
+        self, rows: dict[str, StoredRow], version: Version, changed_version: Version
     ) -> bool:
         """Replace this copy by a peer's if the peer's is newer; return whether it was.
 
@@ -243,7 +255,7 @@
             )
             self.failing_since = None
 
-    def _replace(self, rows: dict[str, StoredRow], version: int) -> None:
+    def _replace(self, rows: dict[str, StoredRow], version: Version) -> None:
         if version < self.version:
             log.warning(
                 "copy of older version ignored",
@@ -253,12 +265,12 @@
         changed = {key for key, row in rows.items() if self.rows.get(key) != row}
         changed |= self.rows.keys() - rows.keys()
         self.rows, self.version = rows, version
-        newest = max((row.version for row in rows.values()), default=0)
+        newest = max((row.version for row in rows.values()), default=NO_VERSION)
         self.changed_version = max(self.changed_version, newest)
         self.loaded.set()
         self._listener(self.rows, changed)
 
-    def _apply(self, rows: tuple[StoredRow, ...], version: int) -> None:
+    def _apply(self, rows: tuple[StoredRow, ...], version: Version) -> None:
         changed = set()
         for row in rows:
             known = self.rows.get(row.key)
--- a/src/rattanwick/internal/gateway/usage_reports.py
+++ b/src/rattanwick/internal/gateway/usage_reports.py
@@ -4,7 +4,13 @@
 
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, StepError
 from rattanwick.internal.base.log import get_logger
-from rattanwick.internal.gateway.interfaces import Cloud, RowStore, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    Cloud,
+    RowStore,
+    StoredRow,
+    Version,
+)
 from rattanwick.internal.gateway.leadership import LEADERSHIP_TABLE, Leadership
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.shapes import Amount, matches
@@ -31,7 +37,7 @@
         self._leadership = leadership
         # Counts in the row of the store, by window and organisation.
         self._recorded: dict[int, dict[str, int]] = {}
-        self._version: int | None = None  # of the row; None while unknown
+        self._version: Version | None = None  # of the row; None while unknown
         self._reported: set[int] = set()  # windows reported by this node
 
     def step(self) -> None:
@@ -109,7 +115,7 @@
         except StepError as exc:
             log.info("recorded usage not read", extra={"error": str(exc)})
             return False
-        self._recorded, self._version = {}, 0
+        self._recorded, self._version = {}, NO_VERSION
         for row in rows:
             if row.key == USAGE_KEY:
                 self._decode_row(row)
--- a/src/rattanwick/internal/platform/http.py
+++ b/src/rattanwick/internal/platform/http.py
@@ -24,7 +24,10 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """An HTTP response; header names are in lower case."""
+    """An HTTP response.
+
+    Header names are in lower case; repeated headers are joined by commas.
+    """
 
     status: int
     headers: dict[str, str]
@@ -164,7 +167,10 @@
                     raise ProtocolError(step, self._peer, "response is too large")
             if not response.message_complete:
                 raise ConnectionLost(step, self._peer, "truncated response", sent=True)
-            lower_headers = {name.lower(): value for name, value in response.items()}
-            return HttpResponse(response.status_code, lower_headers, b"".join(parts))
+            headers: dict[str, str] = {}
+            for name, value in response.items():
+                key = name.lower()
+                headers[key] = f"{headers[key]}, {value}" if key in headers else value
+            return HttpResponse(response.status_code, headers, b"".join(parts))
         finally:
             response.release()
--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+import re
+import time
 from urllib.parse import urlencode
 
 from rattanwick.internal.base.errors import (
@@ -14,10 +16,12 @@
 )
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
     HistoryLost,
     RowPage,
     RowStore,
     StoredRow,
+    Version,
 )
 from rattanwick.internal.gateway.shapes import MAX_EXACT_INTEGER
 from rattanwick.internal.platform.http import HttpPool, HttpResponse
@@ -34,6 +38,9 @@
 PEER = "store"
 MAX_VERSION = MAX_EXACT_INTEGER - 1  # peers send versions to each other
 UNREADABLE = b""  # value of a malformed row; no decoder accepts it
+ERA = "store-era"  # header
+ERA_PATTERN = re.compile(r"[0-9]{1,9}")
+MALFORMED_ERA_LOG_INTERVAL_SECONDS = 60.0
 
 
 class PlatformStore(RowStore):
@@ -43,6 +50,13 @@
         self._pool = HttpPool(
             "http://{}:{}".format(*address), PEER, connections=POOL_CONNECTIONS
         )
+        self._era = 0
+        self._malformed_era_logged_at = float("-inf")  # monotonic seconds
+
+    @property
+    def era(self) -> int:
+        """Return the latest era that a response has named; 0 if none has."""
+        return self._era
 
     def read(self, table: str) -> RowPage:
         """Return all rows of a table, read page by page."""
@@ -52,9 +66,10 @@
             query = {"table": table, "part": "", "limit": 500}
             if start:
                 query["from"] = start
-            response = self._get("read", "/api/rows-get", query, READ_TIMEOUT_SECONDS)
-            body = _decode_body(response)
-            page = _decode_page(body)
+            body, era = self._get("read", "/api/rows-get", query, READ_TIMEOUT_SECONDS)
+            page = _decode_page(body, era)
+            if rows and era != rows[0].version.era:
+                raise Unavailable("read", PEER, "restored between two pages")
             rows.extend(page.rows)
             if not body.get("truncated"):
                 return RowPage(tuple(rows), page.version)
@@ -62,39 +77,54 @@
                 raise ProtocolError("decode", PEER, "truncated page has no usable rows")
             start = rows[-1].key + "\x00"
 
-    def wait_for_changes(self, table: str, after: int, wait: float) -> RowPage:
+    def wait_for_changes(self, table: str, after: Version, wait: float) -> RowPage:
         """Return the rows changed after a version; wait up to ``wait`` seconds."""
-        query = {"table": table, "start_after": after, "wait_ms": int(wait * 1000)}
+        query = {
+            "table": table,
+            "start_after": after.number,
+            "wait_ms": int(wait * 1000),
+        }
         timeout = wait + LONG_POLL_MARGIN_SECONDS
-        response = self._get("follow", "/api/rows-feed", query, timeout)
-        body = _decode_body(response)
-        page = _decode_page(body)
+        body, era = self._get("follow", "/api/rows-feed", query, timeout)
+        if era != after.era:
+            # The store has given out the number again. Changes since the older copy
+            # that it was restored from may precede it.
+            raise HistoryLost("follow", PEER, f"store is in era {era}, not {after.era}")
+        page = _decode_page(body, era)
         if len(page.rows) < len(body.get("rows", [])):
             # Each change is reported only once, and it is unknown which row changed.
             raise HistoryLost("follow", PEER, "a changed row has no usable key")
         return page
 
-    def write(self, table: str, key: str, value: bytes | None, expected: int) -> int:
+    def write(
+        self, table: str, key: str, value: bytes | None, expected: Version
+    ) -> Version:
         """Write a row if it has version ``expected``; a value of None removes it.
 
         Returns the new version. Raises Conflict if the row has another version, and
         MaybeApplied if it is unknown whether the row was written.
         """
-        condition = {"table": table, "part": "", "key": key, "ver": expected}
-        return self._transact(table, key, value, [condition])
+        if expected != NO_VERSION and expected.era < self._era:
+            # The number may belong to another version by now.
+            raise Conflict(
+                "write", PEER, f"version of row {key} is of era {expected.era}"
+            )
+        return self._transact(table, key, value, expected)
 
-    def put(self, table: str, key: str, value: bytes | None) -> int:
+    def put(self, table: str, key: str, value: bytes | None) -> Version:
         """Write a row whatever its version; a value of None removes it.
 
         Returns the new version.
         """
-        return self._transact(table, key, value, [])
+        return self._transact(table, key, value, None)
 
     def _transact(
-        self, table: str, key: str, value: bytes | None, conditions: list[dict]
-    ) -> int:
+        self, table: str, key: str, value: bytes | None, expected: Version | None
+    ) -> Version:
         row = {"table": table, "part": "", "key": key}
-        upserts, removed = [], []
+        conditions, upserts, removed = [], [], []
+        if expected is not None:
+            conditions.append({**row, "ver": expected.number})
         if value is None:
             removed.append(row)
         else:
@@ -103,6 +133,7 @@
             {"expected_rev": conditions, "upserts": upserts, "remove": removed}
         ).encode()
         headers = {"Content-Type": "application/json"}
+        sent_era = self._era
         try:
             response = self._pool.request(
                 "write", "POST", "/api/rows-tx", headers, body, WRITE_TIMEOUT_SECONDS
@@ -113,29 +144,67 @@
             if exc.sent:
                 raise MaybeApplied("write", PEER, exc.reason)
             raise Unavailable("write", PEER, exc.reason)
+        era = self._note_era(response, sent_era)
+        _check_available("write", response)
+        if era < self._era:
+            raise MaybeApplied("write", PEER, f"response is of the earlier era {era}")
         if response.status == 412:
-            found = _decode_rows(_decode_body(response), MAX_VERSION)
+            found = _decode_rows(_decode_body(response), era, MAX_VERSION)
             raise Conflict("write", PEER, f"row {key} has changed", found)
         _check_status("write", response)
-        version = _decode_body(response).get("ver")
-        if not _is_version(version, MAX_VERSION):
+        if 0 < sent_era < era or (expected and NO_VERSION != expected < (era, 0)):
+            raise MaybeApplied("write", PEER, f"restored meanwhile, era is {era}")
+        number = _decode_body(response).get("ver")
+        if not _is_version(number, MAX_VERSION):
             raise MaybeApplied("write", PEER, "response has no valid version")
-        return version
+        return Version(era, number)
+
+    def _note_era(self, response: HttpResponse, sent_era: int) -> int:
+        """Return the era of a response, and record it if it is the latest.
+
+        ``sent_era`` is the latest one when the call was sent. It is returned if the
+        response names none.
+        """
+        value = response.headers.get(ERA)
+        if value is None:
+            return sent_era
+        if not ERA_PATTERN.fullmatch(value):
+            now = time.monotonic()
+            if now - self._malformed_era_logged_at > MALFORMED_ERA_LOG_INTERVAL_SECONDS:
+                self._malformed_era_logged_at = now
+                log.warning("malformed era ignored", extra={"value": value[:40]})
+            return sent_era
+        era = int(value)
+        if era > self._era:
+            log.warning("new era of the store", extra={"former": self._era, "era": era})
+            self._era = era
+        return era
 
-    def _get(self, step: str, path: str, query: dict, timeout: float) -> HttpResponse:
+    def _get(
+        self, step: str, path: str, query: dict, timeout: float
+    ) -> tuple[dict, int]:
+        """Return the body and the era of a response."""
         target = f"{path}?{urlencode(query)}"
+        sent_era = self._era
         response = self._pool.request(step, "GET", target, {}, b"", timeout)
+        era = self._note_era(response, sent_era)
+        if era < self._era:
+            raise Unavailable(step, PEER, f"response is of the earlier era {era}")
         if response.status == 410:
             raise HistoryLost(
                 step, PEER, "changes after this version are no longer available"
             )
         _check_status(step, response)
-        return response
+        return _decode_body(response), era
 
 
-def _check_status(step: str, response: HttpResponse) -> None:
+def _check_available(step: str, response: HttpResponse) -> None:
     if response.status in (429, 503):
         raise Unavailable(step, PEER, f"status {response.status}")
+
+
+def _check_status(step: str, response: HttpResponse) -> None:
+    _check_available(step, response)
     if response.status != 200:
         raise ProtocolError(
             step, PEER, f"status {response.status} {response.body[:200]!r}"
@@ -152,31 +221,31 @@
     return body
 
 
-def _decode_page(body: dict) -> RowPage:
+def _decode_page(body: dict, era: int) -> RowPage:
     """Return the usable rows of a response.
 
     Raises ProtocolError if the page's own version is malformed, since it tells which
     changes have been read.
     """
-    version = body.get("ver")
-    if not _is_version(version, MAX_VERSION):
+    number = body.get("ver")
+    if not _is_version(number, MAX_VERSION):
         raise ProtocolError("decode", PEER, "page has no valid version")
-    return RowPage(_decode_rows(body, version), version)
+    return RowPage(_decode_rows(body, era, number), Version(era, number))
 
 
-def _decode_rows(body: dict, newest: int) -> tuple[StoredRow, ...]:
+def _decode_rows(body: dict, era: int, newest: int) -> tuple[StoredRow, ...]:
     """Return the rows of a response that have a usable key.
 
-    ``newest`` is the highest version that a row can have.
+    ``newest`` is the highest version number that a row can have.
     """
     raw_rows = body.get("rows", [])
     if not isinstance(raw_rows, list):
         raise ProtocolError("decode", PEER, "rows are not a list")
-    rows = (_decode_row(raw, newest) for raw in raw_rows)
+    rows = (_decode_row(raw, era, newest) for raw in raw_rows)
     return tuple(row for row in rows if row is not None)
 
 
-def _decode_row(raw, newest: int) -> StoredRow | None:
+def _decode_row(raw, era: int, newest: int) -> StoredRow | None:
     """Return a row, or None if it has no usable key.
 
     A malformed row must not hide the others of its page. Its value is then UNREADABLE,
@@ -187,9 +256,10 @@
     except ValueError as exc:
         log.warning("row without a usable key ignored", extra={"error": str(exc)})
         return None
-    version, value, error = raw.get("ver"), raw.get("value"), ""
-    if not _is_version(version, newest):
-        version, error = newest, "version"
+    number, value, error = raw.get("ver"), raw.get("value"), ""
+    if not _is_version(number, newest):
+        number, error = newest, "version"
+    version = Version(era, number)
     if raw.get("deleted") or value is None:
         return StoredRow(key, None, version)
     try:
--- a/tests/failure/test_gateway_odd_configuration.py
+++ b/tests/failure/test_gateway_odd_configuration.py
@@ -2,7 +2,7 @@
 
 from fakes.gateway_rows import MemoryRowStore
 from fakes.gateway_settings import make_settings
-from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from rattanwick.internal.gateway.node import GatewayNode
 from rattanwick.platform.codec import PlatformCodec
 from tests.gateway_case import RelayCase
@@ -24,7 +24,7 @@
     def apply(self, value: bytes) -> None:
         """Apply a row that holds a configuration."""
         self.node._apply_configuration(
-            {"config": StoredRow("config", value, 1)}, {"config"}
+            {"config": StoredRow("config", value, Version(1, 1))}, {"config"}
         )
 
     def test_an_odd_configuration_changes_nothing(self):
--- a/tests/failure/test_gateway_odd_entries.py
+++ b/tests/failure/test_gateway_odd_entries.py
@@ -3,7 +3,7 @@
 from unittest.mock import patch
 
 from rattanwick.internal.gateway.connection_pool import connection_keys
-from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from tests.gateway_case import RelayCase
 from tests.odd_values import ENTRY, encode, odd_entries
 
@@ -18,7 +18,10 @@
     def apply(self, key: str, value: bytes) -> None:
         """Apply an entry together with that of a sound endpoint."""
         sound = encode({**ENTRY, "address": self.sound.address})
-        rows = {key: StoredRow(key, value, 1), "sound": StoredRow("sound", sound, 2)}
+        rows = {
+            key: StoredRow(key, value, Version(1, 1)),
+            "sound": StoredRow("sound", sound, Version(1, 2)),
+        }
         self.state.endpoints.apply(rows, set(rows), None)
 
     def setUp(self):
--- a/tests/failure/test_gateway_odd_messages.py
+++ b/tests/failure/test_gateway_odd_messages.py
@@ -17,7 +17,7 @@
     "cores": (-1.0,),
     "request_rate": (-1.0,),
     "fence": (-1,),
-    "versions": ({"servers": -1},),
+    "versions": ({"servers": [1, -1]}, {"servers": [-1, 1]}, {"servers": 5}),
     "usage": ({1: {"org": -1}},),
     "loads": ({"i-1": [-5, 0, 0, 0]}, {"i-1": [0, -5, 0, 0]}),
     "prompt_tokens": ({"engine": -1},),
--- a/tests/failure/test_gateway_store.py
+++ b/tests/failure/test_gateway_store.py
@@ -15,7 +15,12 @@
 )
 from rattanwick.internal.base.timers import GeventTimerService, ManualTimerService
 from rattanwick.internal.gateway.endpoint_directory import EndpointDirectory
-from rattanwick.internal.gateway.interfaces import HistoryLost, StoredRow
+from rattanwick.internal.gateway.interfaces import (
+    NO_VERSION,
+    HistoryLost,
+    StoredRow,
+    Version,
+)
 from rattanwick.internal.gateway.table_watch import (
     LONG_POLL_SECONDS,
     RETRY_INTERVAL_SECONDS,
@@ -101,8 +106,8 @@
     def test_the_whole_table_is_read_after_the_store_lost_its_history(self):
         self.watch.start()
         wait_for(lambda: self.value("a") == b"1")
-        self.store.tables["op"]["c"] = StoredRow("c", b"3", 5)
-        self.store.version = 5
+        self.store.tables["op"]["c"] = StoredRow("c", b"3", Version(1, 5))
+        self.store.version = Version(1, 5)
         self.store.forget_history()
         self.assertTrue(wait_for(lambda: self.value("c") == b"3"))
         self.assertEqual(self.value("a"), b"1")
@@ -110,11 +115,13 @@
     def test_a_copy_of_a_peer_is_used_only_if_newer(self):
         self.watch.start()
         wait_for(lambda: self.value("a") == b"1")
-        newer = {"a": StoredRow("a", b"9", 50)}
-        self.assertTrue(self.watch.replace_with_copy(newer, 50, 50))
+        version = Version(1, 50)
+        newer = {"a": StoredRow("a", b"9", version)}
+        self.assertTrue(self.watch.replace_with_copy(newer, version, version))
         self.assertEqual(self.value("a"), b"9")
-        older = {"a": StoredRow("a", b"1", 1)}
-        self.assertFalse(self.watch.replace_with_copy(older, 40, 40))
+        version = Version(1, 40)
+        older = {"a": StoredRow("a", b"1", Version(1, 1))}
+        self.assertFalse(self.watch.replace_with_copy(older, version, version))
         self.assertEqual(self.value("a"), b"9")
 
     def test_a_waiting_call_can_be_cancelled(self):
@@ -163,9 +170,10 @@
         self.watch.start()
         self.assertTrue(wait_for(self.watch.loaded.is_set))
         after = self.watch.changed_version
-        gone = (StoredRow("a", None, after + 1),)
+        version = Version(after.era, after.number + 1)
+        gone = (StoredRow("a", None, version),)
         self.assertTrue(
-            self.watch.apply_changes(TableChanges("op", after, after + 1, gone, 0.5))
+            self.watch.apply_changes(TableChanges("op", after, version, gone, 0.5))
         )
         self.assertNotIn("a", self.watch.rows)
         self.assertAlmostEqual(self.watch.failed_seconds(), 0.5, delta=0.2)
@@ -182,7 +190,7 @@
     def setUp(self):
         self.timers = ManualTimerService()
         self.directory = EndpointDirectory(PlatformCodec(), self.timers)
-        self.rows = {"i-1": StoredRow("i-1", self.ENTRY, 1)}
+        self.rows = {"i-1": StoredRow("i-1", self.ENTRY, Version(1, 1))}
         self.directory.apply(self.rows, {"i-1"}, None)
 
     def test_an_entry_removed_without_a_store_failure_is_gone_at_once(self):
@@ -206,13 +214,14 @@
         odd = self.ENTRY.replace(b"ready", b"odd")
         for value in (b"", b"{}", b"[1]", b"\xff\xfe", odd):
             with self.subTest(value):
-                row = StoredRow("i-1", value, 9)
+                row = StoredRow("i-1", value, Version(1, 9))
                 self.directory.apply({"i-1": row}, {"i-1"}, None)
                 self.assertEqual(self.directory.of_service("s"), [])
 
     def test_a_new_process_under_the_same_id_has_an_empty_cache(self):
         self.directory.get("i-1").cached["part"] = 5
-        row = StoredRow("i-1", self.ENTRY.replace(b'"born": 1', b'"born": 2'), 7)
+        entry = self.ENTRY.replace(b'"born": 1', b'"born": 2')
+        row = StoredRow("i-1", entry, Version(1, 7))
         self.directory.apply({"i-1": row}, {"i-1"}, None)
         self.assertEqual(len(self.directory.get("i-1").cached), 0)
 
@@ -244,7 +253,7 @@
         self.platform.stop()
 
     def test_rows_are_written_read_and_polled_for_changes(self):
-        version = self.store.write("t", "k", b"v", 0)
+        version = self.store.write("t", "k", b"v", NO_VERSION)
         page = self.store.read("t")
         self.assertEqual([(r.key, r.value) for r in page.rows], [("k", b"v")])
         self.store.put("t", "k", None)
@@ -253,14 +262,14 @@
 
     def test_a_wait_without_changes_is_no_failure(self):
         # The connection pool's own time limit of 5 s had ended such waits.
-        version = self.store.write("t", "k", b"v", 0)
+        version = self.store.write("t", "k", b"v", NO_VERSION)
         page = self.store.wait_for_changes("t", version, 5.3)
         self.assertEqual((page.rows, page.version), ((), version))
 
     def test_a_failed_condition_returns_the_row_found(self):
-        self.store.write("t", "k", b"v", 0)
+        self.store.write("t", "k", b"v", NO_VERSION)
         with self.assertRaises(Conflict) as caught:
-            self.store.write("t", "k", b"w", 0)
+            self.store.write("t", "k", b"w", NO_VERSION)
         self.assertEqual(caught.exception.current[0].value, b"v")
 
     def test_each_failure_raises_its_own_error(self):
@@ -274,7 +283,7 @@
         self.assertEqual(self.store.read("t").rows[0].value, b"v")
         self.platform.rows.forget_history()
         with self.assertRaises(HistoryLost):
-            self.store.wait_for_changes("t", 0, 0.1)
+            self.store.wait_for_changes("t", Version(1, 0), 0.1)
 
 
 class MalformedPageTests(unittest.TestCase):
@@ -354,16 +363,16 @@
             self.set_rows(row)
             for call in (
                 lambda: self.store.read("t"),
-                lambda: self.store.wait_for_changes("t", 0, 0.1),
+                lambda: self.store.wait_for_changes("t", Version(0, 0), 0.1),
             ):
                 with self.subTest(row=row[:80]):
                     with self.assertLogs("rattanwick.store", "WARNING"):
                         page = call()
                     unreadable, sound = page.rows
                     self.assertEqual((unreadable.key, unreadable.value), ("k", b""))
-                    self.assertIn(unreadable.version, (1, 5))
-                    self.assertEqual(sound, StoredRow("sound", b"a", 5))
-                    self.assertEqual(page.version, 5)
+                    self.assertIn(unreadable.version, (Version(0, 1), Version(0, 5)))
+                    self.assertEqual(sound, StoredRow("sound", b"a", Version(0, 5)))
+                    self.assertEqual(page.version, Version(0, 5))
                     with self.assertRaises(ValueError):
                         PlatformCodec().decode_endpoint("k", unreadable.value)
 
@@ -374,10 +383,10 @@
             with self.subTest(row=row[:80]):
                 with self.assertLogs("rattanwick.store", "WARNING"):
                     page = self.store.read("t")
-                self.assertEqual(page.rows, (StoredRow("sound", b"a", 5),))
+                self.assertEqual(page.rows, (StoredRow("sound", b"a", Version(0, 5)),))
                 # The whole table is read again.
                 with self.assertRaises(HistoryLost):
-                    self.store.wait_for_changes("t", 0, 0.1)
+                    self.store.wait_for_changes("t", Version(0, 0), 0.1)
 
     def test_a_write_answered_without_a_version_may_be_applied(self):
         self.page = b"{}"
--- a/tests/property/test_forwarded_changes.py
+++ b/tests/property/test_forwarded_changes.py
@@ -43,7 +43,7 @@
         for key, removed, readers in writes:
             if removed and key not in read_table(store):
                 continue
-            store.put(TABLE, key, None if removed else b"%d" % store.version)
+            store.put(TABLE, key, None if removed else b"%d" % store.version.number)
             history[store.version] = read_table(store)
             for reader in sorted(readers):
                 pollers[reader]._poll_once()
--- a/tests/unit/test_gateway_components.py
+++ b/tests/unit/test_gateway_components.py
@@ -9,7 +9,7 @@
 
 from rattanwick.internal.gateway.connection_pool import ConnectionPool
 from rattanwick.internal.gateway.crash_guard import CrashGuard, call_fingerprint
-from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from rattanwick.internal.gateway.members import (
     MEMBER_TIMEOUT_SECONDS,
     STANDBY_TIMEOUT_SECONDS,
@@ -316,7 +316,8 @@
         request_rate=4.5,
         store_failing=False,
         fence=0,
-        versions={"op": 3},
+        versions={"op": Version(2, 3)},
+        block_digest=0,
         spent={"org": [1, 2]},
         usage={5: {"org": 1}},
         loads={"i-1": [1, 2, 3, 4]},
@@ -351,8 +352,10 @@
         )
 
     def test_changes_of_the_store_are_decoded_as_encoded(self):
-        rows = (StoredRow("i-1", b"x" * 9000, 7), StoredRow("i-2", None, 8))
-        changes = TableChanges("servers", 6, 9, rows, None)
+        versions = [Version(2, number) for number in (6, 7, 8, 9)]
+        after, first, second, version = versions
+        rows = (StoredRow("i-1", b"x" * 9000, first), StoredRow("i-2", None, second))
+        changes = TableChanges("servers", after, version, rows, None)
         data = encode_changes("n1", changes)
         self.assertLess(len(data), 1000)
         self.assertEqual(decode_datagram(data), ("n1", changes))
