--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -152,7 +152,8 @@
             found = _decode_rows(_decode_body(response), era, MAX_VERSION)
             raise Conflict("write", PEER, f"row {key} has changed", found)
         _check_status("write", response)
-        if 0 < sent_era < era or (expected and NO_VERSION != expected < (era, 0)):
+        conditional = expected is not None and expected != NO_VERSION
+        if 0 < sent_era < era or (conditional and expected.era < era):
             raise MaybeApplied("write", PEER, f"restored meanwhile, era is {era}")
         number = _decode_body(response).get("ver")
         if not _is_version(number, MAX_VERSION):
