Keep tables of different eras apart

Versions compared by their era first already let a table of a new era replace the old copy. Old rows could still get in: a poll that began before a peer's copy of the new era arrived brought its rows back, changes and copies whose versions were of two eras were taken, and an empty table of a new era did not count as newer than a full one of the old era, so peers kept rows that the store no longer had. One line names each era that a table is read in, with the versions and what was removed.

Applied changes must now be newer than the copy, whatever their source, and changes and copies must be of one era.

--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -1,12 +1,13 @@
 """Copy of a table of the store, kept up to date with the table's changes."""
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 from gevent.event import Event
 
-from rattanwick.internal.base.errors import StepError
+from rattanwick.internal.base.errors import StepError, Unavailable
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.base.timers import TimerService
@@ -39,6 +40,8 @@
 RETRY_INTERVAL_SECONDS = 0.3  # while the store fails; refused calls are billed too
 ROLE_CHECK_INTERVAL_SECONDS = 0.2  # between checks whether this node polls the store
 
+MAX_LOGGED_KEYS = 12  # in one log line
+
 Listener = Callable[[dict[str, StoredRow], set[str]], None]
 
 
@@ -136,12 +139,11 @@
         """Apply changes read by a peer; return False if earlier ones are missing."""
         if not self._complete or changes.after > self.changed_version:
             return False
+        versions = (changes.after, *(row.version for row in changes.rows))
+        if not _is_consistent(changes.version, versions):
+            return False
         self.note_peer_failure(changes.failed_seconds)
-        # This copy is complete up to ``changed_version``. An older change could restore
-        # a row that has been removed since.
-        known = self.changed_version
-        newer = tuple(row for row in changes.rows if row.version > known)
-        self._apply(newer, changes.version)
+        self._apply(changes.rows, changes.version)
         return True
 
     def note_peer_failure(self, seconds: float | None) -> None:
@@ -164,6 +166,9 @@
         """
         if changed_version <= self.changed_version or version < self.version:
             return False
+        versions = (changed_version, *(row.version for row in rows.values()))
+        if not _is_consistent(version, versions):
+            return False
         self._replace(rows, version)
         self.changed_version = changed_version
         return True
@@ -183,37 +188,59 @@
     def _poll_once(self) -> float:
         """Make one call to the store; return the seconds to wait before the next."""
         try:
-            if not self._complete:
-                page = self._store.read(self.table)
-                self._replace({row.key: row for row in page.rows}, page.version)
-                self._complete = True
-            else:
-                page = self._store.wait_for_changes(
-                    self.table, self.version, self._poll_seconds()
-                )
-                after = self.changed_version
-                self._apply(page.rows, page.version)
-                self._note_success()
-                self._forward_page(page, after)
-                return batching_seconds(self._count_nodes()) if page.rows else 0.0
-        except HistoryLost:
+            if self._complete:
+                return self._poll_changes()
+            self._read_table()
+        except HistoryLost as exc:
             log.warning(
                 "history of changes lost, reading whole table",
-                extra={"table": self.table},
+                extra={"table": self.table, "error": str(exc)},
             )
             self._complete = False
             return 0.0
         except StepError as exc:
             self._note_failure(exc)
-            return RETRY_INTERVAL_SECONDS * poll_interval_factor(self._count_nodes())
+            return self._retry_pause()
         except Exception:
             # An unexpected error must neither end this task nor repeat without a pause.
             log.exception("table not updated", extra={"table": self.table})
-            return RETRY_INTERVAL_SECONDS * poll_interval_factor(self._count_nodes())
-        self._note_success()
+            return self._retry_pause()
         return 0.0
 
-    def _forward_page(self, page: RowPage, after: int) -> None:
+    def _read_table(self) -> None:
+        page = self._store.read(self.table)
+        if page.version < self.version:
+            log.warning(
+                "table of older version ignored",
+                extra={
+                    "table": self.table,
+                    "version": page.version,
+                    "known": self.version,
+                },
+            )
+            raise Unavailable("read", "store", "table is of an older version")
+        self._replace({row.key: row for row in page.rows}, page.version)
+        self._complete = True
+        self._note_success()
+
+    def _poll_changes(self) -> float:
+        """Wait for changes and apply them; return the pause before the next call."""
+        page = self._store.wait_for_changes(
+            self.table, self.version, self._poll_seconds()
+        )
+        after = self.changed_version
+        self._apply(page.rows, page.version)
+        self._note_success()
+        self._forward_page(page, after)
+        return batching_seconds(self._count_nodes()) if page.rows else 0.0
+
+    def _retry_pause(self) -> float:
+        return RETRY_INTERVAL_SECONDS * poll_interval_factor(self._count_nodes())
+
+    def _forward_page(self, page: RowPage, after: Version) -> None:
+        # A copy of a newer era may have come from a peer during the call.
+        if page.version.era != after.era:
+            return
         if page.rows and self.forward_changes is not None:
             failed = self.failed_seconds()
             rows = page.rows
@@ -256,25 +283,43 @@
             self.failing_since = None
 
     def _replace(self, rows: dict[str, StoredRow], version: Version) -> None:
-        if version < self.version:
-            log.warning(
-                "copy of older version ignored",
-                extra={"table": self.table, "version": version},
-            )
-            return
+        removed = self.rows.keys() - rows.keys()
         changed = {key for key, row in rows.items() if self.rows.get(key) != row}
-        changed |= self.rows.keys() - rows.keys()
+        if version.era > self.version.era:
+            log.log(
+                logging.WARNING if self.loaded.is_set() else logging.INFO,
+                "table read in a new era",
+                extra={
+                    "table": self.table,
+                    "version": version,
+                    "former": self.version,
+                    "rows": len(rows),
+                    "values_changed": sum(self._is_new_value(rows[k]) for k in changed),
+                    "removed": sorted(removed)[:MAX_LOGGED_KEYS],
+                },
+            )
+        changed |= removed
         self.rows, self.version = rows, version
+        # The beginning of an era is a change too: of a table without rows, only its
+        # version shows that the rows of the era before are gone.
         newest = max((row.version for row in rows.values()), default=NO_VERSION)
-        self.changed_version = max(self.changed_version, newest)
+        self.changed_version = max(
+            self.changed_version, newest, Version(version.era, 0)
+        )
         self.loaded.set()
         self._listener(self.rows, changed)
 
+    def _is_new_value(self, row: StoredRow) -> bool:
+        known = self.rows.get(row.key)
+        return known is None or known.value != row.value
+
     def _apply(self, rows: tuple[StoredRow, ...], version: Version) -> None:
+        # This copy is complete up to ``changed_version``. An older change could restore
+        # a row that has been removed since.
+        known = self.changed_version
         changed = set()
         for row in rows:
-            known = self.rows.get(row.key)
-            if known is not None and known.version > row.version:
+            if row.version <= known:
                 continue
             if row.value is None:
                 self.rows.pop(row.key, None)
@@ -285,3 +330,8 @@
         self.version = max(self.version, version)
         if changed:
             self._listener(self.rows, changed)
+
+
+def _is_consistent(newest: Version, versions: tuple[Version, ...]) -> bool:
+    """Return whether versions are of one era and not newer than ``newest``."""
+    return all(v.era == newest.era and v <= newest for v in versions)
--- a/tests/failure/test_gateway_store_eras.py
+++ b/tests/failure/test_gateway_store_eras.py
@@ -8,12 +8,21 @@
 from gevent.pywsgi import WSGIServer
 
 from fakes.gateway_platform import FakeGatewayPlatform
+from fakes.gateway_rows import MemoryRowStore
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, Unavailable
+from rattanwick.internal.base.timers import GeventTimerService
 from rattanwick.internal.gateway.interfaces import (
     NO_VERSION,
     HistoryLost,
+    RowPage,
+    StoredRow,
     Version,
 )
+from rattanwick.internal.gateway.table_watch import (
+    RETRY_INTERVAL_SECONDS,
+    TableChanges,
+    TableWatch,
+)
 from rattanwick.platform.store import PlatformStore
 
 TABLE = "t"
@@ -192,5 +201,195 @@
         self.assertEqual(self.store.read("u").rows[0].value, b"1")
 
 
+class ScriptedStore(MemoryRowStore):
+    """Store whose reads or polls return what a test says."""
+
+    def __init__(self):
+        super().__init__()
+        self.read_page: RowPage | None = None
+        self.poll = None  # called instead of a poll
+
+    def read(self, table: str) -> RowPage:
+        """Return the page that is set, or the rows."""
+        found = super().read(table)
+        return self.read_page or found
+
+    def wait_for_changes(self, table: str, after: Version, wait: float) -> RowPage:
+        """Call ``poll`` if it is set."""
+        if self.poll is None:
+            return super().wait_for_changes(table, after, wait)
+        self.calls.append("follow")
+        return self.poll(after)
+
+
+def lose_history(after: Version) -> RowPage:
+    """Refuse a poll."""
+    raise HistoryLost("follow", "store", "dropped")
+
+
+class ReturnedTableTests(unittest.TestCase):
+    """Guard against rows of an earlier era that hide those of a later one."""
+
+    def setUp(self):
+        self.store = ScriptedStore()
+        self.timers = GeventTimerService()
+        self.addCleanup(self.timers.stop)
+        self.changes: list[set[str]] = []
+        self.forwarded: list[TableChanges] = []
+        self.watch = self.make_watch()
+        for value in (b"1", b"2", b"3"):
+            self.store.put(TABLE, "a", value)
+
+    def make_watch(self) -> TableWatch:
+        """Return a watch of the table."""
+        watch = TableWatch(
+            self.store,
+            TABLE,
+            self.timers,
+            lambda rows, changed: self.changes.append(changed),
+        )
+        watch.forward_changes = self.forwarded.append
+        self.addCleanup(watch.stop)
+        return watch
+
+    def start(self) -> None:
+        """Start the watch and wait until it has read the table."""
+        self.watch.start()
+        self.assertTrue(self.watch.loaded.wait(1.0))
+
+    def values(self) -> dict[str, bytes]:
+        """Return the values in the copy."""
+        return {row.key: row.value for row in self.watch.rows.values()}
+
+    def wait_for(self, values: dict[str, bytes]) -> bool:
+        """Return whether the copy has certain values in time."""
+        with gevent.Timeout(2.0, False):
+            while self.values() != values:
+                gevent.sleep(0.01)
+            return True
+        return False
+
+    def assert_paused(self) -> None:
+        """Check that the watch does not call the store without pauses."""
+        before = len(self.store.calls)
+        gevent.sleep(QUIET_SECONDS)
+        calls = len(self.store.calls) - before
+        self.assertLessEqual(calls, 2 * (1 + QUIET_SECONDS / RETRY_INTERVAL_SECONDS))
+        self.assertGreater(calls, 1)
+
+    def test_rows_written_after_a_return_reach_the_copy(self):
+        """The copy of the table had been ignored for its lower number."""
+        self.start()
+        self.store.restore(1)
+        self.assertTrue(self.wait_for({"a": b"1"}))
+        self.store.put(TABLE, "b", b"4")
+        self.assertTrue(self.wait_for({"a": b"1", "b": b"4"}))
+
+    def test_a_return_is_noticed_once_the_numbers_have_passed_the_old_ones(self):
+        self.store.poll = lambda after: gevent.sleep(60)
+        self.start()
+        self.store.restore(1)
+        for key in ("b", "c", "d"):
+            self.store.put(TABLE, key, b"4")
+        self.store.poll = None
+        self.watch.cancel_poll()
+        self.assertTrue(self.wait_for({"a": b"1", **dict.fromkeys("bcd", b"4")}))
+
+    def test_a_table_of_an_older_version_is_ignored_and_read_again_with_pauses(self):
+        self.start()
+        older = StoredRow("a", b"0", Version(0, 9))
+        self.store.read_page = RowPage((older,), Version(0, 9))
+        self.store.poll = lose_history
+        self.watch.cancel_poll()
+        gevent.sleep(0.1)
+        self.assert_paused()
+        self.assertEqual(self.values(), {"a": b"3"})
+        self.store.read_page = self.store.poll = None
+        self.store.put(TABLE, "a", b"4")
+        self.assertTrue(self.wait_for({"a": b"4"}))
+
+    def test_a_late_page_of_the_old_era_changes_nothing(self):
+        self.start()
+        self.watch.stop()
+        version = Version(2, 2)
+        rows = {"b": StoredRow("b", b"5", version)}
+
+        def answer_late(after: Version) -> RowPage:
+            self.assertTrue(self.watch.replace_with_copy(rows, version, version))
+            late = StoredRow("a", b"4", Version(1, 4))
+            return RowPage((late,), Version(1, 4))
+
+        self.store.poll = answer_late
+        self.watch._poll_once()
+        self.assertEqual(self.values(), {"b": b"5"})
+        self.assertEqual(self.watch.version, version)
+        self.assertEqual(self.forwarded, [])
+
+    def test_changes_of_another_era_change_nothing(self):
+        self.watch._poll_once()
+        self.store.restore(1)
+        self.watch._poll_once()
+        self.watch._poll_once()
+        known = self.watch.version
+        self.assertEqual(known, Version(2, 1))
+        row = StoredRow("b", b"7", Version(1, 9))
+        newer = StoredRow("b", b"7", Version(3, 1))
+        for changes in (
+            TableChanges(TABLE, Version(1, 3), Version(1, 9), (row,), None),
+            TableChanges(TABLE, Version(1, 3), Version(2, 9), (row,), None),
+            TableChanges(TABLE, Version(2, 1), Version(2, 9), (row,), None),
+            TableChanges(TABLE, Version(1, 3), Version(3, 9), (newer,), None),
+            TableChanges(TABLE, Version(2, 1), Version(3, 9), (newer,), None),
+            TableChanges(TABLE, Version(3, 0), Version(3, 9), (newer,), None),
+        ):
+            with self.subTest(changes):
+                self.watch.apply_changes(changes)
+                self.assertEqual(self.values(), {"a": b"1"})
+                self.assertEqual(self.watch.version, known)
+
+    def test_a_copy_with_rows_of_two_eras_is_refused(self):
+        self.watch._poll_once()
+        version = Version(2, 9)
+        for rows, changed in (
+            ({"a": StoredRow("a", b"9", Version(1, 9))}, Version(2, 9)),
+            ({"a": StoredRow("a", b"9", Version(2, 10))}, Version(2, 9)),
+            ({}, Version(3, 0)),
+        ):
+            with self.subTest(rows):
+                self.assertFalse(self.watch.replace_with_copy(rows, version, changed))
+                self.assertEqual(self.values(), {"a": b"3"})
+
+    def test_an_empty_table_of_a_new_era_is_newer_than_a_full_one(self):
+        self.watch._poll_once()
+        peer = self.make_watch()
+        peer._poll_once()
+        self.store.restore(0)
+        peer._poll_once()
+        peer._poll_once()
+        self.assertEqual(peer.rows, {})
+        self.assertGreater(peer.changed_version, self.watch.changed_version)
+        self.assertTrue(
+            self.watch.replace_with_copy({}, peer.version, peer.changed_version)
+        )
+        self.assertEqual(self.watch.rows, {})
+
+    def test_each_era_is_logged_with_what_changed(self):
+        self.store.put(TABLE, "b", b"1")
+        self.watch._poll_once()
+        self.store.restore(1)
+        with self.assertLogs("rattanwick.store", "WARNING") as logs:
+            for _ in range(3):
+                self.watch._poll_seconds = lambda: 0.0
+                self.watch._poll_once()
+        (line,) = [
+            r
+            for r in logs.records
+            if r.getMessage() == "store: table read in a new era"
+        ]
+        self.assertEqual((line.former, line.version), ((1, 4), (2, 1)))
+        self.assertEqual((line.rows, line.values_changed), (1, 1))
+        self.assertEqual(line.removed, ["b"])
+
+
 if __name__ == "__main__":
     unittest.main()
