Pause between calls to a store that refuses its own versions

After a return all six nodes read the table and polled it again without a pause, 1,745 times in six seconds, since the store refused the version with 410 and each whole read was answered at once. A lost history that comes within 0.3 s of a whole read, and a long poll that ends at once without rows, are now followed by the pause of a failed call.

The first loss of history is still followed by a read at once.

--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -111,6 +111,7 @@
         self._count_nodes = count_nodes
         # False until the whole table has been read, and after HistoryLost.
         self._complete = False
+        self._read_at = float("-inf")  # monotonic seconds of the last whole read
         self._task: gevent.Greenlet | None = None  # runs ``_run``
         self._call: gevent.Greenlet | None = None  # call to the store in progress
 
@@ -197,7 +198,9 @@
                 extra={"table": self.table, "error": str(exc)},
             )
             self._complete = False
-            return 0.0
+            # A store that refuses the version which it has just given may go on so.
+            repeated = self._timers.now() - self._read_at < RETRY_INTERVAL_SECONDS
+            return self._retry_pause() if repeated else 0.0
         except StepError as exc:
             self._note_failure(exc)
             return self._retry_pause()
@@ -221,18 +224,21 @@
             raise Unavailable("read", "store", "table is of an older version")
         self._replace({row.key: row for row in page.rows}, page.version)
         self._complete = True
+        self._read_at = self._timers.now()
         self._note_success()
 
     def _poll_changes(self) -> float:
         """Wait for changes and apply them; return the pause before the next call."""
-        page = self._store.wait_for_changes(
-            self.table, self.version, self._poll_seconds()
-        )
+        wait, started = self._poll_seconds(), self._timers.now()
+        page = self._store.wait_for_changes(self.table, self.version, wait)
         after = self.changed_version
         self._apply(page.rows, page.version)
         self._note_success()
         self._forward_page(page, after)
-        return batching_seconds(self._count_nodes()) if page.rows else 0.0
+        if page.rows:
+            return batching_seconds(self._count_nodes())
+        ended_early = self._timers.now() - started < min(wait, RETRY_INTERVAL_SECONDS)
+        return self._retry_pause() if ended_early else 0.0
 
     def _retry_pause(self) -> float:
         return RETRY_INTERVAL_SECONDS * poll_interval_factor(self._count_nodes())
--- a/tests/failure/test_gateway_store_eras.py
+++ b/tests/failure/test_gateway_store_eras.py
@@ -295,6 +295,16 @@
         self.watch.cancel_poll()
         self.assertTrue(self.wait_for({"a": b"1", **dict.fromkeys("bcd", b"4")}))
 
+    def test_a_store_that_refuses_every_poll_is_called_with_pauses(self):
+        self.store.poll = lose_history
+        self.start()
+        self.assert_paused()
+
+    def test_a_store_that_ends_every_poll_at_once_is_called_with_pauses(self):
+        self.store.poll = lambda after: RowPage((), after)
+        self.start()
+        self.assert_paused()
+
     def test_a_table_of_an_older_version_is_ignored_and_read_again_with_pauses(self):
         self.start()
         older = StoredRow("a", b"0", Version(0, 9))
