Count a copy as complete up to the store's version

A node that read a table whole after the newest change, a removal, knew no row with that version. It counted itself as behind each peer that had heard of the removal, refused the changes that they forwarded, and fetched a copy at each interval without taking it; whole reads are the rule after a return of the store. The copy is complete up to the store's version of its page, so that version decides.

The other new tests cover a peer that missed the return, one that is still in the era before, and copies whose fields have another shape.

--- a/src/rattanwick/internal/gateway/table_copies.py
+++ b/src/rattanwick/internal/gateway/table_copies.py
@@ -101,7 +101,7 @@
                     "table": changes.table,
                     "after": changes.after,
                     "version": changes.version,
-                    "known": watch.changed_version if watch else None,
+                    "known": watch.version if watch else None,
                 },
             )
 
@@ -118,7 +118,8 @@
                 for member in live
             ]
             ahead = max((version for version, _ in peer_versions), default=NO_VERSION)
-            if ahead <= watch.changed_version:
+            # A copy that was read after a removal has no row with its version.
+            if ahead <= watch.version:
                 self._behind_since.pop(table, None)
                 self._cancelled.discard(table)
                 continue
--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -138,7 +138,7 @@
 
     def apply_changes(self, changes: TableChanges) -> bool:
         """Apply changes read by a peer; return False if earlier ones are missing."""
-        if not self._complete or changes.after > self.changed_version:
+        if not self._complete or changes.after > self.version:
             return False
         versions = (changes.after, *(row.version for row in changes.rows))
         if not _is_consistent(changes.version, versions):
@@ -320,9 +320,8 @@
         return known is None or known.value != row.value
 
     def _apply(self, rows: tuple[StoredRow, ...], version: Version) -> None:
-        # This copy is complete up to ``changed_version``. An older change could restore
-        # a row that has been removed since.
-        known = self.changed_version
+        # An older change could restore a row that has been removed since.
+        known = self.version
         changed = set()
         for row in rows:
             if row.version <= known:
--- a/tests/failure/test_table_copies.py
+++ b/tests/failure/test_table_copies.py
@@ -9,14 +9,15 @@
 
 from fakes.gateway_rows import MemoryRowStore
 from fakes.gateway_settings import make_settings
+from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.timers import GeventTimerService
-from rattanwick.internal.gateway.interfaces import StoredRow
+from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from rattanwick.internal.gateway.members import Member
+from rattanwick.internal.gateway.peer_messages import decode_copy
 from rattanwick.internal.gateway.table_copies import TableCopies
-from rattanwick.internal.gateway.table_watch import TableWatch
-from tests.gateway_case import (
-    make_state,
-)
+from rattanwick.internal.gateway.table_watch import TableChanges, TableWatch
+from rattanwick.internal.peers.packing import pack_compressed
+from tests.gateway_case import make_state
 
 TABLE = "servers"
 LIMIT_SECONDS = 4.0
@@ -53,9 +54,9 @@
             Member("n2", 1, address, "x:1", "a", now, versions=versions)
         )
 
-    def catch_up(self, done) -> bool:
+    def catch_up(self, done, seconds: float = LIMIT_SECONDS) -> bool:
         """Catch up until ``done()``; return whether it became true in time."""
-        with gevent.Timeout(LIMIT_SECONDS, False):
+        with gevent.Timeout(seconds, False):
             while not done():
                 self.add_peer(self.port)
                 self.copies.catch_up(self.timers.now())
@@ -74,10 +75,70 @@
         self.assertEqual(self.watch.changed_version, self.peer_watch.changed_version)
         self.assertAlmostEqual(self.watch.failed_seconds(), 1.0, delta=1.0)
 
+    def test_a_node_that_missed_a_return_takes_a_peers_copy_of_the_new_era(self):
+        """The copy has lower numbers, as the store gives them out again."""
+        for number in range(5):
+            self.store.put(TABLE, f"i-{number}", b"old")
+        self.watch._complete = False
+        self.watch._poll_once()
+        self.store.restore(1)
+        self.peer_watch._poll_once()
+        self.peer_watch._poll_once()
+        self.port = self.peer._server.server_port
+        self.assertTrue(self.catch_up(lambda: self.watch.version.era == 2))
+        self.assertEqual(
+            self.watch.rows, {"i-1": StoredRow("i-1", b"first", Version(2, 1))}
+        )
+
+    def test_a_node_in_the_new_era_takes_no_copy_of_a_peer_in_the_old_one(self):
+        for number in range(5):
+            self.store.put(TABLE, f"i-{number}", b"old")
+        self.peer_watch._complete = False
+        self.peer_watch._poll_once()
+        self.store.restore(1)
+        self.watch._poll_once()
+        self.watch._poll_once()
+        self.port = self.peer._server.server_port
+        self.assertFalse(self.catch_up(lambda: self.watch.version.era == 1, 1.0))
+        self.assertEqual(set(self.watch.rows), {"i-1"})
+
+    def test_a_node_that_read_the_table_after_its_newest_removal_is_not_behind(self):
+        """It had fetched the copy of a peer five times a second without an end."""
+        self.store.put(TABLE, "i-2", b"second")
+        self.peer_watch._poll_once()
+        self.store.put(TABLE, "i-2", None)
+        self.peer_watch._poll_once()
+        self.store.put("other", "k", b"v")
+        self.watch._complete = False
+        self.watch._poll_once()
+        self.port = self.peer._server.server_port
+        with self.assertNoLogs("rattanwick.peers", "INFO"):
+            self.catch_up(lambda: False, 1.0)
+        # A later change that the peer forwards follows on what this node has read.
+        after = self.peer_watch.changed_version
+        version = self.store.put(TABLE, "i-3", b"third")
+        rows = (StoredRow("i-3", b"third", version),)
+        self.assertTrue(
+            self.watch.apply_changes(TableChanges(TABLE, after, version, rows, None))
+        )
+
     def test_a_malformed_copy_changes_nothing(self):
         self.store.put(TABLE, "i-2", b"second")
         self.peer_watch._poll_once()
         requested_tables = []
+        fields = {"version": [9, 9], "changed": [9, 9], "failed_seconds": None}
+        for message in (
+            b"torn",
+            None,
+            pack_compressed({**fields, "rows": [["i-1", b"x", 9]]}),
+            pack_compressed({**fields, "rows": [["i-1", b"x", [9, -1]]]}),
+            pack_compressed({**fields, "rows": [["i-1", "x", [9, 9]]]}),
+            pack_compressed({**fields, "rows": [], "version": 9}),
+            pack_compressed({**fields, "rows": [], "other": 9}),
+            pack_compressed(fields),
+        ):
+            with self.subTest(message), self.assertRaises((ValueError, ProtocolError)):
+                decode_copy(message)
 
         def serve(sock, _address):
             requested_tables.append(sock.recv(100))
