Follow a table from the version of its first page

A table of more than 500 rows is read in several calls. A row of the first page that changed before the last page was read kept its old value until it changed again, since the feed began at the version of the last page.

The feed now begins at the version of the first page and repeats what the later pages already hold. The test failed before with version 12 in place of 9.

--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -59,8 +59,13 @@
         return self._era
 
     def read(self, table: str) -> RowPage:
-        """Return all rows of a table, read page by page."""
+        """Return all rows of a table, read page by page.
+
+        The version is that of the first page, since later pages do not show changes to
+        the rows of the first one.
+        """
         rows: list[StoredRow] = []
+        version: Version | None = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": 500}
@@ -68,11 +73,12 @@
                 query["from"] = start
             body, era = self._get("read", "/api/rows-get", query, READ_TIMEOUT_SECONDS)
             page = _decode_page(body, era)
-            if rows and era != rows[0].version.era:
+            version = version or page.version
+            if era != version.era:
                 raise Unavailable("read", PEER, "restored between two pages")
             rows.extend(page.rows)
             if not body.get("truncated"):
-                return RowPage(tuple(rows), page.version)
+                return RowPage(tuple(rows), version)
             if not page.rows:
                 raise ProtocolError("decode", PEER, "truncated page has no usable rows")
             start = rows[-1].key + "\x00"
--- a/tests/failure/test_gateway_store_eras.py
+++ b/tests/failure/test_gateway_store_eras.py
@@ -157,6 +157,13 @@
         after = Version(3, 50)
         self.assertRaises(HistoryLost, self.store.wait_for_changes, TABLE, after, 0.1)
 
+    def test_a_table_of_several_pages_is_as_old_as_the_first(self):
+        """A change between two pages may be to a row of the first one."""
+        status, eras, body = page(9, 4, eras=["3"])
+        first = status, eras, {**body, "truncated": True}
+        self.expect(first, page(12, 5, eras=["3"]))
+        self.assertEqual(self.store.read(TABLE).version, Version(3, 9))
+
     def test_a_table_whose_pages_are_of_two_eras_is_read_again(self):
         status, eras, body = page(9, 4, eras=["3"])
         first = status, eras, {**body, "truncated": True}
