Move the pace of sending to the module of its rotation

How many peers an interval sends to, and how long to pause after loads, depends on the number of peers alone, as the rotation does.

--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -29,25 +29,18 @@
     make_brief,
     placements_after,
 )
-from rattanwick.internal.gateway.send_rotation import SendRotation
+from rattanwick.internal.gateway.send_rotation import (
+    SEND_INTERVAL_SECONDS,
+    SendRotation,
+    load_pause,
+    peers_per_interval,
+)
 from rattanwick.internal.gateway.table_copies import TableCopies
 from rattanwick.internal.gateway.table_watch import TableWatch
 
 log = get_logger("peers")
 
-SEND_INTERVAL_SECONDS = 0.2
-# With more peers than this, each interval sends to some of them only, in rotation: a
-# full state has up to 4 kB, and 24 of them in each interval filled links of 5 Mbit/s.
-MIN_PEERS_PER_INTERVAL = 6
-# Time in which every peer receives this node's state; below MEMBER_TIMEOUT_SECONDS.
-ACTIVE_ROUND_SECONDS = 0.8
-STANDBY_ROUND_SECONDS = 2.5  # of a node on standby; half of STANDBY_TIMEOUT_SECONDS
 PLACEMENT_SEND_COUNT = 3  # times each peer gets a placement, against lost datagrams
-# Pause after a message of loads, for each peer that it was sent to. Above
-# MAX_PEERS_AT_FULL_LOAD_RATE peers the pause grows faster, so that the number of
-# messages that a node receives per second stays the same.
-LOAD_PAUSE_SECONDS_PER_PEER = 0.004
-MAX_PEERS_AT_FULL_LOAD_RATE = 24
 MAX_SENT_CRASH_AGE_SECONDS = 10.0  # older crashes are not sent
 
 
@@ -370,22 +363,3 @@
             loaded.add(endpoint_id)
             if view is not None:
                 view.peers[node_id] = PeerLoad(*figures, last_heard_at=now)
-
-
-def peers_per_interval(peers: int, standby: bool) -> int:
-    """Return how many of ``peers`` to send to in one interval; may exceed ``peers``."""
-    if standby:
-        return max(ceil(peers * SEND_INTERVAL_SECONDS / STANDBY_ROUND_SECONDS), 1)
-    return max(
-        ceil(peers * SEND_INTERVAL_SECONDS / ACTIVE_ROUND_SECONDS),
-        MIN_PEERS_PER_INTERVAL,
-    )
-
-
-def load_pause(peers: int) -> float:
-    """Return the seconds to wait after sending loads to a number of peers."""
-    return (
-        LOAD_PAUSE_SECONDS_PER_PEER
-        * peers
-        * max(peers / MAX_PEERS_AT_FULL_LOAD_RATE, 1.0)
-    )
--- a/tests/unit/test_gateway_components.py
+++ b/tests/unit/test_gateway_components.py
@@ -18,11 +18,6 @@
 )
 from rattanwick.internal.gateway.model import PromptPart
 from rattanwick.internal.gateway.node_state import Placement
-from rattanwick.internal.gateway.peer_exchange import (
-    SEND_INTERVAL_SECONDS,
-    load_pause,
-    peers_per_interval,
-)
 from rattanwick.internal.gateway.peer_messages import (
     NO_LOAD,
     PeerLoads,
@@ -37,7 +32,12 @@
     placements_after,
 )
 from rattanwick.internal.gateway.retries import RetryBudget
-from rattanwick.internal.gateway.send_rotation import SendRotation
+from rattanwick.internal.gateway.send_rotation import (
+    SEND_INTERVAL_SECONDS,
+    SendRotation,
+    load_pause,
+    peers_per_interval,
+)
 from rattanwick.internal.gateway.stream_events import EventSplitter
 from rattanwick.internal.gateway.table_watch import TableChanges
 from rattanwick.internal.gateway.usage import UsageCounts
