Log oversized copies of tables, and odd requests for them, as malformed

A peer's message above the size limit raised BufferFull, and a request for a table whose name is a list or a map raised TypeError. Both ended the greenlet with a traceback in place of the line that names the peer. They are malformed messages now, like the others.

A test serves more than 30 malformed copies, the torn one of the former test among them, and checks each time that the rows are as before and that the failed fetch is logged; it also fetches a sound copy. Before, the oversized one and the requests for a list and a map were not logged.

--- a/src/rattanwick/internal/gateway/table_copies.py
+++ b/src/rattanwick/internal/gateway/table_copies.py
@@ -7,6 +7,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 from msgpack import Unpacker, packb
+from msgpack.exceptions import BufferFull
 
 from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.log import get_logger
@@ -176,7 +177,7 @@
                 COPY_TIMEOUT_SECONDS, TimeoutError("copy not sent in time")
             ):
                 table = _read_message(sock)
-                watch = self._watches.get(table)
+                watch = self._watches.get(table) if type(table) is str else None
                 if watch is None:
                     log.warning(
                         "copy of unknown table requested", extra={"peer": address[0]}
@@ -198,8 +199,15 @@
 def _read_message(sock):
     """Return the first msgpack message that arrives on a socket.
 
-    Raises ValueError if the stream ends before it.
+    Raises ValueError if the stream ends before it, or if it is malformed or too large.
     """
+    try:
+        return _read_first(sock)
+    except BufferFull:
+        raise ValueError("message is too large")
+
+
+def _read_first(sock):
     unpacker = Unpacker(max_buffer_size=MAX_COPY_BYTES, strict_map_key=False)
     while True:
         for message in unpacker:
--- a/tests/failure/test_table_copies.py
+++ b/tests/failure/test_table_copies.py
@@ -1,5 +1,6 @@
 """Copies of tables that a node fetches from a peer with newer ones."""
 
+import logging
 import unittest
 
 import gevent
@@ -122,10 +123,7 @@
             self.watch.apply_changes(TableChanges(TABLE, after, version, rows, None))
         )
 
-    def test_a_malformed_copy_changes_nothing(self):
-        self.store.put(TABLE, "i-2", b"second")
-        self.peer_watch._poll_once()
-        requested_tables = []
+    def test_a_malformed_copy_is_not_decoded(self):
         fields = {"version": [9, 9], "changed": [9, 9], "failed_seconds": None}
         for message in (
             b"torn",
@@ -140,19 +138,80 @@
             with self.subTest(message), self.assertRaises((ValueError, ProtocolError)):
                 decode_copy(message)
 
+    def fetch(self, response: bytes) -> list[logging.LogRecord]:
+        """Fetch a copy that holds these bytes; return what was logged."""
+
         def serve(sock, _address):
-            requested_tables.append(sock.recv(100))
-            sock.sendall(packb(b"torn"))
+            sock.recv(100)
+            sock.sendall(response)
             sock.shutdown(socket.SHUT_WR)
 
         server = StreamServer(("127.0.0.1", 0), serve)
         server.start()
-        self.addCleanup(server.stop)
-        self.port = server.server_port
-        self.assertTrue(self.catch_up(lambda: len(requested_tables) > 1))
-        row = self.watch.rows["i-1"]
-        self.assertEqual(row, StoredRow("i-1", b"first", row.version))
-        self.assertEqual(set(self.watch.rows), {"i-1"})
+        try:
+            self.port = server.server_port
+            self.add_peer(self.port)
+            with self.assertLogs("rattanwick.peers", "INFO") as logs:
+                self.copies._fetch(self.state.members.get("n2"), self.watch)
+            return logs.records
+        finally:
+            server.stop()
+
+    def test_a_malformed_copy_changes_nothing(self):
+        """Guard against a copy that is used in part, or whose loss is not logged."""
+        copy = {
+            "version": [1, 9],
+            "changed": [1, 9],
+            "failed_seconds": 1.0,
+            "rows": [["i-2", b"second", [1, 9]]],
+        }
+        odd = [
+            {**copy, name: value}
+            for name, values in {
+                "version": (None, 9, [9], [1, -1], [-1, 9], [1, 2**60], [1, 9.5]),
+                "changed": (None, 9, [9], [1, -1], [1, 2**60], [1, True]),
+                "failed_seconds": ("1", -1.0, float("nan"), []),
+                "rows": (
+                    None,
+                    5,
+                    [5],
+                    [[]],
+                    [["i-2", b"second"]],
+                    [["i-2", "text", [1, 9]]],
+                    [["i-2", b"second", 9]],
+                    [[5, b"second", [1, 9]]],
+                    [["i-2", b"second", [1, "9"]]],
+                    [["i-2", b"second", [1, -1]]],
+                ),
+            }.items()
+            for value in values
+        ]
+        odd += [{}, {name: value for name, value in copy.items() if name != "changed"}]
+        responses = [packb(pack_compressed(fields)) for fields in odd]
+        responses += [packb(b"torn"), packb(5), b"", b"\xc1", b"\x91" * 5000]
+        responses.append(b"\xc6\xff\xff\xff\xff" + b"x" * (33 << 20))
+        known = dict(self.watch.rows)
+        for number, response in enumerate(responses):
+            with self.subTest(number=number, response=response[:40]):
+                (record,) = self.fetch(response)
+                self.assertEqual(record.getMessage(), "peers: copy not fetched")
+                self.assertEqual(self.watch.rows, known)
+                self.assertIsNone(self.watch.last_failure)
+        self.fetch(packb(pack_compressed(copy)))
+        self.assertEqual(set(self.watch.rows), {"i-2"})
+
+    def test_an_odd_request_gets_no_copy(self):
+        """Guard against a request that ends with an exception."""
+        for request in (packb([TABLE]), packb({}), packb(5), b"\x91" * 5000, b"\xc1"):
+            with (
+                self.subTest(request=request[:20]),
+                self.assertLogs("rattanwick.peers", "WARNING"),
+            ):
+                port = self.peer._server.server_port
+                sock = socket.create_connection(("127.0.0.1", port))
+                sock.sendall(request)
+                self.assertEqual(sock.recv(100), b"")
+                sock.close()
 
 
 if __name__ == "__main__":
