Leave rows without a value out of a table that is read whole

A row without a value, or with null, was returned as a removed row also when the whole table was read, where only present rows are expected. So it went into the copy of the table and on to the decoders, which expect bytes: an AttributeError for the configuration, with which the node read the table again and again. Peers that fetched the copy refused it.

Such a row now counts as absent in a table that is read whole, and as removed in a list of changes, as before. The position of the next page is still that of the last row received. The new test failed for both kinds of rows before, which were among the rows read.

--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -76,12 +76,12 @@
             version = version or page.version
             if era != version.era:
                 raise Unavailable("read", PEER, "restored between two pages")
-            rows.extend(page.rows)
+            rows.extend(row for row in page.rows if row.value is not None)
             if not body.get("truncated"):
                 return RowPage(tuple(rows), version)
             if not page.rows:
                 raise ProtocolError("decode", PEER, "truncated page has no usable rows")
-            start = rows[-1].key + "\x00"
+            start = page.rows[-1].key + "\x00"
 
     def wait_for_changes(self, table: str, after: Version, wait: float) -> RowPage:
         """Return the rows changed after a version; wait up to ``wait`` seconds."""
--- a/tests/failure/test_gateway_store.py
+++ b/tests/failure/test_gateway_store.py
@@ -376,6 +376,19 @@
                     with self.assertRaises(ValueError):
                         PlatformCodec().decode_endpoint("k", unreadable.value)
 
+    def test_a_row_without_a_value_counts_as_no_row(self):
+        """Guard against an entry without a value that is handed to a decoder."""
+        for row in (
+            b'{"key": "k", "ver": 1}',
+            b'{"key": "k", "value": null, "ver": 1}',
+        ):
+            self.set_rows(row)
+            with self.subTest(row=row):
+                (known,) = self.store.read("t").rows
+                self.assertEqual(known, StoredRow("sound", b"a", Version(0, 5)))
+                removed, _ = self.store.wait_for_changes("t", Version(0, 0), 0.1).rows
+                self.assertEqual(removed, StoredRow("k", None, Version(0, 1)))
+
     def test_a_row_without_a_usable_key_counts_as_no_row(self):
         """Guard against a change that is missed because its row has no key."""
         for row in self.UNNAMED_ROWS:
