Ignore a reported slowdown of zero or without bound

Endpoints state in X-Worker-Load how long work takes on their machine at the moment. A figure of 0 made the expected time of each request there 0, so all requests of the service were sent to that endpoint first, whatever ran on it; one of twelve digits kept them from it until its next response, which it then never got. Both came through the decoder, which only checked that the figures are decimal numbers.

A slowdown below 1% or above 100000% now makes the header malformed, like one of nan, so the last figure stays in force.

--- a/src/rattanwick/platform/messages.py
+++ b/src/rattanwick/platform/messages.py
@@ -69,6 +69,8 @@
 MAX_DIGITS = 9  # of a whole number; int() raises an error above 4,300 digits
 MAX_LOGGED_VALUE_CHARACTERS = 40
 NORMAL_SLOWDOWN_PERCENT = 100.0  # in the load header; a higher value means slower
+# An endpoint with a slowdown of 0 would get all requests.
+MIN_SLOWDOWN_PERCENT, MAX_SLOWDOWN_PERCENT = 1.0, 100_000.0
 
 
 def decode_call(method: bytes, target: bytes, headers: Headers, arrived: float) -> Call:
@@ -218,7 +220,10 @@
     if len(items) < 3 or not all(map(DECIMAL.fullmatch, items)):
         return None
     running, queued, slots, *rest = map(float, items)
-    slowdown = rest[0] / NORMAL_SLOWDOWN_PERCENT if rest else 1.0
+    percent = rest[0] if rest else NORMAL_SLOWDOWN_PERCENT
+    if not MIN_SLOWDOWN_PERCENT <= percent <= MAX_SLOWDOWN_PERCENT:
+        return None
+    slowdown = percent / NORMAL_SLOWDOWN_PERCENT
     return LoadReport(int(running), int(queued), int(slots), slowdown)
 
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -197,9 +197,22 @@
         """Guard against a response that ends a request, or attracts all of them.
 
         An infinite count raised an exception. A slowdown of nan made each endpoint
-        after the first in the list look no better than it.
+        after the first in the list look no better than it, and one of 0 made its
+        endpoint look better than all others.
         """
-        for value in (b"inf,0,8", b"nan,0,8", b"1,0,8,nan", b"1,0,8,inf", b"-1,0,8"):
+        for value in (
+            b"inf,0,8",
+            b"nan,0,8",
+            b"1,0,8,nan",
+            b"1,0,8,inf",
+            b"-1,0,8",
+            b"1,0,8,0",
+            b"1,0,8,999999999999",
+            b"9" * 400 + b",0,8",
+            b"\xb2,0,8",
+            b"1,0",
+            b"",
+        ):
             with self.subTest(value=value):
                 head = decode_response_head(200, [(b"X-Worker-Load", value)])
                 self.assertIsNone(head.load)
