Ignore a Keep-Alive time of more than nine digits

The time in an endpoint's Keep-Alive header only had to consist of digits. With 400 of them it was infinite, and idle connections to that endpoint were never closed as expired, only when a request found them closed.

The header is now read with the same bound as the other whole numbers of messages; without a valid time the usual one holds. The new test got inf for 400 digits before.

--- a/src/rattanwick/platform/messages.py
+++ b/src/rattanwick/platform/messages.py
@@ -230,7 +230,7 @@
 def _decode_keep_alive(value: bytes) -> float | None:
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
+        if name.lower() == b"timeout" and _is_whole_number(seconds):
             return float(seconds)
     return None
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -217,6 +217,13 @@
                 head = decode_response_head(200, [(b"X-Worker-Load", value)])
                 self.assertIsNone(head.load)
 
+    def test_an_absurd_keep_alive_time_is_ignored(self):
+        """Guard against connections that never count as expired."""
+        for value in (b"timeout=" + b"9" * 400, b"timeout=-1", b"timeout=\xb2", b"x"):
+            with self.subTest(value=value[:20]):
+                head = decode_response_head(200, [(b"Keep-Alive", value)])
+                self.assertIsNone(head.keep_alive)
+
     def test_a_limit_is_a_plain_decimal_number(self):
         for value, rate in (
             (b"2.1", 2.1),
