Take the newest configuration from the members at a start

A node that started after the store had returned to an older copy served by the older row until the operator wrote again, or knew no configuration at all if the row was gone: requests for a route that had been confirmed got 404. The other nodes kept the confirmed one, which nothing in their states showed.

States now name the version of the configuration in force, and the copy of the operator's table that peers serve carries its bytes. Whoever sees a higher version fetches the copy. The same version, an older one, a missing row or an invalid value change nothing.

--- a/fakes/gateway_deployment.py
+++ b/fakes/gateway_deployment.py
@@ -27,7 +27,7 @@
 node = "{node}"
 ip = "{ip}"
 zone = "{data_centre}"
-bootstrap = true
+bootstrap = {first_start}
 port_range = [{peers}, 17615]
 [listen]
 front = "{ip}:{callers}"
@@ -160,8 +160,13 @@
         }
         self.platform.put_json("servers", endpoint.id, entry)
 
-    def start_node(self, name: str, platform: str | None = None) -> SpawnedProcess:
-        """Start a node; ``platform`` is the address of the platform, IP:PORT."""
+    def start_node(
+        self, name: str, platform: str | None = None, first_start: bool = True
+    ) -> SpawnedProcess:
+        """Start a node; ``platform`` is the address of the platform, IP:PORT.
+
+        ``first_start`` says whether the whole deployment starts for the first time.
+        """
         path = self.folder / f"{name}.toml"
         text = NODE_FILE.format(
             node=name,
@@ -172,6 +177,7 @@
             readiness=READINESS_PORT,
             entry=DIRECTORY_PORT,
             platform=platform or self.platform.address,
+            first_start=str(first_start).lower(),
         )
         path.write_text(text, encoding="utf-8")
         process = SpawnedProcess(
--- a/src/rattanwick/internal/gateway/members.py
+++ b/src/rattanwick/internal/gateway/members.py
@@ -41,6 +41,7 @@
     request_rate: float = 0.0  # callers' requests per second
     store_failing: bool = False  # its calls to the store fail
     fence: int = 0  # its fencing token as the leader; 0 if it is not the leader
+    configuration: int = 0  # version in force there, 0 if it has none
     # By table: the version of the newest change that it knows.
     versions: dict[str, Version] | None = None
 
@@ -145,6 +146,15 @@
         """Return the members that have sent something recently and are not leaving."""
         return [member for member in self._members.values() if member.is_live(now)]
 
+    def heard(self, now: float) -> list[Member]:
+        """Return the live members, and leaving ones that have sent something lately."""
+        return [
+            member
+            for member in self._members.values()
+            if member.is_live(now)
+            or (member.leaving and now - member.last_heard_at < MEMBER_TIMEOUT_SECONDS)
+        ]
+
     def update_liveness(self, now: float) -> None:
         """Log which members became live or silent, and remove long-silent ones.
 
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -27,6 +27,7 @@
 from rattanwick.internal.gateway.model import CallerLimits
 from rattanwick.internal.gateway.node_directory import NodeDirectory
 from rattanwick.internal.gateway.node_state import make_node_state
+from rattanwick.internal.gateway.operator_configuration import OperatorConfiguration
 from rattanwick.internal.gateway.peer_exchange import PeerExchange
 from rattanwick.internal.gateway.relay import Relay
 from rattanwick.internal.gateway.settings import GatewaySettings
@@ -36,9 +37,6 @@
 
 log = get_logger("node")
 
-configuration_version = gauge(
-    "configuration_version", "Version of the configuration in force"
-)
 live_members = gauge(
     "live_members", "Other nodes that have sent something recently and are not leaving"
 )
@@ -64,14 +62,14 @@
     ):
         self.settings = settings
         self._store = store
-        self._codec = codec
         self._timers = timers
         self.state = make_node_state(settings, timers, codec)
+        configuration = OperatorConfiguration(self.state, codec)
         self._configuration_watch = TableWatch(
             store,
-            codec.configuration_table,
+            configuration.table,
             timers,
-            self._apply_configuration,
+            configuration.apply_rows,
             self.state.members.count_nodes,
             self.state.polls_store,
         )
@@ -88,6 +86,7 @@
             self.state,
             [self._configuration_watch, self._endpoint_watch],
             self._block_rows,
+            configuration,
         )
         self.entry = NodeDirectory(self.state)
         relay = Relay(self.state, codec)
@@ -146,35 +145,6 @@
         cfg = self.state.configuration
         return cfg.limits if cfg else DEFAULT_LIMITS
 
-    def _apply_configuration(
-        self, rows: dict[str, StoredRow], changed: set[str]
-    ) -> None:
-        row = rows.get(self._codec.configuration_key)
-        if row is None or self._codec.configuration_key not in changed:
-            return
-        try:
-            cfg = self._codec.decode_configuration(row.value)
-        except ValueError as exc:
-            log.error("malformed configuration ignored", extra={"error": str(exc)})
-            return
-        known = self.state.configuration
-        if known is not None and cfg.version <= known.version:
-            log.info("older configuration ignored", extra={"version": cfg.version})
-            return
-        self.state.configuration = cfg
-        configuration_version.set(cfg.version)
-        self.state.endpoints.use_configuration(cfg)
-        self.state.limits.configure(cfg.organisations, self._timers.now())
-        log.info(
-            "configuration",
-            extra={
-                "version": cfg.version,
-                "former": known.version if known else None,
-                "routes": len(cfg.routes),
-                "row_version": row.version,
-            },
-        )
-
     def _apply_endpoints(self, rows: dict[str, StoredRow], changed: set[str]) -> None:
         failed = self._endpoint_watch.failed_seconds()
         self.state.endpoints.apply(rows, changed, failed)
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -13,6 +13,7 @@
 from rattanwick.internal.gateway.limit_messages import PeerLimits
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.operator_configuration import OperatorConfiguration
 from rattanwick.internal.gateway.part_exchange import PartExchange
 from rattanwick.internal.gateway.part_messages import PeerParts
 from rattanwick.internal.gateway.peer_messages import (
@@ -52,6 +53,7 @@
         state: NodeState,
         watches: list[TableWatch],
         block_rows: BlockRows | None = None,
+        configuration: OperatorConfiguration | None = None,
     ):
         self._state = state
         self._boot = int(time.time() * 1000)
@@ -71,7 +73,7 @@
         settings = state.settings
         address = (settings.ip, settings.peer_port)
         self._datagrams = DatagramServer(address, self._receive)
-        self._copies = TableCopies(state, watches, self._send)
+        self._copies = TableCopies(state, watches, self._send, configuration)
         self._limits = LimitExchange(state, self._boot, self._send, self._send_to)
         self._parts = PartExchange(
             state, block_rows, self._boot, self._send, self._send_to
@@ -221,6 +223,7 @@
             fence=state.fence,
             versions=self._copies.versions(),
             block_digest=state.part_guard.blocks.digest(),
+            configuration=state.configuration.version if state.configuration else 0,
             spent=state.limits.spent(now),
             usage=state.usage.own(),
             loads=self._own_loads(now),
@@ -313,9 +316,12 @@
             request_rate=message.request_rate,
             store_failing=message.store_failing,
             fence=message.fence,
+            configuration=message.configuration,
             versions=message.versions,
         )
         if state.members.put(member):
+            # A node that has started waits to hear which configuration is in force.
+            self._send(encode_state(make_brief(self._own_state(now))), [member])
             self._limits.inform(member)
         self._parts.compare(member, message.block_digest)
         self._apply_spending(peer, message, now)
--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -57,6 +57,7 @@
     "fence": Amount(int),
     "versions": {str: VERSION_SHAPE},
     "block_digest": int,
+    "configuration": Amount(int),
     "spent": {str: (float, float)},
     "usage": {int: {str: Amount(int)}},
     "loads": {str: LOAD_SHAPE},
@@ -71,6 +72,7 @@
     "changed": VERSION_SHAPE,
     "rows": [(str, bytes | None, VERSION_SHAPE)],
     "failed_seconds": Amount(float, optional=True),
+    "configuration_value": bytes | None,
 }
 
 # By endpoint: pending prompt tokens, running requests, output tokens expected of them,
@@ -118,6 +120,7 @@
     fence: int  # fencing token of the leader; 0 if the node is not the leader
     versions: dict[str, Version]  # by table, of the newest known change
     block_digest: int  # of the blocked parts; 0 if there are none
+    configuration: int  # the operator's version of the one in force; 0 if there is none
     spent: dict[str, list[float]]  # by organisation: spent, level of the bucket
     usage: dict[int, dict[str, int]]  # by window and organisation, requests
     loads: Loads
@@ -248,6 +251,7 @@
         "changed": copy.changed,
         "failed_seconds": copy.failed_seconds,
         "rows": [[row.key, row.value, row.version] for row in copy.rows.values()],
+        "configuration_value": copy.configuration_value,
     }
     return packb(pack_compressed(fields))
 
@@ -261,6 +265,7 @@
             _decode_version(copy.changed),
             copy.failed_seconds,
             {row.key: row for row in _decode_rows(copy.rows)},
+            copy.configuration_value,
         )
     except TypeError as exc:
         raise ValueError(f"copy: {exc}")
--- a/src/rattanwick/internal/gateway/table_copies.py
+++ b/src/rattanwick/internal/gateway/table_copies.py
@@ -14,6 +14,7 @@
 from rattanwick.internal.gateway.interfaces import NO_VERSION, Version
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.operator_configuration import OperatorConfiguration
 from rattanwick.internal.gateway.peer_messages import (
     MAX_CHANGES_BYTES,
     decode_copy,
@@ -50,10 +51,12 @@
         state: NodeState,
         watches: list[TableWatch],
         send: Callable[[bytes, list[Member]], None],
+        configuration: OperatorConfiguration | None = None,
     ):
         self._state = state
         self._watches = {watch.table: watch for watch in watches}
         self._send = send
+        self._configuration = configuration
         self._behind_since: dict[str, float] = {}
         # Tables with a newer version at a peer, whose long poll has been cancelled.
         self._cancelled: set[str] = set()
@@ -112,15 +115,10 @@
         ``now`` is in monotonic seconds. See CATCH_UP_DELAY_SECONDS.
         """
         batching = batching_seconds(self._state.members.count_nodes())
-        live = self._state.members.live(now)
+        members = self._state.members.heard(now)
         for table, watch in self._watches.items():
-            peer_versions = [
-                ((member.versions or {}).get(table, NO_VERSION), member)
-                for member in live
-            ]
-            ahead = max((version for version, _ in peer_versions), default=NO_VERSION)
-            # A copy that was read after a removal has no row with its version.
-            if ahead <= watch.version:
+            ahead = self._members_ahead(members, watch)
+            if not ahead:
                 self._behind_since.pop(table, None)
                 self._cancelled.discard(table)
                 continue
@@ -132,14 +130,35 @@
             )
             if behind >= fetch_delay and not self._fetching:
                 self._fetching = True
-                newest = [
-                    member for version, member in peer_versions if version == ahead
-                ]
-                gevent.spawn(self._fetch, self._random.choice(newest), watch)
+                gevent.spawn(self._fetch, self._random.choice(ahead), watch)
             elif behind >= CATCH_UP_DELAY_SECONDS and table not in self._cancelled:
                 self._cancelled.add(table)
                 watch.cancel_poll()
 
+        if self._configuration is not None:
+            self._configuration.check_start(now)
+
+    def _members_ahead(self, members: list[Member], watch: TableWatch) -> list[Member]:
+        """Return the members with the newest version, if it is newer than the watch's.
+
+        If none has one, return those with the newest configuration, in the same way.
+        """
+        versions = [
+            (member.versions or {}).get(watch.table, NO_VERSION) for member in members
+        ]
+        newest = max(versions, default=NO_VERSION)
+        # A copy that was read after a removal has no row with its version.
+        if newest > watch.version:
+            pairs = zip(members, versions, strict=True)
+            return [member for member, version in pairs if version == newest]
+        cfg = self._configuration
+        if cfg is None or cfg.table != watch.table:
+            return []
+        newest = max((member.configuration for member in members), default=0)
+        if newest <= cfg.version:
+            return []
+        return [member for member in members if member.configuration == newest]
+
     def _fetch(self, member: Member, watch: TableWatch) -> None:
         """Fetch a peer's copy of a table, and replace this node's if it is newer."""
         try:
@@ -153,6 +172,10 @@
                 finally:
                     sock.close()
             watch.note_peer_failure(copy.failed_seconds)
+            cfg = self._configuration
+            if cfg is not None and copy.configuration_value is not None:
+                cfg.adopt(copy.configuration_value, member.node_id, None)
+                cfg.check_start(self._state.timers.now())
             replaced = watch.replace_with_copy(copy.rows, copy.version, copy.changed)
             log.info(
                 "copy fetched",
@@ -170,6 +193,8 @@
             )
         finally:
             self._fetching = False
+            # A copy that was of no use is fetched again only after the delay.
+            self._behind_since.pop(watch.table, None)
 
     def _serve_copy(self, sock, address) -> None:
         try:
@@ -188,6 +213,7 @@
                     watch.changed_version,
                     watch.failed_seconds(),
                     watch.rows,
+                    self._configuration_value(table),
                 )
                 sock.sendall(encode_copy(copy))
         except (OSError, ValueError) as exc:
@@ -195,6 +221,10 @@
         finally:
             sock.close()
 
+    def _configuration_value(self, table: str) -> bytes | None:
+        cfg = self._configuration
+        return cfg.value if cfg is not None and cfg.table == table else None
+
 
 def _read_message(sock):
     """Return the first msgpack message that arrives on a socket.
--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -65,6 +65,8 @@
     changed: Version
     failed_seconds: float | None
     rows: dict[str, StoredRow]
+    # That in force at the sender, with the copy of the operator's table.
+    configuration_value: bytes | None = None
 
 
 def batching_seconds(nodes: int) -> float:
--- a/tests/failure/test_gateway_odd_configuration.py
+++ b/tests/failure/test_gateway_odd_configuration.py
@@ -1,9 +1,7 @@
 """Requests while the operator's configuration in the store is odd."""
 
-from fakes.gateway_rows import MemoryRowStore
-from fakes.gateway_settings import make_settings
 from rattanwick.internal.gateway.interfaces import StoredRow, Version
-from rattanwick.internal.gateway.node import GatewayNode
+from rattanwick.internal.gateway.operator_configuration import OperatorConfiguration
 from rattanwick.platform.codec import PlatformCodec
 from tests.gateway_case import RelayCase
 from tests.odd_values import CONFIGURATION, encode, odd_configurations
@@ -14,16 +12,12 @@
 
     def setUp(self):
         super().setUp()
-        self.node = GatewayNode(
-            make_settings(), MemoryRowStore(), None, PlatformCodec(), self.timers
-        )
-        # The node applies configurations to the state that the relay serves from.
-        self.node.state = self.state
+        self.configuration = OperatorConfiguration(self.state, PlatformCodec())
         self.replace_endpoints("i-1")
 
     def apply(self, value: bytes) -> None:
         """Apply a row that holds a configuration."""
-        self.node._apply_configuration(
+        self.configuration.apply_rows(
             {"config": StoredRow("config", value, Version(1, 1))}, {"config"}
         )
 
--- a/tests/unit/test_gateway_components.py
+++ b/tests/unit/test_gateway_components.py
@@ -318,6 +318,7 @@
         fence=0,
         versions={"op": Version(2, 3)},
         block_digest=0,
+        configuration=7,
         spent={"org": [1, 2]},
         usage={5: {"org": 1}},
         loads={"i-1": [1, 2, 3, 4]},
