Keep the table of members right when the store comes back older

A node wrote its row once, at its start. If the store came back from a copy before that, no node that started later knew of it, and one that had to learn the configuration from members found none in the table. The row of a node that had left in the lost seconds was back, and each node counted it again as a silent member every ten seconds once it had forgotten the process, so that its part of the limits was too small.

A node now looks for its row in each read of the table and writes it again, and a new era ends the pause between two reads. A row of a process that said it was leaving adds nobody, and the first live node by name removes it on a condition. The tests belong to the new module; before, only the start wrote the row and nothing recorded who had left.

--- a/src/rattanwick/internal/gateway/members.py
+++ b/src/rattanwick/internal/gateway/members.py
@@ -18,6 +18,7 @@
 STANDBY_TIMEOUT_SECONDS = 5.0
 # Silence after which a node no longer counts as part of the deployment.
 MEMBER_RETENTION_SECONDS = 20.0
+MAX_LEFT_MEMBERS = 4096  # processes that have left, of which rows may come back
 # Start of the process, IP, port for peers, IP:PORT for callers, data centre.
 ROW_SHAPE = (int, str, int, str, str)
 PORTS = range(1, 65_536)
@@ -89,6 +90,8 @@
         self._own_id = own_id
         self._members: dict[str, Member] = {}
         self._last_live: set[str] = set()
+        # By node id, start of the last process that said it was leaving.
+        self._left: dict[str, int] = {}
 
     def get(self, node_id: str) -> Member | None:
         """Return the member with an id, or None if it is not known."""
@@ -131,8 +134,20 @@
         if known is not None and known.boot > member.boot:
             return False
         self._members[member.node_id] = member
+        if member.leaving:
+            self._left[member.node_id] = member.boot
+            if len(self._left) > MAX_LEFT_MEMBERS:
+                del self._left[next(iter(self._left))]
         return known is None or known.boot != member.boot
 
+    def left_boot(self, node_id: str) -> int | None:
+        """Return the start of the last process that left under an id, if any did."""
+        return self._left.get(node_id)
+
+    def has_left(self, node_id: str, boot: int) -> bool:
+        """Return whether a process, or a later one under its id, has left."""
+        return boot <= self._left.get(node_id, -1)
+
     def note_heard(self, node_id: str, boot: int, now: float) -> None:
         """Record that a datagram arrived; ``boot`` is the start of its sender.
 
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -7,7 +7,6 @@
 from gevent.pywsgi import WSGIServer
 
 from rattanwick import __version__
-from rattanwick.internal.base.errors import StepError
 from rattanwick.internal.base.garbage_collection import tune_garbage_collector
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import gauge
@@ -23,7 +22,7 @@
     StoredRow,
 )
 from rattanwick.internal.gateway.leadership import Leadership
-from rattanwick.internal.gateway.members import decode_member, encode_member
+from rattanwick.internal.gateway.member_rows import MemberRows
 from rattanwick.internal.gateway.model import CallerLimits
 from rattanwick.internal.gateway.node_directory import NodeDirectory
 from rattanwick.internal.gateway.node_state import make_node_state
@@ -32,7 +31,7 @@
 from rattanwick.internal.gateway.relay import Relay
 from rattanwick.internal.gateway.settings import GatewaySettings
 from rattanwick.internal.gateway.shutdown import GracefulShutdown
-from rattanwick.internal.gateway.table_watch import TableWatch, poll_interval_factor
+from rattanwick.internal.gateway.table_watch import TableWatch
 from rattanwick.internal.gateway.usage_reports import UsageReports
 
 log = get_logger("node")
@@ -41,10 +40,6 @@
     "live_members", "Other nodes that have sent something recently and are not leaving"
 )
 
-MEMBER_TABLE = "members"
-# Members are known from their datagrams. The table only adds those that have sent none
-# yet, so it is read seldom.
-MEMBER_READ_INTERVAL_SECONDS = 10.0
 LEADER_TASK_INTERVAL_SECONDS = 0.5
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
 
@@ -61,7 +56,6 @@
         timers: GeventTimerService,
     ):
         self.settings = settings
-        self._store = store
         self._timers = timers
         self.state = make_node_state(settings, timers, codec)
         configuration = OperatorConfiguration(self.state, codec)
@@ -88,6 +82,7 @@
             self._block_rows,
             configuration,
         )
+        self.member_rows = MemberRows(self.state, store, self.peers.boot)
         self.entry = NodeDirectory(self.state)
         relay = Relay(self.state, codec)
         self._callers = CallerServer(
@@ -127,7 +122,7 @@
         self._endpoint_watch.start()
         self.peers.start()
         self._block_rows.start()
-        gevent.spawn(self._sync_members)
+        gevent.spawn(self.member_rows.run)
         gevent.spawn(self._run_leader_tasks)
         self._timers.subscribe(
             "links.idle", IDLE_CHECK_INTERVAL_SECONDS, self._close_idle_connections
@@ -153,47 +148,6 @@
             if view is not None and view.endpoint.leaving:
                 self.state.part_guard.note_planned_stop(key)
 
-    def _sync_members(self) -> None:
-        """Add this node to the table of members, and read the table regularly."""
-        written = False
-        while not self.state.leaving:
-            try:
-                if not written:
-                    row = encode_member(self.settings, self.peers.boot)
-                    self._store.put(MEMBER_TABLE, self.settings.node_id, row)
-                    written = True
-                self._add_members(self._store.read(MEMBER_TABLE).rows)
-                pause = MEMBER_READ_INTERVAL_SECONDS * poll_interval_factor(
-                    self.state.members.count_nodes()
-                )
-            except StepError as exc:
-                log.info("members not read", extra={"error": str(exc)})
-                pause = IDLE_CHECK_INTERVAL_SECONDS
-            except Exception:
-                # An unexpected error must not end this task.
-                log.exception("members not read")
-                pause = MEMBER_READ_INTERVAL_SECONDS
-            self._timers.sleep(pause)
-
-    def _add_members(self, rows: tuple[StoredRow, ...]) -> None:
-        """Add members that have sent nothing yet, so that this node sends to them.
-
-        They count as silent until their first datagram.
-        """
-        last_heard_at = self._timers.now() - MEMBER_READ_INTERVAL_SECONDS
-        for row in rows:
-            try:
-                member = decode_member(row.key, row.value, last_heard_at)
-            except ValueError as exc:
-                log.warning(
-                    "malformed member row ignored",
-                    extra={"member": row.key, "error": str(exc)},
-                )
-                continue
-            known = self.state.members.get(row.key)
-            if known is None or known.boot < member.boot:
-                self.state.members.put(member)
-
     def _run_leader_tasks(self) -> None:
         while not self._stopping.is_set():
             for step in self._leader_tasks:
@@ -227,7 +181,4 @@
         """Release leadership and remove this node from the table of members."""
         # The first task is Leadership.step, which releases leadership on leaving.
         self._leader_tasks[0]()
-        try:
-            self._store.put(MEMBER_TABLE, self.settings.node_id, None)
-        except StepError as exc:
-            log.info("own member row not removed", extra={"error": str(exc)})
+        self.member_rows.remove_own()
--- a/tests/failure/test_gateway_odd_rows.py
+++ b/tests/failure/test_gateway_odd_rows.py
@@ -13,8 +13,9 @@
 from rattanwick.internal.gateway.blocked_part_rows import BLOCK_TABLE, BlockRows
 from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.leadership import LEADER_KEY, LEADERSHIP_TABLE
+from rattanwick.internal.gateway.member_rows import MEMBER_TABLE
 from rattanwick.internal.gateway.members import encode_member
-from rattanwick.internal.gateway.node import MEMBER_TABLE, GatewayNode
+from rattanwick.internal.gateway.node import GatewayNode
 from rattanwick.internal.gateway.peer_messages import PROTOCOL_VERSION, decode_datagram
 from rattanwick.internal.gateway.usage_reports import USAGE_KEY
 from rattanwick.platform.codec import PlatformCodec
@@ -89,7 +90,9 @@
                 self.store.set_row(MEMBER_TABLE, "n0", value)
                 self.store.set_row(MEMBER_TABLE, "n2", sound)
                 with self.assertLogs("rattanwick.node", "WARNING"):
-                    self.node._add_members(self.store.read(MEMBER_TABLE).rows)
+                    self.node.member_rows.add_members(
+                        self.store.read(MEMBER_TABLE).rows
+                    )
                 self.assertIsNone(self.node.state.members.get("n0"))
                 self.assertEqual(self.node.state.members.get("n2").boot, number)
                 self.node.peers.send_state()
@@ -103,8 +106,8 @@
             calls.append(rows)
             raise TypeError("unexpected failure")
 
-        self.node._add_members = fail
-        task = gevent.spawn(self.node._sync_members)
+        self.node.member_rows.add_members = fail
+        task = gevent.spawn(self.node.member_rows.run)
         self.addCleanup(task.kill)
         with gevent.Timeout(2.0):
             while not calls:
@@ -115,7 +118,7 @@
     def test_the_own_row_is_read_as_it_was_written(self):
         settings = replace(make_settings("n2"), peer_port=7600)
         self.store.set_row(MEMBER_TABLE, "n2", encode_member(settings, 5))
-        self.node._add_members(self.store.read(MEMBER_TABLE).rows)
+        self.node.member_rows.add_members(self.store.read(MEMBER_TABLE).rows)
         member = self.node.state.members.get("n2")
         self.assertEqual(member.address, (settings.ip, settings.peer_port))
         self.assertEqual(member.caller_address, settings.callers_address)
