Specify leadership over returns of the store with older rows

The model of leadership had a store that never forgets. It now has returns at any moment, also while writes and calls are in flight and while a leader is confirmed: rows are lost, versions are given out again, and the era rises. Two new invariants say that fences go up over a return, and that no leader of an earlier era is confirmed beside one of a later era.

The model decides three questions of the design. Rows of their own for each era keep late writes of an earlier era from taking effect; with shared rows the checker finds a window reported with two counts. A leader may go on without withholding windows only if it had read the record of usage and nobody can have replaced it. And what a node remembers of a record counts in the next era only, since another leader may have recorded other counts in an era between. Seven broken variants are rejected.

--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -2,7 +2,7 @@
 
 from spec.claims import CLAIMS
 from spec.handover import HANDOVER
-from spec.leadership import LEADERSHIP
+from spec.leadership import LEADERSHIP, LEADERSHIP_OVER_RETURNS
 from spec.limits import LIMITS
 from spec.lists import LISTS
 from spec.orders import FENCED_ORDERS, UNFENCED_ORDERS
@@ -14,5 +14,6 @@
     LISTS,
     HANDOVER,
     LEADERSHIP,
+    LEADERSHIP_OVER_RETURNS,
     LIMITS,
 ]
--- a/spec/leadership.py
+++ b/spec/leadership.py
@@ -1,202 +1,27 @@
 """Specification of the gateway's leadership: leader, fence and record of usage.
 
-Two nodes may try to become the leader at any time, since each decides by itself
-whether the leader is gone. Writes to the store and calls to the cloud may be lost, or
-take effect late, when their sender no longer waits for them. A leader can pause after
-any step. In the labels of the steps, "holder" stands for the leader.
-
-Steps and their implementations:
-
-- read_holder, acquire, confirm, recover: ``Leadership`` in ``gateway/leadership.py``
-- read_usage, record_usage, report: ``UsageReports`` in ``gateway/usage_reports.py``
+The steps of the nodes are in ``spec.leadership_model``. Here are those of the platform:
+messages that arrive late or never, and the return of the store with older rows.
 """
 
-from enum import IntEnum
-from typing import NamedTuple
-
 from spec.checking import Specification, Variant, protocol_of
-
-NODES = 2
-MAX_WRITES = 3  # of the leader row
-MAX_FENCE = 2
-
-
-class Step(IntEnum):
-    """Step of a node."""
-
-    IDLE = 0
-    READ = 1  # has read the leader row and is about to write it
-    LEADER = 2  # believes that it is the leader
-    CONFIRMED = 3  # the store has just confirmed that it is the leader
-    UNCONFIRMED = 4  # the answer to a confirmation was lost
-
-
-class Node(NamedTuple):
-    """One node, with its view of the two rows."""
-
-    step: Step = Step.IDLE
-    fence: int = 0
-    version: int = 0  # of the leader row
-    usage_version: int = -1  # of the usage row; -1 while unknown
-    usage: int = 0  # the recorded counts; 0 for none
-
-
-class Write(NamedTuple):
-    """Conditional write in flight whose sender no longer waits for it."""
-
-    to_usage_row: bool  # False for the leader row
-    expected: int  # version of the row
-    node: int
-    value: int  # fence, or counts
-
-
-class Report(NamedTuple):
-    """Usage report in flight to the cloud."""
-
-    node: int
-    fence: int
-    counts: int
-
-
-class State(NamedTuple):
-    """State of the model: rows, nodes, messages in flight, reports accepted."""
-
-    leader: int  # node that the leader row names; -1 for none
-    fence: int
-    version: int
-    usage: int  # recorded counts; each node would count differently
-    usage_version: int
-    nodes: tuple[Node, ...]
-    write: Write | None
-    report: Report | None
-    cloud_fence: int
-    cloud_node: int  # node whose report had that fence
-    reported: int
-    shared_fence: bool  # reports of two nodes with the same fence were accepted
-    counts_changed: bool  # two accepted reports differ
-
-
-class Rules(NamedTuple):
-    """Switches that break the protocol one at a time."""
-
-    conditional: bool = True  # the leader row is written with a condition
-    fence_grows: bool = True
-    usage_recorded: bool = True  # usage is written to the store before the report
-
-
-def replace_node(state: State, index: int, **changes) -> State:
-    """Return the state with one node changed."""
-    nodes = list(state.nodes)
-    nodes[index] = nodes[index]._replace(**changes)
-    return state._replace(nodes=tuple(nodes))
-
-
-def apply_write(state: State, write: Write, rules: Rules) -> State:
-    """Return the state after the store has received a write.
-
-    The state is unchanged if the condition of the write fails.
-    """
-    if write.to_usage_row:
-        if write.expected != state.usage_version:
-            return state
-        return state._replace(usage=write.value, usage_version=state.usage_version + 1)
-    if rules.conditional and write.expected != state.version:
-        return state
-    return state._replace(
-        leader=write.node, fence=write.value, version=state.version + 1
-    )
-
-
-def leadership_steps(state: State, index: int, rules: Rules) -> list:
-    """Return the steps of one node that read and write the leader row."""
-    node = state.nodes[index]
-    steps = []
-
-    def step(label: str, changed: State) -> None:
-        steps.append((f"{label}({index})", changed))
-
-    if node.step is Step.IDLE:
-        read = {"fence": state.fence, "version": state.version}
-        step("read_holder", replace_node(state, index, step=Step.READ, **read))
-    may_write = state.version < MAX_WRITES
-    if node.step is Step.READ and may_write and node.fence < MAX_FENCE:
-        fence = node.fence + 1 if rules.fence_grows else max(node.fence, 1)
-        write = Write(False, node.version, index, fence)
-        steps += _leader_write_steps(state, index, write, rules, "acquire", Step.IDLE)
-    if node.step is Step.LEADER and may_write:
-        write = Write(False, node.version, index, node.fence)
-        steps += _leader_write_steps(
-            state, index, write, rules, "confirm", Step.UNCONFIRMED
-        )
-    if node.step is Step.CONFIRMED:
-        step("confirmation_ages", replace_node(state, index, step=Step.LEADER))
-    if node.step is Step.UNCONFIRMED:
-        if state.leader == index:
-            found = {"fence": state.fence, "version": state.version}
-            step("recover", replace_node(state, index, step=Step.LEADER, **found))
-        elif state.version != node.version:
-            step("recover", replace_node(state, index, step=Step.IDLE))
-        else:
-            step("recover", replace_node(state, index, step=Step.LEADER))
-    return steps
-
-
-def _leader_write_steps(
-    state: State, index: int, write: Write, rules: Rules, label: str, unknown: Step
-) -> list:
-    """Return a write of the leader row whose answer arrives, and one without answer.
-
-    ``unknown`` is the step of the node after a write without an answer.
-    """
-    written = apply_write(state, write, rules)
-    if written == state:
-        steps = [
-            (f"{label}_conflict({index})", replace_node(state, index, step=Step.IDLE))
-        ]
-    else:
-        held = {"fence": write.value, "version": written.version}
-        after = replace_node(written, index, step=Step.CONFIRMED, **held)
-        steps = [(f"{label}({index})", after)]
-    if state.write is None:
-        unanswered = replace_node(state, index, step=unknown)._replace(write=write)
-        steps.append((f"{label}_unanswered({index})", unanswered))
-    return steps
-
-
-def usage_steps(state: State, index: int, rules: Rules) -> list:
-    """Return the steps of one node that read, record and report usage."""
-    node, own_counts = state.nodes[index], index + 1
-    steps = []
-
-    def step(label: str, changed: State) -> None:
-        steps.append((f"{label}({index})", changed))
-
-    if node.step < Step.LEADER:
-        return steps
-    if node.usage_version < 0:
-        read = {"usage": state.usage, "usage_version": state.usage_version}
-        step("read_usage", replace_node(state, index, **read))
-    elif not node.usage:
-        write = Write(True, node.usage_version, index, own_counts)
-        written = apply_write(state, write, rules)
-        if written == state:
-            step("record_conflict", replace_node(state, index, usage_version=-1))
-        else:
-            kept = {"usage": own_counts, "usage_version": written.usage_version}
-            step("record_usage", replace_node(written, index, **kept))
-        if state.write is None:
-            unanswered = replace_node(state, index, usage_version=-1)._replace(
-                write=write
-            )
-            step("record_unanswered", unanswered)
-    counts = node.usage if rules.usage_recorded else own_counts
-    if node.step is Step.CONFIRMED and counts and state.report is None:
-        step("report", state._replace(report=Report(index, node.fence, counts)))
-    return steps
+from spec.leadership_model import (
+    NODES,
+    Node,
+    Report,
+    Rows,
+    Rules,
+    State,
+    Step,
+    apply_write,
+    leadership_steps,
+    stop_leading,
+    usage_steps,
+)
 
 
 def platform_steps(state: State, rules: Rules) -> list:
-    """Return the late deliveries and losses of the write and report in flight."""
+    """Return late deliveries, losses, and the return of the store."""
     steps = []
     if state.write is not None:
         remaining = state._replace(write=None)
@@ -206,13 +31,37 @@
         remaining = state._replace(report=None)
         steps.append(("call_lost", remaining))
         if state.report.fence < state.cloud_fence:
-            dropped = replace_node(remaining, state.report.node, step=Step.IDLE)
-            steps.append(("call_declined", dropped))
+            steps.append(("call_declined", stop_leading(remaining, state.report.node)))
         else:
             steps.append(("call_accepted", _accept_report(remaining, state.report)))
+    if state.era < rules.last_era:
+        steps.append(("store_returns", _return_store(state, rules)))
+    old = any(n.step is Step.CONFIRMED and n.era < state.era for n in state.nodes)
+    if not state.waited and not old:
+        steps.append(("confirmations_end", state._replace(waited=True)))
     return steps
 
 
+def _return_store(state: State, rules: Rules) -> State:
+    nodes = tuple(
+        node._replace(
+            latest=state.rows.leader == index
+            and node.step >= Step.LEADER
+            and node.era == state.era
+            and node.alone
+        )
+        for index, node in enumerate(state.nodes)
+    )
+    return state._replace(
+        nodes=nodes,
+        # A late write to the rows of an earlier era has no effect.
+        write=None if rules.rows_per_era else state.write,
+        era=state.era + 1,
+        rows=Rows(),
+        waited=not rules.waits,
+    )
+
+
 def _accept_report(state: State, report: Report) -> State:
     same_fence = report.fence == state.cloud_fence
     other = same_fence and report.node != state.cloud_node
@@ -226,15 +75,44 @@
     )
 
 
+def forget_old_rows(state: State) -> State:
+    """Return the state without what has no effect, so that fewer states are searched.
+
+    A leader that knows only rows of an earlier era, and whose confirmation has run out,
+    can only reclaim its leadership if it is the latest one, or stop.
+    """
+    nodes = []
+    for node in state.nodes:
+        if node.era < state.era and node.step in (Step.LEADER, Step.UNCONFIRMED):
+            if node.latest:
+                node = node._replace(
+                    step=Step.LEADER,
+                    fence=0,
+                    version=0,
+                    usage_version=min(node.usage_version, 0),
+                    usage=0,
+                )
+            else:
+                node = Node(known=node.known, known_era=node.known_era)
+        nodes.append(node)
+    return state._replace(nodes=tuple(nodes))
+
+
 def transitions_for(rules: Rules):
     """Return the transition function under the rules."""
 
     def transitions(state: tuple) -> list:
         current = State(*state)
+        if rules.last_era and not all(c(current) for c in INVARIANTS.values()):
+            return []  # a violation has been found
         steps = platform_steps(current, rules)
+        if rules.last_era and current == State(Rows(), (Node(),) * NODES):
+            steps.append(("window_ends_later", current._replace(window_era=1)))
         for index in range(NODES):
             steps += leadership_steps(current, index, rules)
             steps += usage_steps(current, index, rules)
+        if rules.last_era and rules.rows_per_era:
+            return [(label, forget_old_rows(after)) for label, after in steps]
         return steps
 
     return transitions
@@ -256,40 +134,101 @@
     return len(fences) == len(set(fences))
 
 
+def fences_go_up(state: State) -> bool:
+    """Return whether each confirmed leader has a higher fence than those before."""
+    return not state.fence_fell
+
+
+def confirmations_are_of_one_era(state: State) -> bool:
+    """Return whether no leader of an earlier era is confirmed beside a later one."""
+    eras = {node.era for node in state.nodes if node.step is Step.CONFIRMED}
+    return len(eras) < 2
+
+
 INVARIANTS = {
     "one_node_has_a_fence": one_node_has_a_fence,
     "reports_agree": reports_agree,
     "confirmed_holder_is_named": confirmed_holder_is_named,
+    "fences_go_up": fences_go_up,
+    "confirmations_are_of_one_era": confirmations_are_of_one_era,
 }
 
 
 def build_protocol(name: str, rules: Rules):
     """Return the protocol under the rules."""
-    initial = State(
-        -1, 0, 0, 0, 0, (Node(),) * NODES, None, None, 0, -1, 0, False, False
-    )
+    initial = State(Rows(), (Node(),) * NODES)
     return protocol_of(name, initial, transitions_for(rules), INVARIANTS)
 
 
+def _variant(name: str, violates: str, **rules) -> Variant:
+    protocol = build_protocol(name.replace(" ", "-"), Rules(**rules))
+    return Variant(name, protocol, frozenset({violates}))
+
+
 LEADERSHIP = Specification(
     "leadership of the gateway and its record of usage",
     build_protocol("leadership", Rules()),
     "2 nodes, 3 writes of the leader row, 1 late write and 1 late report",
     (
-        Variant(
+        _variant(
             "leader row written without a condition",
-            build_protocol("unconditional", Rules(conditional=False)),
-            frozenset({"one_node_has_a_fence"}),
+            "one_node_has_a_fence",
+            conditional=False,
+        ),
+        _variant("fence does not grow", "one_node_has_a_fence", fence_grows=False),
+        _variant(
+            "usage reported without a record", "reports_agree", usage_recorded=False
+        ),
+    ),
+)
+
+LEADERSHIP_OVER_RETURNS = Specification(
+    "leadership over returns of the store with older rows",
+    build_protocol("leadership-returns", Rules(max_writes=(2, 1, 1))),
+    "2 nodes, 2 returns, 2 writes of the leader row before them and 1 after each, "
+    "1 late write and 1 late report",
+    (
+        _variant(
+            "fence without the era",
+            "fences_go_up",
+            max_writes=(1, 1),
+            fence_has_era=False,
+        ),
+        _variant(
+            "rows shared by all eras",
+            "reports_agree",
+            max_writes=(2, 1),
+            rows_per_era=False,
+        ),
+        _variant(
+            "leadership acquired while a confirmation of before the return is valid",
+            "confirmations_are_of_one_era",
+            max_writes=(1, 1),
+            waits=False,
+        ),
+        _variant(
+            "windows reported that may have been reported before the return",
+            "reports_agree",
+            max_writes=(1, 1),
+            withholds=False,
+        ),
+        _variant(
+            "a replaced leader takes itself for the latest one",
+            "reports_agree",
+            max_writes=(2, 1),
+            checks_latest=False,
         ),
-        Variant(
-            "fence does not grow",
-            build_protocol("same-fence", Rules(fence_grows=False)),
-            frozenset({"one_node_has_a_fence"}),
+        _variant(
+            "the latest leader has not read what was recorded before it",
+            "reports_agree",
+            max_writes=(2, 1),
+            checks_complete=False,
         ),
-        Variant(
-            "usage reported without a record",
-            build_protocol("unrecorded", Rules(usage_recorded=False)),
-            frozenset({"reports_agree"}),
+        _variant(
+            "records believed that are older than the previous era",
+            "reports_agree",
+            max_writes=(2, 1, 1),
+            forgets=False,
         ),
     ),
 )
