Let fences rise when the store returns with older rows

The row that names the leader could go back, or be missing, when the store returned with an older copy. The next leader then took a fence that had been used, or a lower one: two nodes called the cloud with the same fence, or all calls were refused where the cloud enforces fences. A write of before the return could also arrive late and name a leader under a number that had been given out again.

So what the store was restored with names no leader, a late write of an earlier era has no effect, and no fence needs the row of before. A leader drops its confirmation when it learns of a new era and reclaims its leadership with a new fence, if its last confirmation is younger than the lease: then no other node can have replaced it. Other nodes wait 0.9 s after they first saw the era, by when no confirmation of an earlier era is valid, and a peer that still reports a fence of an earlier era is no leader.

The test of an order under an old fence used 99 as a higher fence; it uses one that is higher than those of the present era.

--- a/src/rattanwick/internal/gateway/leadership.py
+++ b/src/rattanwick/internal/gateway/leadership.py
@@ -5,31 +5,32 @@
 renewals are written while there is nothing to do. Other nodes learn from the states
 that the leader sends whether it is alive. If it is silent, one of them replaces it by a
 conditional write.
+
+Each era of the store has a row of its own, which is missing when the era begins. So a
+late write of an earlier era has no effect, and no row that the store was restored with
+names a leader. Fences of a later era are higher. The leader reclaims its leadership in
+the new era; other nodes wait until its last confirmation has run out.
 """
 
 import time
-from dataclasses import dataclass
 
-from msgpack import packb, unpackb
+from msgpack import packb
 
 from rattanwick.internal.base.errors import Conflict, MaybeApplied, StepError
 from rattanwick.internal.base.log import get_logger
-from rattanwick.internal.gateway.interfaces import (
-    NO_VERSION,
-    RowStore,
-    StoredRow,
-    Version,
+from rattanwick.internal.gateway.interfaces import NO_VERSION, RowStore, Version
+from rattanwick.internal.gateway.leader_row import (
+    FENCES_PER_ERA,
+    LEADER_KEY,
+    LEADERSHIP_TABLE,
+    Leader,
+    find_leader,
+    row_key,
 )
 from rattanwick.internal.gateway.node_state import NodeState
-from rattanwick.internal.gateway.shapes import MAX_EXACT_INTEGER, Amount, matches
 
 log = get_logger("duties")
 
-LEADERSHIP_TABLE = "duties"
-LEADER_KEY = "holder"
-ROW_SHAPE = (str, Amount(int), Amount(int))  # node id, start of the process, fence
-# Higher fences could not be raised for long: peers send them to each other.
-MAX_FENCE = MAX_EXACT_INTEGER // 2
 # Time for which the leader may act after a confirmation; shorter than the lease.
 CONFIRMATION_LIFETIME_SECONDS = 0.8
 # A leader that fails to confirm its row for this time steps down for another node.
@@ -38,27 +39,9 @@
 # A peer's state older than this does not show whether the peer is the leader.
 MAX_STATE_AGE_SECONDS = 0.6
 RANK_DELAY_SECONDS = 0.6  # between the attempts of nodes, so that few of them collide
-
-
-@dataclass(slots=True, frozen=True)
-class Leader:
-    """The row that names the leader; an empty node id means that there is none."""
-
-    node_id: str
-    boot: int  # start of the leader's process, in Unix milliseconds
-    fence: int
-    version: Version  # of the row
-
-
-def decode_leader(row: StoredRow) -> Leader:
-    """Return the leader that a row names; raise ValueError if the row is malformed."""
-    try:
-        fields = unpackb(row.value)
-    except Exception as exc:
-        raise ValueError(f"leader row: {type(exc).__name__} {exc}")
-    if not matches(fields, ROW_SHAPE) or fields[2] > MAX_FENCE:
-        raise ValueError("leader row: wrong shape")
-    return Leader(*fields, row.version)
+# This long after a node first saw an era, no confirmation of an earlier era is valid.
+ERA_WAIT_SECONDS = CONFIRMATION_LIFETIME_SECONDS + 0.1
+NEVER = float("-inf")
 
 
 class Leadership:
@@ -70,10 +53,18 @@
         self._boot = boot
         self._started_at = state.timers.now()
         self._own_row: Leader | None = None
-        self._confirmed_at = 0.0  # seconds of CLOCK_BOOTTIME
+        self._confirmed_at = NEVER  # seconds of CLOCK_BOOTTIME
+        self._era = 0  # latest one that this node has seen
+        self._restored = False  # whether it has seen an earlier one
+        # Whether no other node can have led in the last era before this one.
+        self._is_latest = False
+        # Era from which this node reclaimed its leadership; None if it did not.
+        self.reclaimed_from: int | None = None
+        self._last_fence = 0
         self._failing_since: float | None = None
         # The times below are in monotonic seconds.
-        self._stepped_down_at = -1e9
+        self._era_seen_at = self._started_at
+        self._stepped_down_at = NEVER
         # Version of another leader's row as last read, and when it was first read.
         self._seen_version: Version | None = None
         self._seen_since = 0.0
@@ -84,12 +75,28 @@
         """Return whether this node believes that it is the leader; see ``confirm``."""
         return self._own_row is not None
 
+    @property
+    def era(self) -> int | None:
+        """Return the era in which this node is the leader; None if it is not."""
+        return self._own_row.era if self._own_row is not None else None
+
+    @property
+    def era_settled_at(self) -> float:
+        """Return when no confirmation of an earlier era is valid any more.
+
+        The time is in monotonic seconds, and may be in the future.
+        """
+        return self._era_seen_at + ERA_WAIT_SECONDS
+
     def step(self) -> None:
         """Try to become the leader if there is none; release leadership on leaving."""
+        self._note_era()
         now = self._state.timers.now()
         if self._own_row is not None:
             if self._state.leaving:
                 self._release()
+            elif self._own_row.era < self._era:
+                self._reclaim()
             return
         if self._state.leaving or self._state.configuration is None:
             return
@@ -99,7 +106,10 @@
             or now - self._stepped_down_at < lease
         ):
             return
-        if self._state.members.leader(now, lease) is not None:
+        if self._must_wait(now):
+            return
+        above = self._era * FENCES_PER_ERA
+        if self._state.members.leader(now, lease, above) is not None:
             self._no_leader_since = None
             return
         if self._no_leader_since is None:
@@ -109,8 +119,11 @@
 
     def confirm(self) -> int | None:
         """Return the fence if this node is certainly still the leader, else None."""
+        self._note_era()
         if self._own_row is None:
             return None
+        if self._own_row.era < self._era:
+            return self._reclaim()
         # CLOCK_MONOTONIC stands still while the machine is suspended.
         if (
             time.clock_gettime(time.CLOCK_BOOTTIME) - self._confirmed_at
@@ -124,7 +137,12 @@
 
         Returns None if this node is not the leader or the write is not confirmed.
         """
-        return self._write_row(self._own_row.fence + 1) if self._own_row else None
+        self._note_era()
+        if self._own_row is None:
+            return None
+        if self._own_row.era < self._era:
+            return self._reclaim()
+        return self._write_row(self._own_row.fence + 1)
 
     def step_down(self, reason: str) -> None:
         """Stop acting as the leader without changing the row."""
@@ -132,9 +150,88 @@
             log.warning(
                 "stepped down", extra={"fence": self._own_row.fence, "reason": reason}
             )
+        self._stop_leading()
+        self._stepped_down_at = self._state.timers.now()
+
+    def _stop_leading(self) -> None:
         self._own_row = None
         self._state.fence = 0
-        self._stepped_down_at = self._state.timers.now()
+        self.reclaimed_from = None
+
+    def _note_era(self) -> None:
+        """Take note of a new era, in which earlier confirmations are not valid."""
+        era = self._store.era
+        if era <= self._era:
+            return
+        former, self._era = self._era, era
+        self._era_seen_at = self._state.timers.now()
+        self._restored = former > 0
+        if not self._restored:
+            return
+        since = time.clock_gettime(time.CLOCK_BOOTTIME) - self._confirmed_at
+        # Another node replaces a leader only if its row is unchanged for the lease.
+        self._is_latest = (
+            self._own_row is not None and since < self._state.settings.bounds.lease
+        )
+        self._confirmed_at = NEVER
+        log.info(
+            "leadership in a new era of the store",
+            extra={
+                "former_era": former,
+                "era": era,
+                "fence": self._state.fence,
+                "reclaims": self._is_latest,
+            },
+        )
+
+    def _must_wait(self, now: float) -> bool:
+        """Return whether a leader of an earlier era may still act.
+
+        At the first start of a deployment there is none.
+        """
+        after_start = not self._restored and self._state.settings.first_start
+        return not after_start and now < self.era_settled_at
+
+    def _reclaim(self) -> int | None:
+        """Go on as the leader in a new era; return the fence, None if not confirmed.
+
+        A leader that another node may have replaced is a candidate like others.
+        """
+        own_row = self._own_row
+        if not self._is_latest:
+            log.info("leadership of an earlier era ended", extra={"era": own_row.era})
+            self._stop_leading()
+            return None
+        try:
+            page = self._store.read(LEADERSHIP_TABLE)
+        except StepError as exc:
+            log.info("leader row not read", extra={"error": str(exc)})
+            self._note_failure()
+            return None
+        self._note_era()
+        if self._own_row is not own_row or not self._is_latest:
+            return None
+        era = page.version.era
+        if find_leader(page) is not None:
+            self.step_down("another node has led since the store was restored")
+            return None
+        self.reclaimed_from = own_row.era
+        fence = self._next_fence(None, era)
+        self._own_row = Leader(own_row.node_id, self._boot, fence, NO_VERSION, era)
+        if self._write_row(fence) is None:
+            return None
+        log.info("reclaimed", extra={"era": era, "fence": fence})
+        return fence
+
+    def _next_fence(self, known: Leader | None, era: int) -> int:
+        """Return the fence of a new leader.
+
+        Fences that peers have reported count too, for a store that does not name its
+        eras.
+        """
+        highest = max((m.fence for m in self._state.members.all()), default=0)
+        found = known.fence if known else 0
+        return max(found, era * FENCES_PER_ERA, highest, self._last_fence) + 1
 
     def _rank(self, now: float) -> int:
         own = self._state.settings.node_id
@@ -143,11 +240,14 @@
 
     def _try_acquire(self, now: float, lease: float) -> None:
         try:
-            rows = self._store.read(LEADERSHIP_TABLE).rows
+            page = self._store.read(LEADERSHIP_TABLE)
         except StepError as exc:
             log.info("leader row not read", extra={"error": str(exc)})
             return
-        known = self._find_leader(rows)
+        self._note_era()
+        if self._must_wait(now):
+            return
+        known = find_leader(page)
         own = self._state.settings.node_id
         if known is not None and known.node_id not in ("", own):
             if known.version != self._seen_version:
@@ -156,13 +256,14 @@
                 known, now
             ):
                 return
-        fence = known.fence + 1 if known else 1
+        era = page.version.era
+        fence = self._next_fence(known, era)
         version = known.version if known else NO_VERSION
-        self._own_row = Leader(own, self._boot, fence, version)
+        self._own_row = Leader(own, self._boot, fence, version, era)
         if self._write_row(fence) is None:
             self.step_down("leadership not acquired")
             return
-        log.info("acquired", extra={"fence": fence})
+        log.info("acquired", extra={"fence": fence, "era": era})
 
     def _has_stepped_down(self, known: Leader, now: float) -> bool:
         """Return whether the leader in the row reports that it is not the leader.
@@ -176,16 +277,6 @@
             return False
         return member.boot == known.boot and member.fence == 0
 
-    def _find_leader(self, rows: tuple[StoredRow, ...]) -> Leader | None:
-        for row in rows:
-            if row.key == LEADER_KEY:
-                try:
-                    return decode_leader(row)
-                except ValueError as exc:
-                    log.error("malformed leader row ignored", extra={"error": str(exc)})
-                    return Leader("", 0, row.version.number, row.version)
-        return None
-
     def _write_row(self, fence: int) -> int | None:
         """Write the row if it is unchanged; return the fence, None if not confirmed."""
         own_row = self._own_row
@@ -193,10 +284,15 @@
         value = packb([own_row.node_id, own_row.boot, fence])
         try:
             version = self._store.write(
-                LEADERSHIP_TABLE, LEADER_KEY, value, own_row.version
+                LEADERSHIP_TABLE,
+                row_key(LEADER_KEY, own_row.era),
+                value,
+                own_row.version,
             )
         except Conflict:
-            if self._own_row is own_row:
+            self._note_era()
+            # In a new era, the row of the former one may be missing or older.
+            if self._own_row is own_row and self._era <= own_row.era:
                 self.step_down("another node is the leader")
             return None
         except MaybeApplied as exc:
@@ -208,11 +304,17 @@
             self._note_failure()
             return None
         self._failing_since = None
+        self._note_era()
         if self._own_row is not own_row:
             # Leadership was released, or given up, while the store was writing.
             return None
-        self._own_row = Leader(own_row.node_id, own_row.boot, fence, version)
+        if own_row.era < max(self._era, version.era):
+            return None
+        self._own_row = Leader(
+            own_row.node_id, own_row.boot, fence, version, own_row.era
+        )
         self._confirmed_at = started
+        self._last_fence = fence
         self._state.fence = fence
         return fence
 
@@ -227,12 +329,13 @@
     def _recover_version(self) -> None:
         """Read whether a write without an answer took effect."""
         try:
-            found = self._find_leader(self._store.read(LEADERSHIP_TABLE).rows)
+            page = self._store.read(LEADERSHIP_TABLE)
         except StepError as exc:
             log.info("leader row not read", extra={"error": str(exc)})
             return
-        own_row = self._own_row
-        if found is None or own_row is None:
+        self._note_era()
+        found, own_row = find_leader(page), self._own_row
+        if found is None or own_row is None or found.era != own_row.era:
             return
         if (found.node_id, found.boot) == (own_row.node_id, own_row.boot):
             # If the write takes effect only later, its condition fails.
@@ -247,12 +350,11 @@
         try:
             self._store.write(
                 LEADERSHIP_TABLE,
-                LEADER_KEY,
+                row_key(LEADER_KEY, own_row.era),
                 packb(["", own_row.boot, own_row.fence]),
                 own_row.version,
             )
             log.info("released", extra={"fence": own_row.fence})
         except StepError as exc:
             log.info("leadership not released", extra={"error": str(exc)})
-        self._own_row = None
-        self._state.fence = 0
+        self._stop_leading()
--- a/src/rattanwick/internal/gateway/members.py
+++ b/src/rattanwick/internal/gateway/members.py
@@ -186,11 +186,14 @@
                 del self._members[node_id]
                 log.info("silent member removed", extra={"member": node_id})
 
-    def leader(self, now: float, within: float) -> Member | None:
-        """Return the leader if it sent a datagram in the last ``within`` seconds."""
+    def leader(self, now: float, within: float, above: int = 0) -> Member | None:
+        """Return the leader if it sent a datagram in the last ``within`` seconds.
+
+        Its fence is higher than ``above``.
+        """
         leaders = [
             member
             for member in self._members.values()
-            if member.fence and now - member.last_heard_at < within
+            if member.fence > above and now - member.last_heard_at < within
         ]
         return max(leaders, key=lambda member: member.fence, default=None)
--- a/src/rattanwick/internal/gateway/usage_reports.py
+++ b/src/rattanwick/internal/gateway/usage_reports.py
@@ -11,7 +11,8 @@
     StoredRow,
     Version,
 )
-from rattanwick.internal.gateway.leadership import LEADERSHIP_TABLE, Leadership
+from rattanwick.internal.gateway.leader_row import LEADERSHIP_TABLE
+from rattanwick.internal.gateway.leadership import Leadership
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.shapes import Amount, matches
 
--- a/tests/failure/test_gateway_leadership.py
+++ b/tests/failure/test_gateway_leadership.py
@@ -10,6 +10,7 @@
 from rattanwick.internal.gateway.autoscaler import Autoscaler
 from rattanwick.internal.gateway.endpoint_directory import RETURN_SECONDS
 from rattanwick.internal.gateway.interfaces import Cloud, EndpointOrder
+from rattanwick.internal.gateway.leader_row import FENCES_PER_ERA
 from rattanwick.internal.gateway.leadership import Leadership
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.model import ResponseHead
@@ -402,6 +403,6 @@
         self.assertTrue(self.first.leadership.is_leader)
 
     def test_an_order_under_an_old_fence_ends_leadership(self):
-        self.cloud.fence = 99
+        self.cloud.fence = 99 * FENCES_PER_ERA
         self.first.autoscaler.step()
         self.assertFalse(self.first.leadership.is_leader)
--- a/tests/failure/test_gateway_odd_rows.py
+++ b/tests/failure/test_gateway_odd_rows.py
@@ -12,7 +12,11 @@
 from rattanwick.internal.base.timers import GeventTimerService
 from rattanwick.internal.gateway.blocked_part_rows import BLOCK_TABLE, BlockRows
 from rattanwick.internal.gateway.blocked_parts import Block
-from rattanwick.internal.gateway.leadership import LEADER_KEY, LEADERSHIP_TABLE
+from rattanwick.internal.gateway.leader_row import (
+    LEADER_KEY,
+    LEADERSHIP_TABLE,
+    row_key,
+)
 from rattanwick.internal.gateway.member_rows import MEMBER_TABLE
 from rattanwick.internal.gateway.members import encode_member
 from rattanwick.internal.gateway.node import GatewayNode
@@ -148,7 +152,9 @@
             with self.subTest(number=number, value=value[:40]):
                 self.doCleanups()
                 self.setUp()
-                self.store.set_row(LEADERSHIP_TABLE, LEADER_KEY, value)
+                self.store.set_row(
+                    LEADERSHIP_TABLE, row_key(LEADER_KEY, self.store.era), value
+                )
                 self.acquire(self.first)
                 # Peers must be able to receive the fence.
                 self.assertIn(self.first.leadership.confirm(), range(1, 2**53))
--- a/tests/property/test_decoders.py
+++ b/tests/property/test_decoders.py
@@ -26,8 +26,8 @@
 )
 from rattanwick.internal.gateway.connection_pool import connection_keys
 from rattanwick.internal.gateway.endpoint_limits import EndpointLimits
-from rattanwick.internal.gateway.interfaces import InvalidRequest, StoredRow
-from rattanwick.internal.gateway.leadership import decode_leader
+from rattanwick.internal.gateway.interfaces import InvalidRequest, StoredRow, Version
+from rattanwick.internal.gateway.leader_row import decode_leader
 from rattanwick.internal.gateway.limit_messages import LimitUpdate, PeerLimits
 from rattanwick.internal.gateway.members import Members, decode_member
 from rattanwick.internal.gateway.model import ForwardContext
@@ -218,7 +218,7 @@
     def test_a_page_has_usable_rows_or_is_malformed(self, body):
         response = type("Response", (), {"body": body})
         try:
-            page = _decode_page(_decode_body(response))
+            page = _decode_page(_decode_body(response), 1)
         except ProtocolError:
             return
         packb([page.version, [astuple(row) for row in page.rows]])
@@ -248,7 +248,7 @@
         except ValueError:
             pass
         try:
-            packb(decode_leader(StoredRow("holder", value, 1)).fence + 1)
+            packb(decode_leader(StoredRow("holder", value, Version(1, 1))).fence + 1)
         except ValueError:
             pass
         state, store = make_state(), MemoryRowStore()
--- a/tests/scenario/test_gateway_odd_rows.py
+++ b/tests/scenario/test_gateway_odd_rows.py
@@ -12,7 +12,7 @@
     GatewayDeployment,
     make_configuration,
 )
-from rattanwick.internal.gateway.node import MEMBER_TABLE
+from rattanwick.internal.gateway.member_rows import MEMBER_TABLE
 from tests.failure.test_gateway_odd_rows import ODD_MEMBERS
 from tests.gateway_case import Answer, read_all
 from tests.odd_values import odd_configurations, odd_entries
