Announce what a whole read may have missed to the peers

A node that loses the feed's history and reads the table whole sees no removals. If the newest change was one, the node did not count as ahead, so a node that does not poll the store itself kept a row that was gone, and took the next forwarded change as if nothing lay between.

After a whole read that is not the node's first, the store's version counts as that of the newest change, so peers fetch the copy; changes forwarded after any whole read name it as the one before them.

--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -114,6 +114,8 @@
         # False until the whole table has been read, and after HistoryLost.
         self._complete = False
         self._read_at = float("-inf")  # monotonic seconds of the last whole read
+        # Store version of the last whole read; it does not show removals before it.
+        self._read_version = NO_VERSION
         self._task: gevent.Greenlet | None = None  # runs ``_run``
         self._call: gevent.Greenlet | None = None  # call to the store in progress
 
@@ -224,7 +226,12 @@
                 },
             )
             raise Unavailable("read", "store", "table is of an older version")
+        former = self.version
         self._replace({row.key: row for row in page.rows}, page.version)
+        if former != NO_VERSION:
+            # Peers may lack changes that no node has forwarded.
+            self.changed_version = page.version
+        self._read_version = page.version
         self._complete = True
         self._read_at = self._timers.now()
         self._note_success()
@@ -233,7 +240,7 @@
         """Wait for changes and apply them; return the pause before the next call."""
         wait, started = self._poll_seconds(), self._timers.now()
         page = self._store.wait_for_changes(self.table, self.version, wait)
-        after = self.changed_version
+        after = max(self.changed_version, self._read_version)
         self._apply(page.rows, page.version)
         self._note_success()
         self._forward_page(page, after)
