Show returns of the store in the explanation of a request

The explanation of a request that was refused after a return of the store left out the lines that say so. Those of the last ten seconds before the request on its node are now among the related lines; the test found none of them before.

--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -8,7 +8,17 @@
 # of its endpoint until this long after it.
 RELATED_SECONDS = 10.0
 # Events of a node that may explain the end of any of its requests.
-NODE_MESSAGES = ("lost", "regained", "started", "stopping", "copy fetched")
+NODE_MESSAGES = (
+    "lost",
+    "regained",
+    "started",
+    "stopping",
+    "copy fetched",
+    "new era of the store",
+    "table read in a new era",
+    "older configuration ignored",
+    "configuration row is missing",
+)
 # Lines of any node that show a crash which led to the refusal of a prompt.
 CRASH_EVENT = "endpoint closed the connection of a request and accepts no new one"
 ENDPOINT_LOGGERS = ("endpoints:", "limits:")  # whose lines each concern one endpoint
--- a/tests/unit/test_gateway_explanation.py
+++ b/tests/unit/test_gateway_explanation.py
@@ -51,6 +51,22 @@
         )
         self.assertIn("result is not known", found.cause)
 
+    def test_a_request_after_a_return_of_the_store_shows_what_was_kept(self):
+        lines, _ = read_lines(
+            [
+                line(17.0, "store: new era of the store", former=1, era=2),
+                line(17.1, "store: table read in a new era", table="op"),
+                line(17.1, "node: older configuration ignored", version=9, kept=12),
+                line(17.1, "store: table read in a new era", node="n2", table="op"),
+                line(18.0, "relay: refused", **R, status=404, reason="no_route"),
+            ]
+        )
+        found = explain("r", lines)
+        self.assertEqual(
+            [item.time for item in found.related_lines], [17.0, 17.1, 17.1]
+        )
+        self.assertEqual(found.related_lines[-1].fields["kept"], 12)
+
     def test_a_refused_prompt_shows_its_block_and_the_crashes(self):
         crash = "attempts: endpoint closed the connection of a request"
         crash += " and accepts no new one"
