Believe a member that is heard though it is older than one that left

The start of a process orders the processes of a node, and is read from the machine's clock. If the clock had been set back over a restart, the first node removed the row of the new process as that of one that had left, as often as the process wrote it. A state of a process that is not leaving now ends the record of the one before; the test failed before with the row missing.

--- a/src/rattanwick/internal/gateway/members.py
+++ b/src/rattanwick/internal/gateway/members.py
@@ -138,6 +138,9 @@
             self._left[member.node_id] = member.boot
             if len(self._left) > MAX_LEFT_MEMBERS:
                 del self._left[next(iter(self._left))]
+        elif member.last_state_at > 0:
+            # Its clock may have been set back since the process before it started.
+            self._left.pop(member.node_id, None)
         return known is None or known.boot != member.boot
 
     def left_boot(self, node_id: str) -> int | None:
--- a/tests/failure/test_gateway_member_rows.py
+++ b/tests/failure/test_gateway_member_rows.py
@@ -138,6 +138,14 @@
         self.assertEqual(self.state.members.get("n2").boot, 4)
         self.assertEqual(self.boots(), {"n1": 5, "n2": 4})
 
+    def test_a_process_that_is_heard_counts_though_its_clock_was_set_back(self):
+        """Its row had been removed as often as it was written."""
+        self.write_peer("n2", 2)
+        now = self.timers.now()
+        self.state.members.put(Member("n2", 2, ("x", 1), "x:1", "a", now, now))
+        self.rows._sync()
+        self.assertEqual(self.boots(), {"n1": 5, "n2": 2})
+
     def test_a_row_that_is_written_meanwhile_is_not_removed(self):
         read = self.store.read
 
