Write lost blocks of prompt parts again after a return of the store

A block is saved once. When the store returned with older rows, blocks of the last seconds were gone from it, and a block that had ended or been narrowed was back as it was before. Nodes that run keep what they know, but a node that started while no peer answered it read the old rows, and once all nodes had been replaced the block was lost.

In a new era all nodes now forget the versions of the rows, and the node that does what one node has to do compares the rows with its blocks and writes those that are missing or differ. It tries again while the store does not answer. So a return costs one read, and one write for each lost block, however many nodes there are.

--- a/src/rattanwick/internal/gateway/blocked_part_rows.py
+++ b/src/rattanwick/internal/gateway/blocked_part_rows.py
@@ -38,6 +38,10 @@
         self._store = store
         self._versions: dict[str, Version] = {}  # of the rows, by block id
         self._saving = False
+        self._era = 0  # latest era of the store that this node has seen
+        # Whether rows that a return of the store may have lost have yet to be compared
+        # with the blocks that this node knows.
+        self._must_compare = False
 
     def start(self) -> None:
         """Start saving blocks."""
@@ -61,6 +65,9 @@
         self._saving = True
         try:
             is_first = self._is_first()
+            self._note_era()
+            if is_first and self._must_compare:
+                self._compare_rows()
             for block in self._guard.expire():
                 if is_first and block.saved:
                     self._remove(block)
@@ -72,6 +79,39 @@
         finally:
             self._saving = False
 
+    def _note_era(self) -> None:
+        """Forget the versions of rows when the store has returned with older ones."""
+        era = self._store.era
+        if era <= self._era:
+            return
+        if self._era > 0:
+            self._versions.clear()
+            self._must_compare = True
+        self._era = era
+
+    def _compare_rows(self) -> None:
+        """Mark blocks as unsaved whose rows are missing or older in a new era."""
+        known = self._guard.blocks.all()
+        if not known:
+            return
+        try:
+            rows = self._store.read(BLOCK_TABLE).rows
+        except StepError as exc:
+            log.info("blocks not read", extra={"error": str(exc)})
+            return
+        found = {}
+        for row in rows:
+            block = self._apply(row)
+            if block is not None:
+                found[block.id] = block.content()
+        lost = [b.id for b in known if found.get(b.id) != b.content()]
+        self._guard.unsaved.update(lost)
+        self._must_compare = False
+        log.info(
+            "blocks compared in a new era of the store",
+            extra={"era": self._era, "known": len(known), "written_again": lost},
+        )
+
     def _is_first(self) -> bool:
         """Return whether this node does what one node has to do."""
         state = self._state
@@ -144,18 +184,20 @@
             # The next node to read it ignores it for its age.
             log.info("row not removed", extra={"block": block.id, "error": str(exc)})
 
-    def _apply(self, row: StoredRow) -> None:
+    def _apply(self, row: StoredRow) -> Block | None:
+        """Take over a row; return its block as it was stored, None if it has none."""
         if row.value is None:
-            return
+            return None
         try:
             block = self._decode(row)
         except ValueError as exc:
             log.warning(
                 "malformed row ignored", extra={"block": row.key, "error": str(exc)}
             )
-            return
+            return None
         self._versions[row.key] = row.version
         self._guard.learn(block, "store")
+        return block
 
     def _encode(self, block: Block, trials: int) -> bytes:
         timers = self._state.timers
--- a/tests/failure/test_gateway_part_exchange.py
+++ b/tests/failure/test_gateway_part_exchange.py
@@ -231,6 +231,39 @@
         self.assertTrue(other.load())
         self.assertEqual(other._guard.blocks.digest(), rows._guard.blocks.digest())
 
+    def test_blocks_are_written_again_when_the_store_returns_with_older_rows(self):
+        """Guard against a block that nodes which start later do not know."""
+        rows = self.make_rows("n1")
+        block = self.block(rows)
+        number = self.store.version.number
+        rows._guard.note_answer(("x",))
+        rows.step()
+        for copy in (number, 0):
+            with self.subTest(copy=copy):
+                self.store.restore(copy)
+                rows.step()
+                late = self.make_rows("n2")
+                self.assertTrue(late.load())
+                stored = late._guard.blocks.get(block.id)
+                self.assertEqual(stored.content(), block.content())
+                writes = self.store.calls.count("write")
+                rows.step()
+                self.assertEqual(self.store.calls.count("write"), writes)
+
+    def test_only_lost_blocks_are_written_again(self):
+        rows = self.make_rows("n1")
+        self.block(rows)
+        writes = self.store.calls.count("write")
+        self.store.restore(self.store.version.number)
+        rows.step()
+        self.assertEqual(self.store.calls.count("write"), writes)
+        self.store.restore(0)
+        self.store.down = True
+        rows.step()
+        self.store.down = False
+        rows.step()
+        self.assertEqual(self.store.calls.count("write"), writes + 1)
+
     def test_an_end_is_kept_against_a_late_write_of_the_block(self):
         rows, other = self.make_rows("n1"), self.make_rows("n2")
         self.block(rows)
