Check in the soak that a planned stop leaves no request without a response

The soak counted a planned stop as an outage, and its check of response times passed over every request that overlapped one. So it could not see that a node which stops ends requests that it has read without a response.

A planned stop is now told apart from kills and pauses. During one, a whole request is owed a response if it reached an endpoint, or if its connection ended well after its last byte; a response of an endpoint without faults must be complete. A stream may be broken off only in the last sixth of the grace period, if it was sent within 3 s of SIGTERM.

Slow callers are new: bodies in pieces, with a length or in chunks, some after Expect: 100-continue; slow reading; pipelined requests; endpoints that take 4 to 7 s of the 8 s of grace. Nodes get SIGTERM twice, or SIGHUP and a change of the configuration just before.

--- a/Makefile
+++ b/Makefile
@@ -54,8 +54,9 @@
 	PYTHONPATH=src:. $(BIN)/python -m bench.gateway_incident
 
 # Gateway nodes under random faults; one fresh seed, or SEEDS=1-50.
+# OPTIONS=--planned-only for planned work alone.
 soak: $(STAMP)
-	PYTHONPATH=src:. $(BIN)/python -m soak $(if $(SEEDS),--seeds $(SEEDS))
+	PYTHONPATH=src:. $(BIN)/python -m soak $(if $(SEEDS),--seeds $(SEEDS)) $(OPTIONS)
 
 # Plays the plan of endpoints on 40 drawn deployments, in some seconds.
 lab: $(STAMP)
--- a/fakes/gateway_deployment.py
+++ b/fakes/gateway_deployment.py
@@ -23,6 +23,7 @@
 REQUEST_TIMEOUT_SECONDS = 1.0
 POLL_INTERVAL_SECONDS = 0.05
 STOP_TIMEOUT_SECONDS = 5.0
+GRACE_SECONDS = 8  # from SIGTERM until the platform would kill a node
 NODE_FILE = """
 node = "{node}"
 ip = "{ip}"
@@ -34,7 +35,7 @@
 ready = "{ip}:{readiness}"
 directory = "{ip}:{entry}"
 [bounds]
-grace_s = 8
+grace_s = {grace}
 usage_window_s = 1
 usage_late_s = 10
 [provider]
@@ -46,7 +47,12 @@
 
 
 def make_route(
-    prefix: str, kind: str, service: str, attempts: int = 1, resumable: bool = False
+    prefix: str,
+    kind: str,
+    service: str,
+    attempts: int = 1,
+    resumable: bool = False,
+    timeout_ms: int = 8000,
 ) -> dict:
     """Return a route in the operator's format."""
     return {
@@ -54,7 +60,7 @@
         "host": HOST,
         "prefix": prefix,
         "kind": kind,
-        "timeout_ms": 8000,
+        "timeout_ms": timeout_ms,
         "slo_ms": 1000,
         "service": service,
         "max_attempts": attempts,
@@ -71,8 +77,10 @@
 ]
 
 
-def make_configuration(version: int, routes: list[dict] = ROUTES) -> dict:
-    """Return a configuration with the services ``engine`` and ``plain``."""
+def make_configuration(
+    version: int, routes: list[dict] = ROUTES, more_services: tuple[dict, ...] = ()
+) -> dict:
+    """Return a configuration with the services ``engine``, ``plain`` and others."""
     return {
         "version": version,
         "routes": routes,
@@ -83,6 +91,7 @@
                 "engine": {"slots": 8, "kv_capacity": 9000},
             },
             {"name": "plain", "max_conns": 64},
+            *more_services,
         ],
         "limits": {
             "max_header_bytes": 16384,
@@ -144,14 +153,19 @@
         return endpoint
 
     def register_endpoint(
-        self, endpoint: FakeGatewayEndpoint, address: str, incarnation: int
+        self,
+        endpoint: FakeGatewayEndpoint,
+        address: str,
+        incarnation: int,
+        service: str = "",
     ) -> None:
         """Write an endpoint's entry to the store.
 
-        ``incarnation`` differs between processes of one endpoint.
+        ``incarnation`` differs between processes of one endpoint. The service is
+        ``engine`` or ``plain`` unless one is given.
         """
         entry = {
-            "service": "engine" if endpoint.stream else "plain",
+            "service": service or ("engine" if endpoint.stream else "plain"),
             "address": address,
             "zone": DATA_CENTRE,
             "slots": 8,
@@ -176,6 +190,7 @@
             callers=CALLER_PORT,
             readiness=READINESS_PORT,
             entry=DIRECTORY_PORT,
+            grace=GRACE_SECONDS,
             platform=platform or self.platform.address,
             first_start=str(first_start).lower(),
         )
--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -1,5 +1,6 @@
 """Fake endpoint of the gateway's platform, with a switch for each fault."""
 
+import random
 import time
 
 import gevent
@@ -53,6 +54,9 @@
         self.head_bytes = 0  # see the fault cut_head
         self.refusal_has_id = True  # whether a refusal holds the request id
         self.work_seconds = 0.0  # time before a response that is not streamed
+        # Share by which that time, and the one between events, vary at random.
+        self.time_spread = 0.0
+        self.body_copies = 1  # how often a body that is not streamed is repeated
         # Sent with every response: the requests per second that it takes, as text.
         self.rate_limit = ""
         # Arrival of each request, in monotonic seconds, and its id.
@@ -69,6 +73,7 @@
         self.crashes: list[tuple[float, str]] = []
         # Called at the start and at the end of a crash.
         self.on_crash = self.on_return = lambda: None
+        self._random = random.Random(endpoint_id)
         self._serving: dict[gevent.Greenlet, socket.socket] = {}
         self._stopped = False
         self._server = StreamServer((host, 0), self._serve)
@@ -182,12 +187,16 @@
             return self._send_stream(sock, headers, fault)
         return self._send_whole_response(sock, headers, fault)
 
+    def _vary(self, seconds: float) -> float:
+        return seconds * (1 + self._random.uniform(-1, 1) * self.time_spread)
+
     def _send_whole_response(self, sock, headers: dict, fault: str) -> bool:
-        gevent.sleep(self.work_seconds)
+        gevent.sleep(self._vary(self.work_seconds))
         if self._will_crash(headers):
             self.crash(headers["x-request-id"])
             return False
         body = headers["x-request-id"].encode() if self.echo_request_id else b"whole"
+        body *= self.body_copies
         if fault in ERROR_STATUSES:
             status = ERROR_STATUSES[fault]
             return self._send_response(sock, status, headers, b"no", {})
@@ -220,7 +229,7 @@
             f"{self._limit_line()}Transfer-Encoding: chunked\r\n\r\n".encode()
         )
         for number in range(first, EVENTS + 1):
-            gevent.sleep(self.event_seconds)
+            gevent.sleep(self._vary(self.event_seconds))
             if crashing and number == first + self.events_before_crash:
                 self.crash(headers["x-request-id"])
                 return False
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,27 +15,29 @@
 from gevent.pool import Pool  # noqa: E402
 
 from fakes.processes import SpawnedProcess  # noqa: E402
-from soak.regressions import REGRESSIONS  # noqa: E402
+from soak.regressions import PLANNED_REGRESSIONS, REGRESSIONS  # noqa: E402
 from soak.run import SoakReport, SoakSize, run_soak  # noqa: E402
 
 DEFAULT_SIZE = SoakSize()
+KNOWN_SEEDS = {"known": REGRESSIONS, "known-planned": PLANNED_REGRESSIONS}
 CALLERS_PER_ENGINE = 4
 MAX_SEED_SECONDS = 300.0  # of one seed
 
 
 def read_seeds(value: str) -> list[int]:
-    """Return the seeds of a number, of a range such as ``1-50``, or of ``known``.
+    """Return the seeds of a number, of a range such as ``1-50``, or of a name.
 
-    ``known`` stands for all seeds in ``REGRESSIONS``.
+    ``known`` stands for all seeds in ``REGRESSIONS``, ``known-planned`` for those in
+    ``PLANNED_REGRESSIONS``.
     """
-    if value == "known":
-        return list(REGRESSIONS)
+    if value in KNOWN_SEEDS:
+        return list(KNOWN_SEEDS[value])
     first, _, last = value.partition("-")
     try:
         return list(range(int(first), int(last or first) + 1))
     except ValueError:
         raise argparse.ArgumentTypeError(
-            "expected a number, a range such as 1-50, or known"
+            "expected a number, a range such as 1-50, known or known-planned"
         )
 
 
@@ -67,6 +69,11 @@
     parser.add_argument("--seconds", type=float, default=DEFAULT_SIZE.seconds)
     parser.add_argument("--nodes", type=int, default=DEFAULT_SIZE.nodes)
     parser.add_argument("--callers", type=int, default=DEFAULT_SIZE.callers)
+    parser.add_argument(
+        "--planned-only",
+        action="store_true",
+        help="stop nodes, reload and change the configuration, and inject no faults",
+    )
     parser.add_argument("--logs", type=Path, default=Path("soak-logs"))
     parser.add_argument("--jobs", type=int, default=1, help="seeds to run in parallel")
     args = parser.parse_args()
@@ -74,6 +81,7 @@
     if args.jobs > 1:
         options = [f"--seconds={args.seconds}", f"--nodes={args.nodes}"]
         options += [f"--callers={args.callers}", f"--logs={args.logs}"]
+        options += ["--planned-only"] if args.planned_only else []
         passed = Pool(args.jobs).map(
             lambda seed: run_in_subprocess(seed, options), seeds
         )
@@ -81,7 +89,14 @@
         return 0 if all(passed) else 1
     # Otherwise the endpoints have too few slots for many callers, also without faults.
     endpoints = max(DEFAULT_SIZE.engines, args.callers // CALLERS_PER_ENGINE)
-    size = SoakSize(args.nodes, endpoints, endpoints, args.callers, args.seconds)
+    size = SoakSize(
+        args.nodes,
+        endpoints,
+        endpoints,
+        args.callers,
+        args.seconds,
+        planned_only=args.planned_only,
+    )
     failed = 0
     for seed in seeds:
         report = run_soak(seed, size, args.logs)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,7 @@
 REQUEST_INTERVAL_SECONDS = 0.03  # between the requests of a caller
 # A caller waits no longer than this, even where Retry-After asks for more.
 MAX_RETRY_DELAY_SECONDS = 0.3
+CHUNKED = ("Transfer-Encoding", "chunked")
 STREAM_KINDS = ("stream", "resume")
 REQUEST_KINDS = ("safe", "unsafe", *STREAM_KINDS)
 EXTRA_PART_INTERVAL_SECONDS = (
@@ -36,10 +37,17 @@
     node: tuple[str, int] | None  # address; None if no connection was tried
     started: float  # monotonic seconds
     ended: float = 0.0
+    deadline: float = DEADLINE_SECONDS
+    sent_at: float | None = None  # time at which its last byte had been sent
+    paused: float = 0.0  # seconds for which the caller did not read a response
+    # Whether the connection ended with the response to an earlier pipelined request.
+    follows_close: bool = False
+    sound_endpoints: bool = False  # whether no fault is injected into its endpoints
     status: int = 0  # HTTP status; 0 if there was no response
     answer_id: str = ""
     retry_after: float | None = None
     body: bytes = b""
+    body_copies: int = 1  # of its id, in the body of a response that is not streamed
     complete: bool = False
     error: str = ""
 
@@ -56,10 +64,16 @@
         self,
         deployment: GatewayDeployment,
         number: int,
-        seed: int,
+        seed: int | str,
         extra_part: str = "",
+        sound_endpoints: bool = False,
     ):
-        """``extra_part`` is a part that all prompts hold; then all are streams."""
+        """``extra_part`` is a part that all prompts hold; then all are streams.
+
+        ``sound_endpoints`` tells that no fault is injected into the endpoints.
+        """
+        self._sound_endpoints = sound_endpoints
+        self._deadline = DEADLINE_SECONDS
         self._extra_part = extra_part
         self._kinds = STREAM_KINDS if extra_part else REQUEST_KINDS
         self._interval = (
@@ -82,13 +96,21 @@
         while not self.stopping:
             self._refresh_addresses()
             if self._addresses:
-                result = self._send_request(self._random.choice(self._kinds))
-                self.results.append(result)
-                delay = min(result.retry_after or 0.0, MAX_RETRY_DELAY_SECONDS)
+                results = self._send_next()
+                self.results += results
+                delay = min(results[-1].retry_after or 0.0, MAX_RETRY_DELAY_SECONDS)
                 gevent.sleep(delay)
-            gevent.sleep(self._interval)
+            gevent.sleep(self._next_interval())
         self._close_connection()
 
+    def _send_next(self) -> list[CallResult]:
+        """Send the next request and return its result."""
+        return [self._send_request(self._random.choice(self._kinds))]
+
+    def _next_interval(self) -> float:
+        """Return the seconds until the next request."""
+        return self._interval
+
     def _refresh_addresses(self) -> None:
         """Read the callers' addresses from a random node if they are out of date."""
         now = time.monotonic()
@@ -101,13 +123,10 @@
             self._addresses_read_at = now
 
     def _send_request(self, kind: str) -> CallResult:
-        self._sent_count += 1
-        result = CallResult(
-            f"c{self._number}-{self._sent_count}", kind, None, time.monotonic()
-        )
+        result = self._make_result(kind)
         try:
             with gevent.Timeout(
-                DEADLINE_SECONDS + TIMEOUT_MARGIN_SECONDS,
+                self._deadline + TIMEOUT_MARGIN_SECONDS,
                 TimeoutError("no response in time"),
             ):
                 self._connect(result)
@@ -118,6 +137,17 @@
         result.ended = time.monotonic()
         return result
 
+    def _make_result(self, kind: str) -> CallResult:
+        self._sent_count += 1
+        return CallResult(
+            f"c{self._number}-{self._sent_count}",
+            kind,
+            None,
+            time.monotonic(),
+            deadline=self._deadline,
+            sound_endpoints=self._sound_endpoints,
+        )
+
     def _connect(self, result: CallResult) -> None:
         if self._sock is None:
             self._node = self._random.choice(self._addresses)
@@ -128,31 +158,44 @@
         result.node = self._node
 
     def _exchange(self, result: CallResult) -> None:
+        data, body = self._make_request(result)
+        data += self._http.send(h11.Data(data=body)) if body else b""
+        self._sock.sendall(data + self._http.send(h11.EndOfMessage()))
+        result.sent_at = time.monotonic()
+        self._read_response(result)
+        self._end_exchange()
+
+    def _make_request(
+        self, result: CallResult, prefix: str = "", more_headers: tuple = ()
+    ) -> tuple[bytes, bytes]:
+        """Return the encoded head of a request and its body.
+
+        ``prefix`` precedes the kind of request in the path.
+        """
         method = "GET" if result.kind == "safe" else "POST"
         headers = [
             ("Host", HOST),
             ("X-Request-Id", result.id),
             ("X-Api-Key", KEY),
-            ("X-Deadline-Ms", str(int(DEADLINE_SECONDS * 1000))),
+            ("X-Deadline-Ms", str(int(self._deadline * 1000))),
+            *more_headers,
         ]
         if result.kind in STREAM_KINDS:
             headers.append(("X-Prompt-Prefix", self._make_prompt(result.id)))
         body = b"" if method == "GET" else result.id.encode()
-        if body:
+        if body and CHUNKED not in headers:
             headers.append(("Content-Length", str(len(body))))
         request = h11.Request(
-            method=method, target=f"/{result.kind}/x", headers=headers
+            method=method, target=f"/{prefix}{result.kind}/x", headers=headers
         )
-        data = self._http.send(request)
-        data += self._http.send(h11.Data(data=body)) if body else b""
-        self._sock.sendall(data + self._http.send(h11.EndOfMessage()))
-        self._read_response(result)
-        if self._http.our_state is h11.MUST_CLOSE or (
-            self._http.their_state is not h11.DONE
-        ):
-            self._close_connection()
-        else:
+        return self._http.send(request), body
+
+    def _end_exchange(self) -> None:
+        """Prepare the connection for the next request, or close it."""
+        if self._http.our_state is self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
+        else:
+            self._close_connection()
 
     def _make_prompt(self, request_id: str) -> str:
         parts = ["first", f"group-{self._sent_count % GROUPS}", self._extra_part]
@@ -162,7 +205,7 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(self._sock.recv(READ_BYTES))
+                self._http.receive_data(self._receive(result))
             elif isinstance(event, h11.Response):
                 values = {name.lower(): value for name, value in event.headers}
                 result.status = event.status_code
@@ -179,6 +222,10 @@
                     "connection closed before the response ended"
                 )
 
+    def _receive(self, result: CallResult) -> bytes:
+        """Return the next bytes of a response."""
+        return self._sock.recv(READ_BYTES)
+
     def _close_connection(self) -> None:
         if self._sock is not None:
             self._sock.close()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,17 +4,25 @@
 """
 
 from collections import Counter
+from collections.abc import Collection
 from pathlib import Path
 
+from fakes.gateway_deployment import GRACE_SECONDS
 from fakes.gateway_endpoint import EVENTS, LIMIT_WINDOW_SECONDS, busiest_window
 from rattanwick.internal.gateway.explanation import read_lines
-from soak.callers import DEADLINE_SECONDS, CallResult
+from soak.callers import STREAM_KINDS, CallResult
 from soak.system import NamedLimit, NodeOutage
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Time that a response may take beyond its deadline. Timers fire late on a busy
 # machine, and the response still has to reach the caller.
 LATENESS_TOLERANCE_SECONDS = 0.5
+# A request has been read if its connection ends later than this after its last byte.
+READ_SECONDS = 0.2 + LATENESS_TOLERANCE_SECONDS
+# A stream may be broken off at the end of a planned stop if its endpoint is still at
+# work in the last part of the grace period on a request sent early in the stop.
+EARLY_SECONDS = 3.0
+LAST_PART_SECONDS = GRACE_SECONDS * 5 / 6
 # What the platform allows beyond the limit that an endpoint names, and the time until
 # it binds a node.
 EXCESS_RATIO = 1.5
@@ -64,7 +72,7 @@
 
 def _check_body(result: CallResult) -> list[str]:
     if result.kind in ("safe", "unsafe"):
-        if result.complete and result.body != result.id.encode():
+        if result.complete and result.body != result.id.encode() * result.body_copies:
             return [f"{result.id} got a wrong body: {result.body[:40]!r}"]
         return []
     expected = b"".join(
@@ -78,32 +86,84 @@
     return []
 
 
-def check_response_times(
-    results: list[CallResult], outages: list[NodeOutage]
+def check_responses(
+    results: list[CallResult],
+    outages: list[NodeOutage],
+    passed_on: Collection[str] = (),
 ) -> list[str]:
-    """Return the requests with a late or no response, except during an outage.
+    """Return the requests with a late, incomplete or no response.
 
-    Requests to a node that overlap with an outage of that node are passed over.
+    Requests that overlap with an unplanned outage of their node are passed over. During
+    a planned stop, a response is owed only to requests that the node has read.
+    ``passed_on`` holds the ids of requests that reached an endpoint.
     """
     violations = []
     for result in results:
-        if any(
-            result.node == outage.node
+        overlapping = [
+            outage
+            for outage in outages
+            if result.node == outage.node
             and result.started < outage.ended
             and outage.started < result.ended
-            for outage in outages
-        ):
+        ]
+        if not all(outage.planned for outage in overlapping):
             continue
-        seconds = result.ended - result.started
-        if seconds > DEADLINE_SECONDS + LATENESS_TOLERANCE_SECONDS:
+        if not _is_owed(result, bool(overlapping), result.id in passed_on):
+            continue
+        seconds = result.ended - result.started - result.paused
+        if seconds > result.deadline + LATENESS_TOLERANCE_SECONDS:
             violations.append(
                 f"{result.id} took {seconds:.2f} s: {result.status} {result.error}"
             )
         elif not result.status and result.node:
-            violations.append(f"{result.id} got no response: {result.error}")
+            place = "at an endpoint" if result.id in passed_on else "not passed on"
+            violations.append(
+                f"{result.id} ({result.kind}, {place}) got no response"
+                f"{_describe_stop(overlapping, result)}: {result.error}"
+            )
+        elif (
+            result.sound_endpoints
+            and not result.complete
+            and result.ended - result.started < result.deadline
+            and not any(_may_break_stream(outage, result) for outage in overlapping)
+        ):
+            violations.append(
+                f"{result.id} ({result.kind}) was broken off"
+                f"{_describe_stop(overlapping, result)}: {result.error}"
+            )
     return violations
 
 
+def _is_owed(result: CallResult, stopping: bool, passed_on: bool) -> bool:
+    """Return whether a node must answer a request, of which it may be stopping."""
+    if passed_on or result.status:
+        return True
+    if result.follows_close:
+        return False
+    was_read = (
+        result.sent_at is not None and result.ended - result.sent_at > READ_SECONDS
+    )
+    return was_read or not stopping
+
+
+def _describe_stop(stops: list[NodeOutage], result: CallResult) -> str:
+    """Return when a request was sent and ended, in seconds after SIGTERM."""
+    started = [stop.started for stop in stops if stop.started < result.ended]
+    if not started or result.sent_at is None:
+        return ""
+    sent, ended = result.sent_at - max(started), result.ended - max(started)
+    return f", sent {sent:.2f} s and ended {ended:.2f} s after SIGTERM"
+
+
+def _may_break_stream(stop: NodeOutage, result: CallResult) -> bool:
+    return (
+        result.kind in STREAM_KINDS
+        and result.sent_at is not None
+        and result.sent_at - stop.started <= EARLY_SECONDS
+        and result.ended - stop.started >= LAST_PART_SECONDS
+    )
+
+
 def check_limits(
     limits: list[NamedLimit], results: list[CallResult], outages: list[NodeOutage]
 ) -> list[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -61,13 +61,19 @@
 class NodeFault(Fault):
     """Fault of one node, left out while another fault of that node lasts."""
 
+    planned: ClassVar[bool] = False  # whether it begins with SIGTERM
+
     def inject(self) -> str:
         """Inject the fault into a random node."""
         node = self._random_node()
-        with self._system.record_outage(node) as free:
+        self.inject_into(node)
+        return node
+
+    def inject_into(self, node: str) -> None:
+        """Inject the fault into a node."""
+        with self._system.record_outage(node, self.planned) as free:
             if free:
                 self._apply(node, self._system.deployment.nodes[node])
-        return node
 
     @abstractmethod
     def _apply(self, node: str, process: SpawnedProcess) -> None:
@@ -93,10 +99,11 @@
     """
 
     name = "stop node"
+    planned = True
 
     def _apply(self, node: str, process: SpawnedProcess) -> None:
         age = time.monotonic() - process.started
-        process.terminate()
+        self._send_signals(process)
         status = process.wait(EXIT_TIMEOUT_SECONDS)
         ended_by_signal = age < INTERPRETER_START_SECONDS and status == -signal.SIGTERM
         if status != 0 and not ended_by_signal:
@@ -105,6 +112,9 @@
             process.wait(EXIT_TIMEOUT_SECONDS)
         self._system.start_node(node)
 
+    def _send_signals(self, process: SpawnedProcess) -> None:
+        process.terminate()
+
 
 class PauseNode(NodeFault):
     """Pauses the process of a node with SIGSTOP."""
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,5 +1,10 @@
 """Seeds that have failed once, each with its cause."""
 
+REQUESTS_CUT_BY_STOP = (
+    "requests that were read late in the grace period, or waited for an endpoint at its"
+    " end, got no response from a node that stopped"
+)
+
 STOPPED_DURING_START = (
     "a node that got SIGTERM during its start was ended by the signal"
 )
@@ -29,3 +34,9 @@
     124: ENDPOINTS_DOWN_BEFORE,
     250: PAUSED_WHILE_CONNECTING,
 }
+
+# Seeds of runs with planned work only.
+PLANNED_REGRESSIONS: dict[int, str] = {
+    1: REQUESTS_CUT_BY_STOP,
+    4: REQUESTS_CUT_BY_STOP,
+}
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,14 +9,14 @@
 
 import gevent
 
-from soak.callers import Caller, CallResult
+from soak.callers import Caller
 from soak.checks import (
     check_answers,
     check_crashing_requests,
     check_limits,
     check_log,
     check_recovery,
-    check_response_times,
+    check_responses,
 )
 from soak.faults import (
     EXIT_TIMEOUT_SECONDS,
@@ -24,12 +24,15 @@
     MAX_FAULT_SECONDS,
     EndpointLimit,
 )
+from soak.planned_work import MAX_ROLL_SECONDS, PLANNED_WORK, RollNodes
+from soak.slow_callers import SlowCaller
 from soak.system import CRASHING_PART, SoakSystem
 
 # The platform requires that the system recovers in this time after the last fault.
 MAX_RECOVERY_SECONDS = 15.0
 RECOVERED_LOAD_SECONDS = 1.5  # load after the recovery, in which nothing may fail
 MAX_FAULT_INTERVAL_SECONDS = 0.8  # between the starts of two faults
+MAX_PLANNED_INTERVAL_SECONDS = 2.0  # between two pieces of planned work
 
 
 @dataclass(slots=True)
@@ -41,6 +44,8 @@
     plain: int = 2  # endpoints that don't stream
     callers: int = 8
     seconds: float = 10.0  # no fault starts later than this
+    slow_callers: int = 6
+    planned_only: bool = False  # whether there is planned work and no other fault
 
 
 @dataclass(slots=True)
@@ -79,13 +84,23 @@
         self._random = random.Random(seed)
         # A generator of its own, so that earlier seeds give the same other faults.
         self._limit_random = random.Random(f"{seed} limits")
+        self._planned_random = random.Random(f"{seed} planned work")
         self._size = size
         self._report = SoakReport(seed)
         self._system = SoakSystem(folder, size.nodes, size.engines, size.plain)
         self._callers = [
-            Caller(self._system.deployment, number, self._random.getrandbits(32))
+            Caller(
+                self._system.deployment,
+                number,
+                self._random.getrandbits(32),
+                sound_endpoints=size.planned_only,
+            )
             for number in range(size.callers)
         ]
+        self._slow_callers = [
+            SlowCaller(self._system.deployment, number, f"{seed} caller {number}")
+            for number in range(size.callers + 1, size.callers + 1 + size.slow_callers)
+        ]
         self._crashing_caller = Caller(
             self._system.deployment, size.callers, seed, CRASHING_PART
         )
@@ -95,7 +110,9 @@
         """Run load and faults, check the results and return the report."""
         try:
             self._system.start()
-            tasks = [gevent.spawn(caller.run) for caller in self._callers]
+            callers = [*self._callers, *self._slow_callers]
+            tasks = [gevent.spawn(caller.run) for caller in callers]
+            self._crashing_caller.stopping = self._size.planned_only
             crashing = gevent.spawn(self._crashing_caller.run)
             self._inject_faults()
             self._crashing_caller.stopping = True
@@ -103,7 +120,7 @@
             self._recover()
             recovered_at = time.monotonic()
             gevent.sleep(RECOVERED_LOAD_SECONDS)
-            for caller in self._callers:
+            for caller in callers:
                 caller.stopping = True
             gevent.joinall(tasks, raise_error=True)
             self._check(recovered_at)
@@ -118,13 +135,17 @@
         """
         self._started_at = time.monotonic()
         limit = self._started_at + self._size.seconds
-        running = [gevent.spawn(self._inject_limits, limit)]
-        while time.monotonic() < limit:
+        running = [gevent.spawn(self._inject_planned_work, limit)]
+        if self._size.planned_only:
+            running.append(gevent.spawn(self._roll_nodes, limit))
+        else:
+            running.append(gevent.spawn(self._inject_limits, limit))
+        while time.monotonic() < limit and not self._size.planned_only:
             kind = self._random.choice(FAULTS)
             fault = kind(self._system, random.Random(self._random.getrandbits(32)))
             running.append(gevent.spawn(self._inject, fault))
             gevent.sleep(self._random.uniform(0.0, MAX_FAULT_INTERVAL_SECONDS))
-        max_seconds = MAX_FAULT_SECONDS + 2 * EXIT_TIMEOUT_SECONDS
+        max_seconds = MAX_FAULT_SECONDS + 2 * EXIT_TIMEOUT_SECONDS + MAX_ROLL_SECONDS
         gevent.joinall(running, timeout=max_seconds, raise_error=True)
         if not all(task.ready() for task in running):
             self._report.failures.append(f"a fault did not end within {max_seconds} s")
@@ -134,6 +155,20 @@
         while time.monotonic() < until:
             self._inject(EndpointLimit(self._system, self._limit_random))
 
+    def _inject_planned_work(self, until: float) -> None:
+        """Do random planned work, one after the other."""
+        rng = self._planned_random
+        while time.monotonic() < until:
+            kind = rng.choice(PLANNED_WORK)
+            self._inject(kind(self._system, random.Random(rng.getrandbits(32))))
+            gevent.sleep(rng.uniform(0.0, MAX_PLANNED_INTERVAL_SECONDS))
+
+    def _roll_nodes(self, until: float) -> None:
+        """Stop and start all nodes in series, again and again."""
+        rng = random.Random(f"{self._report.seed} roll")
+        while time.monotonic() < until:
+            self._inject(RollNodes(self._system, rng))
+
     def _inject(self, fault) -> None:
         offset_seconds = time.monotonic() - self._started_at
         description = fault.inject()
@@ -165,11 +200,11 @@
         )
 
     def _check(self, recovered_at: float) -> None:
-        results: list[CallResult] = [
-            result
-            for caller in (*self._callers, self._crashing_caller)
-            for result in caller.results
-        ]
+        others = (*self._slow_callers, self._crashing_caller)
+        recovered, results = (
+            [result for caller in callers for result in caller.results]
+            for callers in (self._callers, (*self._callers, *others))
+        )
         system, report = self._system, self._report
         report.answers.update(result.status for result in results)
         report.failures += system.failures
@@ -178,16 +213,19 @@
             f"request without an id: {request}"
             for request in system.unidentified_requests
         ]
-        report.failures += check_response_times(results, system.outages)
+        arrivals = [item for e in system.started_endpoints for item in e.arrivals]
+        report.failures += check_responses(
+            results, system.outages, {request_id for _, request_id in arrivals}
+        )
         report.failures += check_limits(system.limits, results, system.outages)
         report.failures += check_crashing_requests(
             system.part_crashes,
-            [item for e in system.started_endpoints for item in e.arrivals],
+            arrivals,
             {result.id: result.node for result in self._crashing_caller.results},
             system.outages,
         )
         report.failures += check_recovery(
-            [result for result in results if result.started >= recovered_at]
+            [result for result in recovered if result.started >= recovered_at]
         )
         report.failures += system.deployment.platform.conflicting_reports
         for name in system.names:
--- a/soak/system.py
+++ b/soak/system.py
@@ -11,15 +11,49 @@
 
 from fakes.addresses import split_address
 from fakes.gateway_deployment import (
+    ROUTES,
     GatewayDeployment,
     make_configuration,
+    make_route,
 )
-from fakes.gateway_endpoint import FakeGatewayEndpoint
+from fakes.gateway_endpoint import EVENTS, FakeGatewayEndpoint
 from soak.proxy import LoopbackProxy
+from soak.slow_callers import BODY_COPIES, SLOW_PREFIX
 
 CRASHING_PART = "d1"  # of prompts; it crashes each endpoint
 EVENT_INTERVAL_SECONDS = 0.02  # between the events of a stream
 RESPONSE_DELAY_SECONDS = 0.02  # before a response that is no stream
+SLOW_ENDPOINTS = 2  # of each kind
+# A response of a slow endpoint takes 4 to 7 s, a large part of the time in which a node
+# must stop.
+SLOW_RESPONSE_SECONDS = 5.5
+SLOW_TIME_SPREAD = 0.27
+SLOW_PLAIN, SLOW_ENGINE = "slow-plain", "slow-engine"
+SLOW_TIMEOUT_MS = 12_000  # longer than the deadlines of slow requests
+SLOW_ROUTES = [
+    make_route(
+        f"/{SLOW_PREFIX}{kind}/",
+        route,
+        service,
+        attempts,
+        kind == "resume",
+        SLOW_TIMEOUT_MS,
+    )
+    for kind, route, service, attempts in (
+        ("safe", "safe", SLOW_PLAIN, 2),
+        ("unsafe", "unsafe", SLOW_PLAIN, 1),
+        ("stream", "stream", SLOW_ENGINE, 1),
+        ("resume", "stream", SLOW_ENGINE, 2),
+    )
+]
+SLOW_SERVICES = (
+    {"name": SLOW_PLAIN, "max_conns": 64},
+    {
+        "name": SLOW_ENGINE,
+        "max_conns": 64,
+        "engine": {"slots": 8, "kv_capacity": 9000},
+    },
+)
 # Until a node listens; the time in which the platform requires a recovery.
 START_TIMEOUT_SECONDS = 15.0
 # For this time after the outage of a node, its requests may still be affected.
@@ -37,6 +71,7 @@
     node: tuple[str, int]  # address for callers
     started: float  # monotonic seconds
     ended: float
+    planned: bool = False  # whether it began with SIGTERM
 
 
 @dataclass(slots=True)
@@ -70,11 +105,14 @@
         self.version = 1
         self._nodes_in_outage: set[str] = set()
         self._born = 1
-        self.deployment.configure(make_configuration(self.version))
+        self._configure()
         for number in range(engines):
             self._add_endpoint(f"e-{number}", stream=True)
         for number in range(plain):
             self._add_endpoint(f"p-{number}", stream=False)
+        for number in range(SLOW_ENDPOINTS):
+            self._add_slow_endpoint(f"sp-{number}", SLOW_PLAIN)
+            self._add_slow_endpoint(f"se-{number}", SLOW_ENGINE)
 
     def start(self) -> None:
         """Start the nodes and wait until they know each other.
@@ -125,9 +163,11 @@
         return True
 
     @contextmanager
-    def record_outage(self, name: str) -> Iterator[bool]:
+    def record_outage(self, name: str, planned: bool = False) -> Iterator[bool]:
         """Record an outage of a node for the time of the context.
 
+        ``planned`` tells that it begins with SIGTERM.
+
         Yield False, and record nothing, during another outage of the node.
         """
         if name in self._nodes_in_outage:
@@ -135,7 +175,7 @@
             return
         self._nodes_in_outage.add(name)
         address = self.deployment.callers_address(name)
-        outage = NodeOutage(address, time.monotonic(), float("inf"))
+        outage = NodeOutage(address, time.monotonic(), float("inf"), planned)
         self.outages.append(outage)
         try:
             yield True
@@ -166,9 +206,14 @@
     def change_configuration(self) -> int:
         """Write the next version of the configuration and return its number."""
         self.version += 1
-        self.deployment.configure(make_configuration(self.version))
+        self._configure()
         return self.version
 
+    def _configure(self) -> None:
+        self.deployment.configure(
+            make_configuration(self.version, [*ROUTES, *SLOW_ROUTES], SLOW_SERVICES)
+        )
+
     def restart_endpoint(
         self, endpoint_id: str, seconds: float, changes_address: bool
     ) -> None:
@@ -192,6 +237,21 @@
             self.part_crashes.append(time.monotonic())
         proxy.stop_listening()
 
+    def _add_slow_endpoint(self, endpoint_id: str, service: str) -> None:
+        """Start and register an endpoint into which no faults are injected."""
+        endpoint = self.deployment.start_endpoint(endpoint_id, service == SLOW_ENGINE)
+        endpoint.echo_request_id = True
+        endpoint.work_seconds = SLOW_RESPONSE_SECONDS
+        endpoint.event_seconds = SLOW_RESPONSE_SECONDS / EVENTS
+        endpoint.time_spread = SLOW_TIME_SPREAD
+        endpoint.body_copies = BODY_COPIES
+        endpoint.executed_requests = self.ledger.setdefault(endpoint_id, [])
+        endpoint.unidentified_requests = self.unidentified_requests
+        self.started_endpoints.append(endpoint)
+        self.deployment.register_endpoint(
+            endpoint, endpoint.address, self._born, service
+        )
+
     def _add_endpoint(
         self, endpoint_id: str, stream: bool, proxy: LoopbackProxy | None = None
     ) -> None:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -6,6 +6,7 @@
 import json
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from soak.callers import DEADLINE_SECONDS, CallResult
@@ -17,7 +18,7 @@
     check_limits,
     check_log,
     check_recovery,
-    check_response_times,
+    check_responses,
 )
 from soak.system import NamedLimit, NodeOutage
 
@@ -85,15 +86,15 @@
                 self.assertIn(words, self.check(result, *ran))
 
 
-class ResponseTimeCheckTests(unittest.TestCase):
+class ResponseCheckTests(unittest.TestCase):
     LATE = make_result(ended=10.0 + DEADLINE_SECONDS + 1.0)
     NONE = make_result(status=0, error="reset")
 
     def test_late_and_missing_responses_are_reported(self):
         """Guard against nodes that do not respond and go unnoticed."""
-        self.assertIn("took", check_response_times([self.LATE], [])[0])
-        self.assertIn("no response", check_response_times([self.NONE], [])[0])
-        self.assertEqual(check_response_times([make_result()], []), [])
+        self.assertIn("took", check_responses([self.LATE], [])[0])
+        self.assertIn("no response", check_responses([self.NONE], [])[0])
+        self.assertEqual(check_responses([make_result()], []), [])
 
     def test_only_an_outage_of_the_same_node_and_time_excuses_them(self):
         """Guard against an outage that excuses other nodes or later requests."""
@@ -101,8 +102,8 @@
         during = NodeOutage(NODE, 9.0, 10.05)
         before = NodeOutage(NODE, 8.0, 9.9)
         other = NodeOutage(("127.0.0.1", 2), 9.0, 10.05)
-        self.assertEqual(check_response_times(calls, [during]), [])
-        self.assertEqual(len(check_response_times(calls, [before, other])), 2)
+        self.assertEqual(check_responses(calls, [during]), [])
+        self.assertEqual(len(check_responses(calls, [before, other])), 2)
 
     def test_failures_after_the_recovery_are_reported(self):
         """Guard against a system that stays broken after the last fault."""
@@ -111,6 +112,64 @@
             self.assertEqual(len(check_recovery([result])), 1)
 
 
+class PlannedStopCheckTests(unittest.TestCase):
+    """Guard against a planned stop that excuses requests which got no response."""
+
+    STOP = NodeOutage(NODE, 5.0, 15.0, planned=True)
+
+    def check(self, result: CallResult, *passed_on: str) -> str:
+        """Return the violations of one request in one text."""
+        return "; ".join(check_responses([result], [self.STOP], passed_on))
+
+    def test_a_request_at_an_endpoint_is_owed_a_response(self):
+        cut = make_result(status=0, sent_at=10.09)
+        self.assertIn("no response", self.check(cut, "c-1"))
+        self.assertEqual(self.check(cut, "c-2"), "")
+
+    def test_a_request_is_owed_a_response_if_the_node_held_it_for_long(self):
+        held = make_result(status=0, sent_at=10.0, ended=12.0)
+        self.assertIn("no response", self.check(held))
+        unsent = make_result(status=0, sent_at=None, ended=12.0)
+        self.assertEqual(self.check(unsent), "")
+
+    def test_a_pipelined_request_behind_a_close_is_owed_no_response(self):
+        cut = make_result(status=0, sent_at=9.0, follows_close=True)
+        self.assertEqual(self.check(cut), "")
+        self.assertIn("no response", self.check(cut, "c-1"))
+
+    def test_late_responses_are_reported(self):
+        late = make_result(started=6.0, ended=10.0, sent_at=6.0)
+        self.assertIn("took 4.00 s", self.check(late))
+        late.paused = 2.0
+        self.assertEqual(self.check(late), "")
+
+    def test_a_response_from_a_sound_endpoint_must_be_complete(self):
+        cut = make_result(complete=False, sent_at=10.0, deadline=9.0)
+        self.assertEqual(self.check(cut), "")
+        cut.sound_endpoints = True
+        self.assertIn("was broken off", self.check(cut))
+
+    def test_only_a_stream_that_lasts_to_the_end_of_the_stop_may_break_off(self):
+        values = {"complete": False, "sound_endpoints": True, "deadline": 9.0}
+        stream = make_result(
+            kind="stream", started=7.0, sent_at=8.0, ended=12.6, **values
+        )
+        self.assertEqual(self.check(stream), "")
+        for change in ({"ended": 11.0}, {"sent_at": 8.5}, {"kind": "unsafe"}):
+            with self.subTest(change):
+                self.assertIn("was broken off", self.check(replace(stream, **change)))
+
+    def test_a_stream_may_break_off_at_its_deadline(self):
+        values = {"complete": False, "sound_endpoints": True, "deadline": 2.0}
+        stream = make_result(kind="stream", started=8.0, ended=10.1, **values)
+        self.assertEqual(self.check(stream), "")
+
+    def test_a_kill_during_the_stop_excuses_the_request(self):
+        cut = make_result(status=0, sent_at=10.0)
+        outages = [self.STOP, NodeOutage(NODE, 9.0, 11.0)]
+        self.assertEqual(check_responses([cut], outages, ["c-1"]), [])
+
+
 class LogCheckTests(unittest.TestCase):
     def check(self, *lines: dict) -> str:
         """Return the violations in a log, with configuration 3 as the newest."""
