Let the soak restore the store from older copies, and check what must hold

The operator and the endpoints write again what they wrote. Endpoints without faults leave one after the other; the fake platform records the holder and the fence of each call of a leader.

Checked are: the newest acknowledged configuration is in force at each calm moment, also at nodes that started again; no fence of two holders, none that goes back, none used on after it was refused; no request at an endpoint that had left, from nodes that knew it; no request denied. The recovery waits for a report of usage, too.

--- a/fakes/gateway_deployment.py
+++ b/fakes/gateway_deployment.py
@@ -124,6 +124,8 @@
         self.platform = FakeGatewayPlatform(self.host)
         self.platform.start()
         self.endpoints: dict[str, FakeGatewayEndpoint] = {}
+        # What each endpoint last wrote to the store; None if it has removed its entry.
+        self.entries: dict[str, dict | None] = {}
         self.nodes: dict[str, SpawnedProcess] = {}
 
     def close(self) -> None:
@@ -164,7 +166,7 @@
         ``incarnation`` differs between processes of one endpoint. The service is
         ``engine`` or ``plain`` unless one is given.
         """
-        entry = {
+        self.entries[endpoint.id] = {
             "service": service or ("engine" if endpoint.stream else "plain"),
             "address": address,
             "zone": DATA_CENTRE,
@@ -172,7 +174,15 @@
             "state": "ready",
             "born": incarnation,
         }
-        self.platform.put_json("servers", endpoint.id, entry)
+        self.write_entry(endpoint.id)
+
+    def write_entry(self, endpoint_id: str) -> None:
+        """Write an endpoint's present entry to the store, or remove it."""
+        entry = self.entries[endpoint_id]
+        if entry is None:
+            self.platform.rows.set_row("servers", endpoint_id, None)
+        else:
+            self.platform.put_json("servers", endpoint_id, entry)
 
     def start_node(
         self, name: str, platform: str | None = None, first_start: bool = True
--- a/fakes/gateway_platform.py
+++ b/fakes/gateway_platform.py
@@ -4,6 +4,8 @@
 
 import base64
 import json
+import time
+from dataclasses import dataclass
 from urllib.parse import parse_qs
 
 from gevent import socket
@@ -23,6 +25,17 @@
 SOCKET_KEY = "fake.socket"  # WSGI environment
 
 
+@dataclass(slots=True, frozen=True)
+class LeaderCall:
+    """Call of a leader, with what the platform decided."""
+
+    at: float  # monotonic seconds
+    duty: str
+    holder: str
+    fence: int
+    refused: bool
+
+
 class _Handler(WSGIHandler):
     def get_environ(self):
         """Return the environment with the connection, which a lost answer closes."""
@@ -44,6 +57,7 @@
         # Windows that were reported again with other counts.
         self.conflicting_reports: list[str] = []
         self.orders: list[dict] = []
+        self.leader_calls: list[LeaderCall] = []
         self.fence = 0
         self._server = WSGIServer(
             (host, 0),
@@ -125,7 +139,12 @@
 
     def _handle_leader_call(self, path: str, raw: dict, environ: dict):
         fence = int(environ["HTTP_X_FENCE_TOKEN"])
-        if fence < self.fence:
+        refused = fence < self.fence
+        holder = environ["HTTP_X_DUTY_HOLDER"]
+        self.leader_calls.append(
+            LeaderCall(time.monotonic(), path.strip("/"), holder, fence, refused)
+        )
+        if refused:
             return "409 Conflict", {"error": "a higher fence was seen"}
         self.fence = fence
         if path == "/usage":
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -137,12 +137,13 @@
         nodes = self._random.choice(([self._random_node()], self._system.names))
         kind = self._random.choice(("delay", "cut_forward", "cut_backward", "refuses"))
         proxies = [self._system.store_proxies[node] for node in nodes]
-        for proxy in proxies:
-            setattr(proxy, kind, 0.3 if kind == "delay" else True)
-            proxy.reset_share(0.5, self._random)
-        gevent.sleep(self._random_duration())
-        for proxy in proxies:
-            proxy.heal()
+        with self._system.record_store_disruption():
+            for proxy in proxies:
+                setattr(proxy, kind, 0.3 if kind == "delay" else True)
+                proxy.reset_share(0.5, self._random)
+            gevent.sleep(self._random_duration())
+            for proxy in proxies:
+                proxy.heal()
         return f"{kind} {','.join(nodes)}"
 
 
@@ -155,14 +156,15 @@
         """Inject the fault into the store."""
         rows = self._system.deployment.platform.rows
         kind = self._random.choice(("down", "lose_answers", "forget_history"))
-        if kind == "down":
-            rows.down = True
-            gevent.sleep(self._random_duration())
-            rows.down = False
-        elif kind == "lose_answers":
-            rows.lose_answers += self._random.randint(1, 4)
-        else:
-            rows.forget_history()
+        with self._system.record_store_disruption():
+            if kind == "down":
+                rows.down = True
+                gevent.sleep(self._random_duration())
+                rows.down = False
+            elif kind == "lose_answers":
+                rows.lose_answers += self._random.randint(1, 4)
+            else:
+                rows.forget_history()
         return kind
 
 
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -23,8 +23,19 @@
     "a leader that was stopped while a confirmation had no answer logged an exception"
 )
 
+REPORTED_AGAIN_AFTER_RESTORE = (
+    "after the store had come back older, a new leader reported windows of usage again"
+    " with other counts, or held the fence of the leader before"
+)
+ENDPOINT_BACK_AFTER_RESTORE = (
+    "after the store had come back older, an endpoint that had left was used again"
+)
+
 REGRESSIONS: dict[int, str] = {
+    2: ENDPOINT_BACK_AFTER_RESTORE,
+    3: REPORTED_AGAIN_AFTER_RESTORE,
     4: STOPPED_DURING_START,
+    6: REPORTED_AGAIN_AFTER_RESTORE,
     7: STOPPED_DURING_START,
     11: SAFE_READ_BLAMED,
     16: SAFE_READ_BLAMED,
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from soak.callers import Caller
+from soak.callers import Caller, CallResult
 from soak.checks import (
     check_answers,
     check_crashing_requests,
@@ -26,6 +26,14 @@
 )
 from soak.planned_work import MAX_ROLL_SECONDS, PLANNED_WORK, RollNodes
 from soak.slow_callers import SlowCaller
+from soak.store_checks import (
+    check_configurations,
+    check_denials,
+    check_departures,
+    check_fences,
+    read_timeline,
+)
+from soak.store_restores import EndpointDeparture, RestoreStore
 from soak.system import CRASHING_PART, SoakSystem
 
 # The platform requires that the system recovers in this time after the last fault.
@@ -33,6 +41,7 @@
 RECOVERED_LOAD_SECONDS = 1.5  # load after the recovery, in which nothing may fail
 MAX_FAULT_INTERVAL_SECONDS = 0.8  # between the starts of two faults
 MAX_PLANNED_INTERVAL_SECONDS = 2.0  # between two pieces of planned work
+MAX_RESTORE_INTERVAL_SECONDS = 4.0  # between two restores of the store
 
 
 @dataclass(slots=True)
@@ -105,6 +114,7 @@
             self._system.deployment, size.callers, seed, CRASHING_PART
         )
         self._started_at = 0.0
+        self._reports_before_recovery = 0  # reported windows of usage
 
     def run(self) -> SoakReport:
         """Run load and faults, check the results and return the report."""
@@ -140,6 +150,8 @@
             running.append(gevent.spawn(self._roll_nodes, limit))
         else:
             running.append(gevent.spawn(self._inject_limits, limit))
+            running.append(gevent.spawn(self._restore_store, limit))
+        running.append(gevent.spawn(self._let_endpoints_leave, limit))
         while time.monotonic() < limit and not self._size.planned_only:
             kind = self._random.choice(FAULTS)
             fault = kind(self._system, random.Random(self._random.getrandbits(32)))
@@ -163,6 +175,19 @@
             self._inject(kind(self._system, random.Random(rng.getrandbits(32))))
             gevent.sleep(rng.uniform(0.0, MAX_PLANNED_INTERVAL_SECONDS))
 
+    def _restore_store(self, until: float) -> None:
+        """Restore the store from older copies, one after the other."""
+        rng = random.Random(f"{self._report.seed} restores")
+        while time.monotonic() < until:
+            gevent.sleep(rng.uniform(0.0, MAX_RESTORE_INTERVAL_SECONDS))
+            self._inject(RestoreStore(self._system, rng))
+
+    def _let_endpoints_leave(self, until: float) -> None:
+        """Let endpoints leave, one after the other."""
+        rng = random.Random(f"{self._report.seed} departures")
+        while time.monotonic() < until:
+            self._inject(EndpointDeparture(self._system, rng))
+
     def _roll_nodes(self, until: float) -> None:
         """Stop and start all nodes in series, again and again."""
         rng = random.Random(f"{self._report.seed} roll")
@@ -180,6 +205,7 @@
         """End all faults, change the configuration and wait until callers succeed."""
         self._system.heal()
         self._system.change_configuration()
+        self._reports_before_recovery = len(self._system.deployment.platform.reports)
         if not self._system.deployment.wait_until(
             self._has_recovered, MAX_RECOVERY_SECONDS
         ):
@@ -188,15 +214,20 @@
             )
 
     def _has_recovered(self) -> bool:
-        """Return whether all nodes have joined and callers succeed.
+        """Return whether all nodes have joined, callers succeed and usage is reported.
 
         Each caller's last three requests must have succeeded.
         """
-        system = self._system
-        return system.deployment.wait_joined(1.0) and all(
-            len(caller.results) >= 3
-            and all(result.succeeded for result in caller.results[-3:])
-            for caller in self._callers
+        deployment = self._system.deployment
+        reports = len(deployment.platform.reports) - self._reports_before_recovery
+        return (
+            reports > 0
+            and deployment.wait_joined(1.0)
+            and all(
+                len(caller.results) >= 3
+                and all(result.succeeded for result in caller.results[-3:])
+                for caller in self._callers
+            )
         )
 
     def _check(self, recovered_at: float) -> None:
@@ -227,7 +258,34 @@
         report.failures += check_recovery(
             [result for result in recovered if result.started >= recovered_at]
         )
-        report.failures += system.deployment.platform.conflicting_reports
+        report.failures += check_denials(results)
+        self._check_store(results)
         for name in system.names:
             path = system.deployment.log_path(name)
             report.failures += check_log(path, system.version)
+
+    def _check_store(self, results: list[CallResult]) -> None:
+        """Check what must hold although the store fails or comes back older."""
+        system, report, now = self._system, self._report, time.monotonic()
+        platform = system.deployment.platform
+        clock_offset = time.time() - now
+        timelines = [
+            read_timeline(
+                system.deployment.log_path(name),
+                system.deployment.callers_address(name),
+                clock_offset,
+            )
+            for name in system.names
+        ]
+        report.failures += platform.conflicting_reports
+        report.failures += check_fences(platform.leader_calls)
+        report.failures += check_configurations(
+            timelines,
+            system.acknowledgements,
+            system.outages,
+            system.store_disruptions,
+            now,
+        )
+        report.failures += check_departures(
+            system.departures, results, system.outages, system.store_disruptions
+        )
--- a/soak/system.py
+++ b/soak/system.py
@@ -1,9 +1,11 @@
 """The system under test: nodes, fakes of store and endpoints, and proxies between."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import partial
+from itertools import count
 from pathlib import Path
 
 import gevent
@@ -54,6 +56,9 @@
         "engine": {"slots": 8, "kv_capacity": 9000},
     },
 )
+# Until the entry of an endpoint that has left is removed again from a restored store,
+# beyond the time in which others write theirs.
+REMOVAL_DELAY_SECONDS = 1.5
 # Until a node listens; the time in which the platform requires a recovery.
 START_TIMEOUT_SECONDS = 15.0
 # For this time after the outage of a node, its requests may still be affected.
@@ -74,6 +79,30 @@
     planned: bool = False  # whether it began with SIGTERM
 
 
+@dataclass(slots=True)
+class Disruption:
+    """Time for which the store, or the way to it, was faulty."""
+
+    started: float  # monotonic seconds
+    ended: float
+
+
+@dataclass(slots=True)
+class Acknowledgement:
+    """Time at which the store accepted a configuration."""
+
+    at: float  # monotonic seconds
+    version: int
+
+
+@dataclass(slots=True)
+class Departure:
+    """Time at which the store accepted that an endpoint leaves."""
+
+    endpoint: FakeGatewayEndpoint
+    at: float  # monotonic seconds
+
+
 @dataclass(slots=True)
 class NamedLimit:
     """Time for which an endpoint named a limit of requests per second."""
@@ -103,8 +132,12 @@
         # Requests that reached an endpoint without an id, with their senders.
         self.unidentified_requests: list[str] = []
         self.version = 1
+        self.acknowledgements: list[Acknowledgement] = []
+        self.departures: list[Departure] = []
+        self.store_disruptions: list[Disruption] = []
         self._nodes_in_outage: set[str] = set()
         self._born = 1
+        self._sound_numbers = count()
         self._configure()
         for number in range(engines):
             self._add_endpoint(f"e-{number}", stream=True)
@@ -113,6 +146,8 @@
         for number in range(SLOW_ENDPOINTS):
             self._add_slow_endpoint(f"sp-{number}", SLOW_PLAIN)
             self._add_slow_endpoint(f"se-{number}", SLOW_ENGINE)
+        # Ids of the endpoints that leave one after the other.
+        self._leaving = [self._add_sound_endpoint() for _ in range(2)]
 
     def start(self) -> None:
         """Start the nodes and wait until they know each other.
@@ -125,6 +160,8 @@
             self.start_node(name)
         if not self.deployment.wait_joined():
             raise SoakError("the nodes did not join each other after their start")
+        # The bound of the first configuration begins when all nodes run.
+        self.acknowledgements = [Acknowledgement(time.monotonic(), self.version)]
 
     def close(self) -> None:
         """Stop the deployment and the proxies."""
@@ -203,6 +240,51 @@
             endpoint.rate_limit = ""
             limit.ended = time.monotonic()
 
+    @contextmanager
+    def record_store_disruption(self) -> Iterator[None]:
+        """Record a disruption of the store for the time of the context."""
+        disruption = Disruption(time.monotonic(), float("inf"))
+        self.store_disruptions.append(disruption)
+        try:
+            yield
+        finally:
+            disruption.ended = time.monotonic()
+
+    def rewrites(self) -> list[Callable[[], None]]:
+        """Return calls that write again what operator and endpoints last wrote."""
+        return [
+            self._configure,
+            *(
+                partial(self._write_entry_again, endpoint_id)
+                for endpoint_id in self.deployment.entries
+            ),
+        ]
+
+    def _write_entry_again(self, endpoint_id: str) -> None:
+        if self.deployment.entries[endpoint_id] is None:
+            gevent.sleep(REMOVAL_DELAY_SECONDS)
+        self.deployment.write_entry(endpoint_id)
+
+    def begin_departure(self) -> tuple[str, str]:
+        """Let an endpoint announce that it leaves, after another one has come.
+
+        Return their ids, that of the leaving one first.
+        """
+        departed, self._leaving = self._leaving[0], self._leaving[1:]
+        successor = self._add_sound_endpoint()
+        self._leaving.append(successor)
+        self.deployment.entries[departed]["state"] = "draining"
+        self.deployment.write_entry(departed)
+        self.departures.append(
+            Departure(self.deployment.endpoints[departed], time.monotonic())
+        )
+        return departed, successor
+
+    def end_departure(self, endpoint_id: str) -> None:
+        """Remove the entry of an endpoint that has left."""
+        self.deployment.entries[endpoint_id] = None
+        self.deployment.write_entry(endpoint_id)
+
     def change_configuration(self) -> int:
         """Write the next version of the configuration and return its number."""
         self.version += 1
@@ -213,6 +295,7 @@
         self.deployment.configure(
             make_configuration(self.version, [*ROUTES, *SLOW_ROUTES], SLOW_SERVICES)
         )
+        self.acknowledgements.append(Acknowledgement(time.monotonic(), self.version))
 
     def restart_endpoint(
         self, endpoint_id: str, seconds: float, changes_address: bool
@@ -238,23 +321,23 @@
         proxy.stop_listening()
 
     def _add_slow_endpoint(self, endpoint_id: str, service: str) -> None:
-        """Start and register an endpoint into which no faults are injected."""
-        endpoint = self.deployment.start_endpoint(endpoint_id, service == SLOW_ENGINE)
-        endpoint.echo_request_id = True
+        endpoint = self._start_endpoint(endpoint_id, service == SLOW_ENGINE)
         endpoint.work_seconds = SLOW_RESPONSE_SECONDS
         endpoint.event_seconds = SLOW_RESPONSE_SECONDS / EVENTS
         endpoint.time_spread = SLOW_TIME_SPREAD
         endpoint.body_copies = BODY_COPIES
-        endpoint.executed_requests = self.ledger.setdefault(endpoint_id, [])
-        endpoint.unidentified_requests = self.unidentified_requests
-        self.started_endpoints.append(endpoint)
         self.deployment.register_endpoint(
             endpoint, endpoint.address, self._born, service
         )
 
-    def _add_endpoint(
-        self, endpoint_id: str, stream: bool, proxy: LoopbackProxy | None = None
-    ) -> None:
+    def _add_sound_endpoint(self) -> str:
+        """Add an endpoint into which no faults are injected, and return its id."""
+        endpoint_id = f"q-{next(self._sound_numbers)}"
+        endpoint = self._start_endpoint(endpoint_id, stream=False)
+        self.deployment.register_endpoint(endpoint, endpoint.address, self._born)
+        return endpoint_id
+
+    def _start_endpoint(self, endpoint_id: str, stream: bool) -> FakeGatewayEndpoint:
         endpoint = self.deployment.start_endpoint(endpoint_id, stream)
         endpoint.echo_request_id = True
         endpoint.event_seconds = EVENT_INTERVAL_SECONDS
@@ -264,6 +347,13 @@
             endpoint_id, endpoint.executed_requests
         )
         endpoint.unidentified_requests = self.unidentified_requests
+        self.started_endpoints.append(endpoint)
+        return endpoint
+
+    def _add_endpoint(
+        self, endpoint_id: str, stream: bool, proxy: LoopbackProxy | None = None
+    ) -> None:
+        endpoint = self._start_endpoint(endpoint_id, stream)
         upstream = split_address(endpoint.address)
         if proxy is None:
             proxy = LoopbackProxy(upstream, self.deployment.host)
@@ -275,5 +365,4 @@
         endpoint.crashing_parts = {CRASHING_PART}
         endpoint.on_crash = lambda: self._note_crash(endpoint, proxy)
         endpoint.on_return = proxy.listen_again
-        self.started_endpoints.append(endpoint)
         self.deployment.register_endpoint(endpoint, proxy.address, self._born)
