Bind the soak's nodes to a departure as soon as the platform does

The check of endpoints that left waited until the store had been calm for 3 s after the departure, and then for the 2 s in which requests may still come. The platform's rule has only the 2 s where the store is calm from 3 s before the acknowledgement until the request. A node that used an endpoint 2.5 to 5.5 s after it had left went unnoticed. The new test case at 2.6 s failed to be found before.

--- a/soak/store_checks.py
+++ b/soak/store_checks.py
@@ -120,16 +120,10 @@
     nodes = {result.id: result.node for result in results}
     violations = []
     for departure in departures:
-        known = min(
-            calm_moments(departure.at + CONTACT_SECONDS, disruptions), default=None
-        )
-        if known is None:
-            continue
-        bound = known + DRAIN_SECONDS + LATENESS_TOLERANCE_SECONDS
         late = [
             request_id
             for arrived, request_id in departure.endpoint.arrivals
-            if arrived > bound
+            if _has_left(departure, arrived, disruptions)
             and not any(
                 nodes.get(request_id) == outage.node
                 and outage.started < arrived
@@ -145,6 +139,26 @@
     return violations
 
 
+def _has_left(
+    departure: Departure, moment: float, disruptions: list[Disruption]
+) -> bool:
+    """Return whether nodes must know by a moment that an endpoint has left.
+
+    They must if the store has been calm ever since, or had been for long enough for the
+    nodes to hear of it. Then a later disruption excuses nothing.
+    """
+    drained = DRAIN_SECONDS + LATENESS_TOLERANCE_SECONDS
+    if moment <= departure.at + drained:
+        return False
+    if not any(
+        item.started < moment and departure.at - CONTACT_SECONDS < item.ended
+        for item in disruptions
+    ):
+        return True
+    heard = calm_moments(departure.at + CONTACT_SECONDS, disruptions)
+    return bool(heard) and moment > heard[0] + drained
+
+
 def check_fences(calls: list[LeaderCall]) -> list[str]:
     """Return the fences that two holders sent, or that went back, and repeated calls.
 
--- a/tests/unit/test_soak_store_checks.py
+++ b/tests/unit/test_soak_store_checks.py
@@ -99,10 +99,15 @@
         )
 
     def test_a_request_after_the_bound_is_found(self):
-        self.assertEqual(self.check(9.0, 14.0), [])
-        self.assertEqual(len(self.check(9.0, 16.0)), 1)
+        self.assertEqual(self.check(9.0, 12.4), [])
+        self.assertEqual(len(self.check(9.0, 12.6)), 1)
         self.assertEqual(len(self.check(22.0)), 1)
 
+    def test_a_disruption_before_all_nodes_have_heard_excuses_requests(self):
+        soon = Disruption(11.0, 13.0)
+        self.assertEqual(self.check(18.0, disruptions=[soon]), [])
+        self.assertEqual(len(self.check(18.6, disruptions=[soon])), 1)
+
     def test_the_bound_begins_when_the_store_is_calm(self):
         during = Disruption(9.0, 12.0)
         self.assertEqual(self.check(16.0, disruptions=[during]), [])
