Use no departed endpoint whose entry a return of the store shows

When the store returned with older rows, the entry of an endpoint that had announced its leaving was back as ready, and the entry of one that had left was there again. Nodes took both for new and sent them requests until the store removed the entry, after three heartbeats of silence.

The life of one process now goes one way. While its entry stands, an endpoint that was leaving stays so. Entries that are missing from the first rows of an era are kept as a last resort, as those are that expire in an outage.

--- a/src/rattanwick/internal/gateway/endpoint_directory.py
+++ b/src/rattanwick/internal/gateway/endpoint_directory.py
@@ -2,6 +2,11 @@
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.timers import TimerService
+from rattanwick.internal.gateway.endpoint_lives import (
+    EndpointLives,
+    is_same_process,
+    keep_leaving,
+)
 from rattanwick.internal.gateway.endpoint_view import CACHE_SHARE, EndpointView
 from rattanwick.internal.gateway.interfaces import (
     NO_VERSION,
@@ -31,6 +36,8 @@
         self._views: dict[str, EndpointView] = {}
         self._cfg: Configuration | None = None
         self._lapsed: set[str] = set()
+        self._lives = EndpointLives()
+        self._era = 0  # of the last changes that were applied
         # Endpoints that crashed, and when, in monotonic seconds.
         self._crashed: dict[str, tuple[Endpoint, float]] = {}
         self.loaded = False  # whether the entries have been read
@@ -46,6 +53,7 @@
     def of_service(self, service: str) -> list[EndpointView]:
         """Return the views of a service's endpoints, including leaving ones."""
         self._drop_lapsed()
+        self._add_outlasting()
         return [v for v in self._views.values() if v.endpoint.service == service]
 
     def get(self, endpoint_id: str) -> EndpointView | None:
@@ -55,6 +63,7 @@
     def all(self) -> list[EndpointView]:
         """Return the views of all endpoints."""
         self._drop_lapsed()
+        self._add_outlasting()
         return list(self._views.values())
 
     def note_crash(self, endpoint_id: str) -> None:
@@ -79,17 +88,21 @@
         rows: dict[str, StoredRow],
         changed: set[str],
         store_failed_seconds: float | None,
+        era: int = 0,
     ) -> None:
         """Apply changed entries.
 
         ``rows`` are all rows of the table, ``changed`` the keys of the changed ones.
         ``store_failed_seconds`` is the time since a call to the store last failed, None
-        if no call has failed.
+        if no call has failed. ``era`` is that of the store when it had these rows. The
+        first ones of a later era are those that the store has returned with.
         """
         now = self._timers.now()
         self.loaded = True
         self.changed_at = now
-        may_have_lapsed = (
+        returned = 0 < self._era < era
+        self._era = max(self._era, era)
+        may_have_lapsed = returned or (
             store_failed_seconds is not None
             and store_failed_seconds < STORE_FAILURE_SECONDS
         )
@@ -99,14 +112,14 @@
                 if row is None:
                     self._remove(key, now, may_have_lapsed)
                 else:
-                    self._put(key, row)
+                    self._put(key, row, returned)
             except Exception:
                 # Each change is reported only once, so the other entries must be
                 # applied now.
                 self._views.pop(key, None)
                 log.exception("entry not applied", extra={"endpoint": key})
 
-    def _put(self, key: str, row: StoredRow) -> None:
+    def _put(self, key: str, row: StoredRow, returned: bool) -> None:
         self.version = max(self.version, row.version)
         try:
             endpoint = self._codec.decode_endpoint(key, row.value)
@@ -114,15 +127,17 @@
             self._views.pop(key, None)
             log.warning("entry ignored", extra={"endpoint": key, "error": str(exc)})
             return
+        endpoint = self._lives.admit(endpoint, row, returned, self._timers.now())
+        if endpoint is None:
+            return
         view = self._views.get(key)
-        if view is not None and _same_process(view.endpoint, endpoint):
+        if view is not None and is_same_process(view.endpoint, endpoint):
+            endpoint = keep_leaving(view.endpoint, endpoint)
             view.endpoint = endpoint
             view.last_resort_until = None
             self._lapsed.discard(key)
         else:
-            view = EndpointView(endpoint, self._cache_capacity_tokens(endpoint))
-            self._views[key] = view
-            self._end_return(endpoint)
+            self._add(endpoint)
         log.info(
             "entry",
             extra={
@@ -135,6 +150,15 @@
             },
         )
 
+    def _add(self, endpoint: Endpoint) -> None:
+        view = EndpointView(endpoint, self._cache_capacity_tokens(endpoint))
+        self._views[endpoint.id] = view
+        self._end_return(endpoint)
+
+    def _add_outlasting(self) -> None:
+        for endpoint in self._lives.pop_outlasting(self._timers.now()):
+            self._add(endpoint)
+
     def _end_return(self, started: Endpoint) -> None:
         """Take a new endpoint for the first one that crashed in its place."""
         for key, (endpoint, _) in self._crashed.items():
@@ -146,6 +170,7 @@
                 return
 
     def _remove(self, key: str, now: float, may_have_lapsed: bool) -> None:
+        self._lives.note_removed(key)
         view = self._views.get(key)
         if view is None:
             return
@@ -156,6 +181,7 @@
             self._lapsed.add(key)
         else:
             del self._views[key]
+            self._lives.note_ended(view.endpoint)
 
     def _drop_lapsed(self) -> None:
         if not self._lapsed:
@@ -178,12 +204,3 @@
         if service is None or service.engine is None:
             return 0
         return int(CACHE_SHARE * service.engine.kv_tokens)
-
-
-def _same_process(known: Endpoint, new: Endpoint) -> bool:
-    """Return whether both entries were written by the same process."""
-    return (known.address, known.service, known.born_ms) == (
-        new.address,
-        new.service,
-        new.born_ms,
-    )
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -142,7 +142,8 @@
 
     def _apply_endpoints(self, rows: dict[str, StoredRow], changed: set[str]) -> None:
         failed = self._endpoint_watch.failed_seconds()
-        self.state.endpoints.apply(rows, changed, failed)
+        era = self._endpoint_watch.version.era
+        self.state.endpoints.apply(rows, changed, failed, era)
         for key in changed:
             view = self.state.endpoints.get(key)
             if view is not None and view.endpoint.leaving:
