Take no connection for idle whose caller is still sending

A request refused in a stop while its body was on its way got its 503, but its connection counted as idle from then on. The next check, at most 50 ms later, shut it down in both directions, so that the caller's next bytes met a reset, and a caller that stops at that error never read the refusal.

The connection now knows that it is ending, and is left alone until the caller has had its time to send the rest.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -105,6 +105,7 @@
         self._task = getcurrent()
         self._interruptible = False  # whether ``end_request`` may end the request
         self._closing = False
+        self._ending = False  # the last response was sent; the caller may still send
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
         )
@@ -122,7 +123,7 @@
         except RequestNotReceived:
             pass
         finally:
-            self.busy, self._call = False, None
+            self._ending, self.busy, self._call = True, False, None
             if self._response.started:
                 self._end_response()
             self._sock.close()
@@ -130,7 +131,9 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request has arrived or may be on its way."""
         idle_seconds = time.monotonic() - self._idle_since
-        if self.busy or idle_seconds < MIN_IDLE_SECONDS or is_readable(self._sock):
+        if self.busy or self._ending or idle_seconds < MIN_IDLE_SECONDS:
+            return
+        if is_readable(self._sock):
             return
         # A request that arrives after this is not read: the connection could not carry
         # the response, but the request would run.
