Refuse HEAD requests without a body

A refused HEAD request got no byte: a response to HEAD has no body, so encoding that of the refusal raised an exception after the response had been marked as started, and nothing could be sent instead. All refusals were concerned (no route, unknown key, over limit, a stopping node), with or without a stop.

The body is left out; its length is still named.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -77,6 +77,8 @@
         headers.append((b"Content-Length", b"%d" % len(body)))
         head = self.start(status, headers)
         http = self._conn.http
+        if self._conn.answers_head_request:
+            body = b""  # such a response ends with its head
         data = http.send(h11.Data(data=body)) if body else b""
         self._conn.write(head + data + http.send(h11.EndOfMessage()))
 
@@ -105,6 +107,7 @@
         self._task = getcurrent()
         self._interruptible = False  # whether ``end_request`` may end the request
         self._closing = False
+        self.answers_head_request = False
         self._ending = False  # the last response was sent; the caller may still send
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes + 1024
@@ -241,6 +244,7 @@
             event = self._next_event()
             if isinstance(event, h11.Request):
                 self.busy = True
+                self.answers_head_request = event.method == b"HEAD"
                 self._check_size(event)
                 return event, time.monotonic()
             if event is not h11.NEED_DATA:
