--- a/tests/failure/test_gateway_planned_stop.py
+++ b/tests/failure/test_gateway_planned_stop.py
@@ -1,5 +1,6 @@
 """Requests at a node that stops, in one process."""
 
+import socket as std_socket
 from dataclasses import replace
 from unittest import mock
 
@@ -233,6 +234,9 @@
             with self.subTest(path):
                 endpoint.event_seconds = 0.08
                 sock = self.send(path)
+                with gevent.Timeout(3.0):
+                    while b"piece 1" not in sock.recv(65536, std_socket.MSG_PEEK):
+                        gevent.sleep(0.01)
                 endpoint.event_seconds = 1.0
                 answer = self.end(sock)
                 self.assertEqual(answer.status, 200)
