Serve the connections that a stop accepts last before the process ends

When the listener closes, the connections in the kernel's queue are accepted. If no other one was open, the process ended in the same step, before any of them was read, and their callers got a reset.

The check for open connections now follows at least one round later. The test, written by a reviewer of the change, failed before.

--- a/src/rattanwick/internal/gateway/shutdown.py
+++ b/src/rattanwick/internal/gateway/shutdown.py
@@ -56,11 +56,13 @@
             if accepting and elapsed >= STOP_ACCEPTING_DELAY_SECONDS:
                 self._callers.stop_accepting()
                 accepting = False
-            if not accepting and not self._callers.connections:
+                # The connections accepted last are served from the next round on.
+            elif not accepting and not self._callers.connections:
                 break
             gevent.sleep(CHECK_INTERVAL_SECONDS)
         if accepting:
             self._callers.stop_accepting()
+            gevent.sleep(LAST_CHECK_INTERVAL_SECONDS)
         unfinished = self._callers.busy
         self._callers.end_requests()
         while self._callers.connections and time.monotonic() < self._exit_at:
