Break off a stream that is being resumed when a stop ends

A stream that had begun and waited for its next endpoint was taken for a complete answer being written, and stayed open until the process ended. In front of a caller of HTTP/1.0 the end of the process would look like the end of the stream.

The writer now says itself whether it is writing a response to its end; all other requests are ended.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -51,13 +51,14 @@
 class CallerResponseWriter(ResponseWriter):
     """Writer of the response to one request."""
 
-    __slots__ = ("_conn", "closes", "request", "started", "status")
+    __slots__ = ("_conn", "closes", "completing", "request", "started", "status")
 
     def __init__(self, conn: "CallerConnection"):
         self._conn = conn
         self.closes = False
         self.request = None
         self.started = False
+        self.completing = False  # the response is being written to its end
         self.status = 0
 
     def start(self, status: int, headers: Headers) -> bytes:
@@ -76,6 +77,7 @@
         headers = [item for item in headers if item[0].lower() != b"content-length"]
         headers.append((b"Content-Length", b"%d" % len(body)))
         head = self.start(status, headers)
+        self.completing = True
         http = self._conn.http
         if self._conn.answers_head_request:
             body = b""  # such a response ends with its head
@@ -89,6 +91,7 @@
 
     def finish(self) -> None:
         """End the stream as complete."""
+        self.completing = True
         self._conn.write(self._conn.http.send(h11.EndOfMessage()))
 
 
@@ -154,8 +157,7 @@
         get_hub().loop.run_callback(self._interrupt)
 
     def _interrupt(self) -> None:
-        writes_answer = self._response.started and self._phase is not Phase.STREAMING
-        if self.busy and self._interruptible and not writes_answer:
+        if self.busy and self._interruptible and not self._response.completing:
             # Called by the hub, so that it takes effect before the request can end.
             self._task.throw(NodeStopping())
 
