Answer a request before the exception that ended it is logged

An exception whose text cannot be made, such as one that holds a number of more than 4,300 digits, raised a second one in the code that answers requests which ended with an exception, and the caller got no byte.

The answer is now sent first, and an exception that cannot be printed is logged by its type.

--- a/src/rattanwick/internal/gateway/answer_guard.py
+++ b/src/rattanwick/internal/gateway/answer_guard.py
@@ -60,6 +60,8 @@
         if isinstance(exc, NodeStopping):
             ended_by_stop_total.labels(str(phase)).inc()
             status, reason = 504 if ran else 503, RefusalReason.NODE_STOPPING
+            retry_after = None if ran else STOPPING_RETRY_AFTER_SECONDS
+            self._send(call_id, phase, response, exc, status, reason, retry_after)
             log.info(
                 "ended",
                 extra={
@@ -69,22 +71,21 @@
                     "may_have_run": ran,
                 },
             )
-            retry_after = None if ran else STOPPING_RETRY_AFTER_SECONDS
-            self._send(call_id, phase, response, exc, status, reason, retry_after)
             return
         exceptions_total.labels(str(phase)).inc()
         status, retry_after = (502, None) if ran else (503, MIN_RETRY_AFTER_SECONDS)
+        # The answer comes before the log, which may fail on such an exception, too.
+        self._send(call_id, phase, response, exc, status, "internal_error", retry_after)
         log.error(
             "ended",
             extra={
                 "request": call_id,
-                "outcome": f"exception: {exc!r}",
+                "outcome": f"exception: {_describe(exc)}",
                 "status": status,
                 "phase": str(phase),
             },
             exc_info=exc,
         )
-        self._send(call_id, phase, response, exc, status, "internal_error", retry_after)
 
     def _answer_closed_caller(self, call_id: str, response: ResponseWriter) -> None:
         """Answer a caller that may have closed only its sending side.
@@ -129,7 +130,15 @@
         response: ResponseWriter,
         exc: BaseException,
     ) -> None:
-        log_unanswered(call_id, phase, repr(exc), response.status, self._stop)
+        log_unanswered(call_id, phase, _describe(exc), response.status, self._stop)
+
+
+def _describe(exc: BaseException) -> str:
+    """Return an exception as text, or only its type if it cannot be printed."""
+    try:
+        return repr(exc)
+    except Exception:
+        return type(exc).__name__
 
 
 def _may_have_run(response: ResponseWriter) -> bool:
