--- a/tests/failure/test_gateway_relay.py
+++ b/tests/failure/test_gateway_relay.py
@@ -5,6 +5,7 @@
 import gevent
 
 from fakes.gateway_endpoint import SIGNATURE
+from rattanwick.internal.gateway.crash_check import GATHER_SECONDS
 from tests.gateway_case import RelayCase, make_organisation, make_route
 
 
@@ -101,6 +102,8 @@
         self.assertEqual(send(), (200, 0))
         gevent.sleep(0.1)
         self.assertEqual(send("reset")[0], 502)
+        # The check for a crash opens a connection of its own.
+        gevent.sleep(4 * GATHER_SECONDS)
         self.assertEqual(send(), (200, 1))
         gevent.sleep(0.1)
         # Idle connections are still used for requests that may be retried.
