Count the time limit of a write from the last progress

A large answer was cut after 10 s in all, however steadily its caller read: 6.8 of 8.4 MB arrived in the test, which lowers the limit to 1 s. Nothing was logged, since the node took the caller for one that had closed its connection.

The limit now counts from the last bytes that the caller took, and a caller that takes none for so long is logged as left without a complete answer.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -24,6 +24,10 @@
     """The process ends before the request can be done."""
 
 
+class CallerStalled(CallerConnectionClosed):
+    """The caller has stopped reading a response."""
+
+
 class ResponseAborted(CallerConnectionClosed):
     """The caller's connection must be closed before the response is complete."""
 
--- a/src/rattanwick/internal/gateway/answer_guard.py
+++ b/src/rattanwick/internal/gateway/answer_guard.py
@@ -4,6 +4,7 @@
 from rattanwick.internal.base.metrics import counter
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
+    CallerStalled,
     NodeStopping,
     Phase,
     ResponseAborted,
@@ -51,7 +52,7 @@
         not continued: the caller must see it break off.
         """
         if isinstance(exc, CallerConnectionClosed):
-            if isinstance(exc, ResponseAborted):
+            if isinstance(exc, ResponseAborted | CallerStalled):
                 self._log_unanswered(call_id, phase, response, exc)
             elif not response.started:
                 self._answer_closed_caller(call_id, response)
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -12,6 +12,7 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
+    CallerStalled,
     NodeStopping,
     Phase,
     ResponseWriter,
@@ -30,7 +31,7 @@
 log = get_logger("callers")
 
 READ_BYTES = 65_536
-SEND_TIMEOUT_SECONDS = 10.0  # for one write; then the connection counts as closed
+SEND_TIMEOUT_SECONDS = 10.0  # without progress; then the connection counts as closed
 # Time for a caller to read the last response of a connection. If the connection were
 # closed with bytes unread, a reset would discard the response.
 LINGER_TIMEOUT_SECONDS = 0.5
@@ -185,9 +186,14 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the caller; raise CallerConnectionClosed if that fails."""
-        self._sock.settimeout(SEND_TIMEOUT_SECONDS)
+        unsent = memoryview(data)
         try:
-            self._sock.sendall(data)
+            while unsent:
+                self._sock.settimeout(SEND_TIMEOUT_SECONDS)
+                unsent = unsent[self._sock.send(unsent) :]
+        except TimeoutError:
+            seconds = SEND_TIMEOUT_SECONDS
+            raise CallerStalled(f"caller has read nothing for {seconds:g} s")
         except OSError as exc:
             raise CallerConnectionClosed(str(exc))
 
