Let a node that starts wait for members from its first configuration on

A node that started while the store was away had its whole wait for members behind it when the store came back: it put the older configuration in the store into force at once, and the newer one of its peers only when they had heard of it. Callers got answers by the older version meanwhile.

The wait now begins when the node first knows a configuration.

--- a/src/rattanwick/internal/gateway/operator_configuration.py
+++ b/src/rattanwick/internal/gateway/operator_configuration.py
@@ -38,7 +38,8 @@
         self._state = state
         self._codec = codec
         self._key = codec.configuration_key
-        self._started_at = state.timers.now()
+        # When this node first knew a configuration, in monotonic seconds.
+        self._known_since: float | None = None
         self._confirmed = state.settings.first_start
 
     @property
@@ -84,6 +85,8 @@
             )
             return False
         self._newest, self.value = cfg, value
+        if self._known_since is None:
+            self._known_since = self._state.timers.now()
         log.info(
             "configuration",
             extra={
@@ -100,10 +103,10 @@
 
     def check_start(self, now: float) -> None:
         """Put the configuration into force unless a member may have a newer one."""
-        if self._confirmed:
+        if self._confirmed or self._known_since is None:
             return
         state = self._state
-        waited = now - self._started_at
+        waited = now - self._known_since
         heard = state.members.heard(now)
         newest = max((member.configuration for member in heard), default=0)
         if newest > self.version and waited < MAX_START_WAIT_SECONDS:
