Count only members with a configuration as heard at a start

Two nodes that start together heard each other before the table of members had been read, and took that for the answer of all members: both put the older configuration of a restored store into force at once.

Only a member that has a configuration counts as heard. The test, written by a reviewer of the change, failed before.

--- a/src/rattanwick/internal/gateway/operator_configuration.py
+++ b/src/rattanwick/internal/gateway/operator_configuration.py
@@ -112,7 +112,10 @@
         if newest > self.version and waited < MAX_START_WAIT_SECONDS:
             return
         members = state.members.all()
-        heard_all = members and all(member.last_state_at > 0 for member in members)
+        # A member without a configuration cannot tell that there is no newer one.
+        heard_all = members and all(
+            member.last_state_at > 0 and member.configuration for member in members
+        )
         if not heard_all and waited < START_WAIT_SECONDS:
             return
         self._confirmed = True
--- a/tests/failure/test_gateway_start_order.py
+++ b/tests/failure/test_gateway_start_order.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.operator_configuration import START_WAIT_SECONDS
 from tests.failure import test_gateway_configuration as configuration
 
@@ -40,3 +41,12 @@
                 versions.add(self.node.state.configuration.version)
             gevent.sleep(0.02)
         self.assertEqual(versions, {12})
+
+    # All known members have sent their state, and none could tell anything.
+    def test_a_member_without_a_configuration_tells_nothing(self):
+        self.node.read()
+        now = self.timers.now()
+        other = Member("n0", 1, ("127.0.0.1", 1), "x:1", "a", now, now)
+        self.node.state.members.put(other)
+        self.node.copies.catch_up(now)
+        self.assertIsNone(self.node.state.configuration)
