--- a/tests/planned_stop.py
+++ b/tests/planned_stop.py
@@ -50,7 +50,6 @@
         body: bytes = b"hi",
         pauses: tuple[float, ...] = (),
         deadline_ms: int = 7500,
-        headers: tuple[tuple[str, str], ...] = (),
     ) -> SentRequest | None:
         """Send a request and read the response; None if it was not sent whole.
 
@@ -69,7 +68,6 @@
                 ("X-Api-Key", KEY),
                 ("X-Deadline-Ms", str(deadline_ms)),
                 ("Content-Length", str(len(body))),
-                *headers,
             ],
         )
         data = self._http.send(request)
