Test that counts of older eras are not carried into a record

A node that led two returns ago may hold counts that nobody reported, while a leader of the era between has recorded others. The new test fails if the check is taken out of usage_reports.py.

--- a/tests/failure/test_gateway_usage_eras.py
+++ b/tests/failure/test_gateway_usage_eras.py
@@ -138,6 +138,21 @@
         self.assertNotIn(window, self.cloud.reports)
         self.check_reports()
 
+    def test_counts_of_eras_before_the_previous_one_are_not_believed(self):
+        """Another leader may have recorded other counts in an era between."""
+        window = self.play_until_reported()
+        self.assertIn(window, self.first.usage._recorded)
+        self.silent.add(self.first.node_id)
+        for _ in range(2):
+            self.store.restore(0)
+            self.learn_era(*self.nodes[1:])
+            self.play_usage(2.0)
+        self.silent = {node.node_id for node in self.nodes if node is not self.first}
+        self.learn_era(self.first)
+        self.play_usage(SETTLE_SECONDS)
+        self.assertTrue(self.first.leadership.is_leader)
+        self.assertNotIn(window, self.first.usage._recorded)
+
     def test_on_a_day_without_a_return_all_windows_are_reported(self):
         first = self.window()
         self.play_usage(SETTLE_SECONDS)
