Leave endpoints alone that answer 503 with Retry-After

An endpoint that refuses a request with 503 and Retry-After got the next requests all the same: 5 of 5 in the new test, where it had asked for 0.4 s without any. The refusals also counted as failures and ejected it.

The node that was told now sends it nothing for that time: it is left out of placement, and asked about again just before a request is sent. Its requests go to the others. If all of them rest, a request that can begin in time waits for the first that is back, any other is refused at once with the time that is left. A rest is neither a failure nor a crash, and the endpoint stays capacity for the orders.

--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -62,6 +62,7 @@
         # Arrival of each request, in monotonic seconds, and its id.
         self.arrivals: list[tuple[float, str]] = []
         self.leaving = ""  # value of Server-Leaving in every response, if any
+        self.retry_after = ""  # value of Retry-After in refusals, if any
         self.declined = 0
         self.bodies: list[bytes] = []
         self.event_seconds = 0.0
@@ -306,6 +307,8 @@
         if length is not None:
             lines.append(f"Content-Length: {len(body) if length < 0 else length}")
         lines.extend(self._announcements().splitlines())
+        if self.retry_after and status.startswith("503"):
+            lines.append(f"Retry-After: {self.retry_after}")
         lines.extend(f"{name}: {value}" for name, value in extra_headers.items())
         sock.sendall("\r\n".join((*lines, "", "")).encode() + body + tail)
         return True
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -231,7 +231,11 @@
                 self._request.misdirected += 1
                 # The address stays wrong until the endpoint's entry changes.
                 self._view.note_unreachable(self._now())
-            return NotRun(f"endpoint declined with {head.status}", sent=True)
+            return NotRun(
+                f"endpoint declined with {head.status}",
+                sent=True,
+                endpoint_failed=head.rest_seconds is None,
+            )
         self._note_began()
         if self._response.started:
             # The caller has received a part of the stream; no other answer fits.
@@ -361,6 +365,8 @@
         endpoint = self._view.endpoint
         ejected = False
         blameless = isinstance(outcome, NotRun) and not outcome.endpoint_failed
+        if isinstance(outcome, FailedAnswer):
+            blameless = outcome.head.rest_seconds is not None
         if not blameless and not (
             isinstance(outcome, Interrupted) and endpoint.leaving
         ):
--- a/src/rattanwick/internal/gateway/endpoint_view.py
+++ b/src/rattanwick/internal/gateway/endpoint_view.py
@@ -53,11 +53,17 @@
     # Set if the endpoint's entry expired while the store was unavailable. Until this
     # time, in monotonic seconds, the endpoint is used only as a last resort.
     last_resort_until: float | None = None
+    # The endpoint has asked this node to send nothing until then, in monotonic seconds.
+    rests_until: float = 0.0
     # Tokens of the prompt parts assumed to be cached, by part id, oldest first.
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0  # sum of ``cached``
     peers: dict[str, PeerLoad] = field(default_factory=dict)  # by node id
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether the endpoint has asked this node to send nothing now."""
+        return now < self.rests_until
+
     def total_load(self, now: float) -> "TotalLoad":
         """Return the load of all nodes' requests here, as this node knows it."""
         return TotalLoad(self, now)
--- a/src/rattanwick/internal/gateway/explanation.py
+++ b/src/rattanwick/internal/gateway/explanation.py
@@ -32,6 +32,8 @@
     "refused: endpoints_full": "the slots and queues of all endpoints were full",
     "refused: endpoints_limited": "every usable endpoint had reached the limit of "
     "requests per second that it names; the related lines show each limit",
+    "refused: endpoints_resting": "every usable endpoint had asked this node to send "
+    "nothing for a time; the related lines show the times",
     "refused: no_endpoint": "the node knew no endpoint of the service",
     "refused: endpoint declined": "the endpoint stated that it did not run the request",
     "expired": "the endpoint did not answer before the request's deadline",
--- a/src/rattanwick/internal/gateway/model.py
+++ b/src/rattanwick/internal/gateway/model.py
@@ -192,6 +192,8 @@
     rate_limit: float | None = None
     malformed_rate_limit: str = ""  # a limit that cannot be decoded, as sent
     leaving: bool = False  # the endpoint says that it has begun to stop
+    # Of a refusal: seconds in which the endpoint takes no request of this node.
+    rest_seconds: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -217,7 +217,12 @@
             settings.node_id, members, timers, int(time.time() * 1000)
         ),
         endpoint_notices=EndpointNotices(
-            endpoints, part_guard, on_leaving=load_changed.set
+            settings.node_id,
+            endpoints,
+            members,
+            part_guard,
+            timers,
+            on_leaving=load_changed.set,
         ),
         retry_budget=RetryBudget(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window
--- a/src/rattanwick/internal/gateway/placement.py
+++ b/src/rattanwick/internal/gateway/placement.py
@@ -49,6 +49,7 @@
     TOO_LATE = "first_event_too_late"
     ENDPOINTS_LIMITED = "endpoints_limited"
     PERMIT_PENDING = "permit_pending"
+    ENDPOINTS_RESTING = "endpoints_resting"
     NODE_STOPPING = "node_stopping"
 
 
--- a/src/rattanwick/internal/gateway/request_placement.py
+++ b/src/rattanwick/internal/gateway/request_placement.py
@@ -57,6 +57,11 @@
             if isinstance(placed, Placed):
                 request.permit = self._state.endpoint_limits.take(placed.view.endpoint)
                 return placed
+            if placed.reason is RefusalReason.ENDPOINTS_RESTING:
+                if not self._is_in_time_after(request, placed, now):
+                    return placed
+                self._state.timers.sleep(placed.retry_after)
+                continue
             pending = placed.reason is RefusalReason.PERMIT_PENDING
             if waited >= max_wait and pending:
                 return replace(placed, reason=RefusalReason.ENDPOINTS_LIMITED)
@@ -75,11 +80,14 @@
         self, request: ActiveRequest, now: float, may_await_permit: bool
     ) -> Placed | NotPlaced:
         name = request.service.name
-        views = [
+        untried = [
             view
             for view in self._state.endpoints.of_service(name)
             if view.endpoint.id not in request.tried
         ]
+        views = [view for view in untried if not view.is_resting(now)]
+        if len(views) < len(untried) and all(v.endpoint.leaving for v in views):
+            return self._explain_resting(request, untried, now)
         node_id, nodes = self._state.settings.node_id, self._state.count_active_nodes()
         if request.service.engine is None:
             sample = sample_service_endpoints(views, request.call, node_id, nodes, now)
@@ -91,6 +99,31 @@
             return self._choose_within_limits(request, views, now, may_await_permit)
         return placed
 
+    def _explain_resting(
+        self, request: ActiveRequest, views: list[EndpointView], now: float
+    ) -> NotPlaced:
+        """Return the refusal of a request whose usable endpoints all rest."""
+        resting = [v for v in views if not v.endpoint.leaving and v.is_resting(now)]
+        if not resting:
+            return NotPlaced(RefusalReason.NO_ENDPOINT, request.route.objective)
+        wait = min(view.rests_until for view in resting) - now
+        best = self._best(request, resting, now)
+        return NotPlaced(
+            RefusalReason.ENDPOINTS_RESTING,
+            max(wait, MIN_RETRY_AFTER_SECONDS),
+            len(resting),
+            best.expected_seconds,
+        )
+
+    def _is_in_time_after(
+        self, request: ActiveRequest, refusal: NotPlaced, now: float
+    ) -> bool:
+        """Return whether a request that waits for a resting endpoint is in time."""
+        if refusal.expected_seconds is None:
+            return False
+        seconds = now - request.call.arrived + refusal.retry_after
+        return seconds + refusal.expected_seconds <= request.route.objective
+
     def _choose_within_limits(
         self,
         request: ActiveRequest,
--- a/src/rattanwick/platform/messages.py
+++ b/src/rattanwick/platform/messages.py
@@ -27,6 +27,7 @@
 LOAD = b"x-worker-load"
 RATE_LIMIT = b"server-limit"  # requests per second that it takes from all nodes
 LEAVING = b"server-leaving"  # "1" once the endpoint has begun to stop
+RETRY_AFTER = b"retry-after"  # with 503: seconds in which it takes no request
 RESUME_FROM = b"kv-from"
 KEEP_ALIVE = b"keep-alive"
 
@@ -200,6 +201,7 @@
         rate_limit=rate_limit,
         malformed_rate_limit=malformed,
         leaving=_decode_leaving(status, headers),
+        rest_seconds=_decode_rest(status, headers),
     )
 
 
@@ -212,6 +214,17 @@
     return status != 421 and [value.strip() for value in values] == [b"1"]
 
 
+def _decode_rest(status: int, headers: Headers) -> float | None:
+    """Return the seconds in which an endpoint that refuses a request takes none.
+
+    None if it names no valid time; a date is none, since clocks may differ.
+    """
+    values = [value.strip() for name, value in headers if name.lower() == RETRY_AFTER]
+    if status != 503 or len(values) != 1 or not DECIMAL.fullmatch(values[0]):
+        return None
+    return float(values[0])
+
+
 def _decode_rate_limit(values: list[bytes]) -> tuple[float | None, str]:
     """Return the lowest limit, and the first malformed value.
 
--- a/tests/failure/test_gateway_endpoint_notices.py
+++ b/tests/failure/test_gateway_endpoint_notices.py
@@ -1,14 +1,22 @@
-"""Requests before endpoints that announce their end in their answers."""
+"""Requests before endpoints that announce their end, or ask for a rest."""
 
+import time
 import unittest
 
 import gevent
 
 from rattanwick.internal.base.timers import ManualTimerService
+from rattanwick.internal.gateway.endpoint_notices import (
+    MAX_REST_SECONDS,
+    MAX_RETURN_SPREAD_SECONDS,
+)
 from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from rattanwick.internal.gateway.model import ResponseHead
 from rattanwick.platform.messages import decode_response_head
-from tests.gateway_case import RelayCase, make_state
+from tests.gateway_case import RelayCase, make_state, make_view
+
+# Above the spread of returns in a deployment of one node, in seconds.
+REST_MARGIN_SECONDS = 0.1
 
 
 def entry(state: str = "ready", born: int = 1) -> bytes:
@@ -36,6 +44,16 @@
     def test_another_endpoint_at_the_address_announces_nothing(self):
         self.assertFalse(self.decode(421, (b"Server-Leaving", b"1")).leaving)
 
+    def test_a_rest_is_a_decimal_number_beside_status_503(self):
+        header = b"Retry-After"
+        self.assertEqual(self.decode(503, (header, b"1.5")).rest_seconds, 1.5)
+        self.assertIsNone(self.decode(200, (header, b"1.5")).rest_seconds)
+        date = b"Sat, 05 Dec 2026 10:00:00 GMT"
+        for value in (b"-1", b"nan", b"inf", b"1e9", b"", date, b"9" * 400):
+            self.assertIsNone(self.decode(503, (header, value)).rest_seconds, value)
+        twice = self.decode(503, (header, b"1"), (header, b"2"))
+        self.assertIsNone(twice.rest_seconds)
+
 
 class LeavingEndpointTests(RelayCase):
     """Guard against requests to an endpoint that has announced its end."""
@@ -125,3 +143,70 @@
         self.state.load_changed.clear()
         self.state.endpoint_notices.note_response(view, head)
         self.assertFalse(self.state.load_changed.is_set())
+
+
+class RestingEndpointTests(RelayCase):
+    """Guard against requests to an endpoint that has asked for a rest."""
+
+    def rest(self, endpoint, seconds: str, fault: str = "shed") -> None:
+        """Let an endpoint refuse one request with a time to rest."""
+        endpoint.fault, endpoint.faults_left = fault, 1
+        endpoint.retry_after = seconds
+        self.prefer(endpoint.id)
+        self.ask("/unsafe/x", method="POST", body=b"b")
+        self.prefer(endpoint.id)
+
+    def test_requests_go_to_the_others_until_the_rest_ends(self):
+        resting, other = self.replace_endpoints("i-1", "i-2")
+        self.rest(resting, "0.4")
+        for _ in range(4):
+            self.assertEqual(self.ask("/safe/x").status, 200)
+        self.assertEqual((len(resting.arrivals), len(other.arrivals)), (1, 4))
+        gevent.sleep(0.4 + REST_MARGIN_SECONDS)
+        self.prefer("i-1")
+        self.assertEqual(self.ask("/safe/x").status, 200)
+        self.assertEqual(len(resting.arrivals), 2)
+
+    def test_a_rest_is_neither_a_failure_nor_a_crash(self):
+        for fault in ("shed", "busy"):
+            with self.subTest(fault=fault):
+                (resting,) = self.replace_endpoints("i-1")
+                view = self.state.endpoints.get("i-1")
+                self.rest(resting, "0.2", fault)
+                self.assertEqual((view.failure_rate, view.ejected_until), (0.0, 0.0))
+                self.assertIsNotNone(view.last_response_at)
+
+    def test_a_request_waits_for_the_first_endpoint_that_is_back_in_time(self):
+        (resting,) = self.replace_endpoints("i-1")
+        self.rest(resting, "0.2")
+        started = time.monotonic()
+        self.assertEqual(self.ask("/safe/x").status, 200)
+        self.assertGreaterEqual(time.monotonic() - started, 0.2)
+
+    def test_a_request_that_cannot_be_in_time_is_refused_at_once(self):
+        (resting,) = self.replace_endpoints("i-1")
+        self.rest(resting, "3")
+        started = time.monotonic()
+        answer = self.ask("/safe/x")
+        self.assertLess(time.monotonic() - started, 0.3)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.body, b"endpoints_resting\n")
+        self.assertGreater(float(answer.headers["retry-after"]), 2.5)
+
+    def test_a_huge_rest_ends_after_the_bound(self):
+        view = make_view()
+        head = decode_response_head(503, [(b"Retry-After", b"99999999999")])
+        self.state.endpoint_notices.note_response(view, head)
+        longest = MAX_REST_SECONDS + MAX_RETURN_SPREAD_SECONDS
+        self.assertLessEqual(view.rests_until, self.timers.now() + longest)
+
+    def test_nodes_do_not_return_in_the_same_moment(self):
+        """Guard against a burst of all nodes at the end of a rest."""
+        view = make_view()
+        ends = set()
+        for _ in range(3):
+            head = decode_response_head(503, [(b"Retry-After", b"5")])
+            view.rests_until = 0.0
+            self.state.endpoint_notices.note_response(view, head)
+            ends.add(round(view.rests_until - self.timers.now(), 4))
+        self.assertGreater(len(ends), 1)
