Close connections whose answer ended with them, and test each framing

An endpoint's answer with neither length nor chunks ends with its connection. h11 calls such a connection reusable, so the closed one was kept as idle and counted as an open connection when the next request was placed. It was found dead and replaced before it was used, so no request was lost.

A table of tests now covers each framing (length, chunks, none) against each end (close, reset, silence) for whole answers, errors and streams, also streams that end inside an event. Of these only the test of the kept connection failed before.

--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -177,8 +177,11 @@
         ):
             return False
         self._sender = None
-        if self._http.trailing_data[0]:
-            return False  # bytes after the response belong to no request
+        unread, closed = self._http.trailing_data
+        if unread or closed:
+            # Bytes after the response belong to no request. A response with neither
+            # length nor chunks ends with its connection, which h11 does not tell.
+            return False
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
