--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: capacity check-dist ci clean demo dist environment format gateway-incident \
-	incident lab limits-lab lint parts-lab prove soak test
+	incident lab limits-lab lint parts-lab prove rest-lab soak test
 
 environment: $(STAMP)
 
@@ -66,6 +66,10 @@
 limits-lab: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.limits_lab
 
+# Simulates nodes before endpoints that ask for a rest, in half a minute.
+rest-lab: $(STAMP)
+	PYTHONPATH=src:. $(BIN)/python -m bench.rest_lab
+
 # Simulates nodes before endpoints that crash on a part of prompts, in some minutes.
 parts-lab: $(STAMP)
 	PYTHONPATH=src:. $(BIN)/python -m bench.parts_lab
