Show the share of sound requests by organisation and first part

The parts lab gave one share of sound requests for all of them, so that it could not show that those with the same key or the same first part as the crashing ones are served less often. It now also gives the lowest ratio of a group's share after the bound and before the crashes, with scenarios for shares of 0.01 and 0.3 and for a part that stands first.

The test in virtual time asks for 0.9.

--- a/bench/parts_lab.py
+++ b/bench/parts_lab.py
@@ -5,7 +5,9 @@
 under requests with certain parts or for no reason. Prints the requests with these parts
 that endpoints got after the fifth crash and the contact time, and the share of sound
 requests that were answered at the first attempt, beside a baseline without the guard
-and one that knows the parts beforehand.
+and one that knows the parts beforehand. The lowest ratio compares this share, for the
+sound requests of one organisation or with one first part, between the time after the
+bound and the time before the first crash.
 """
 
 import argparse
@@ -35,6 +37,7 @@
 ORGANISATIONS = 5
 GROUPS = 40  # parts behind the first one, used by rank
 SOUND_SECONDS = 12.0  # before the first request with a crashing part
+MIN_COMPARED_REQUESTS = 20  # of a group, before the crashes and after the bound
 LOAD_SECONDS = 50.0
 
 
@@ -79,6 +82,8 @@
     sent_at: float = 0.0
     ended: bool = False  # the attempt
     sound_stream: bool = False  # it has run for SOUND_STREAM_SECONDS
+    arrived: float = 0.0
+    served: bool = False  # answered at the first attempt
 
 
 @dataclass(slots=True)
@@ -140,7 +145,8 @@
         # Times of crashes and of requests sent, by crashing part.
         self.crashes: dict[str, list[float]] = defaultdict(list)
         self.crashing_sent: dict[str, list[float]] = defaultdict(list)
-        self.sound = self.sound_served = self.sound_refused = 0
+        self.sound_requests: list[Request] = []
+        self.sound_refused = 0
         self.bytes = 0
         self._crashing_from = self.now + SOUND_SECONDS
         self._events: list = []
@@ -225,8 +231,9 @@
         if self.now + delay < until:
             self._at(self.now + delay, lambda: self._arrive(until))
         request = self._draw_request()
+        request.arrived = self.now
         if not request.crashing:
-            self.sound += 1
+            self.sound_requests.append(request)
         self._send_request(request)
 
     def _send_request(self, request: Request) -> None:
@@ -276,7 +283,7 @@
             return
         request.ended = True
         endpoint.running.remove(request)
-        self.sound_served += request.attempts == 1
+        request.served = request.attempts == 1
         if isinstance(self.policy, Guarded):
             self.guards[request.node].note_answer(request.parts)
 
@@ -350,6 +357,39 @@
             default=0,
         )
 
+    def sound_served(self) -> float:
+        """Return the share of sound requests answered at the first attempt."""
+        return _served_share(self.sound_requests)
+
+    def lowest_ratio(self) -> float | None:
+        """Return the lowest ratio of a group's shares after the bound and before.
+
+        A group is the sound requests of one organisation, or with one first part. None
+        if no part has crashed endpoints, or no group has enough requests.
+        """
+        if not self.crashes:
+            return None
+        # Of several parts, the last one to be known.
+        bound = 2 * CONTACT_SECONDS + max(
+            crashes[:CRASHES_BEFORE_BOUND][-1] for crashes in self.crashes.values()
+        )
+        before: dict[str, list[Request]] = defaultdict(list)
+        after: dict[str, list[Request]] = defaultdict(list)
+        for request in self.sound_requests:
+            for group in (request.organisation, request.parts[0]):
+                if request.arrived < self._crashing_from:
+                    before[group].append(request)
+                elif request.arrived >= bound:
+                    after[group].append(request)
+        return min(
+            (
+                _served_share(after[group]) / _served_share(requests)
+                for group, requests in before.items()
+                if min(len(requests), len(after[group])) >= MIN_COMPARED_REQUESTS
+            ),
+            default=None,
+        )
+
     def most_crashes(self) -> int:
         """Return the most crashes under requests with one part."""
         return max(map(len, self.crashes.values()), default=0)
@@ -366,12 +406,19 @@
         )
 
 
+def _served_share(requests: list[Request]) -> float:
+    return sum(request.served for request in requests) / len(requests)
+
+
 POLICIES = {"guard": Guarded, "none": NoGuard, "full knowledge": FullKnowledge}
 SCENARIOS = (
     Scenario(nodes=3),
     Scenario(nodes=6),
     Scenario(nodes=6, crashing_share=0.005),
+    Scenario(nodes=6, crashing_share=0.01),
+    Scenario(nodes=6, crashing_share=0.3),
     Scenario(nodes=6, crashing_share=0.2),
+    Scenario(nodes=6, position=0),
     Scenario(nodes=6, position=None),
     Scenario(nodes=6, attempts=2),
     Scenario(nodes=6, crashing_parts=2),
@@ -394,7 +441,8 @@
         row[name] = {
             "crashes": simulation.most_crashes(),
             "late": simulation.late_requests(),
-            "sound_served": round(simulation.sound_served / simulation.sound, 4),
+            "sound_served": round(simulation.sound_served(), 4),
+            "lowest_ratio": _rounded(simulation.lowest_ratio()),
         }
         if name == "guard":
             row[name]["sound_refused"] = simulation.sound_refused
@@ -405,6 +453,10 @@
     return row
 
 
+def _rounded(ratio: float | None) -> float | None:
+    return None if ratio is None else round(ratio, 3)
+
+
 def main() -> int:
     """Print the figures of all scenarios; return 1 if requests came too late."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
--- a/tests/unit/test_gateway_crash_evidence.py
+++ b/tests/unit/test_gateway_crash_evidence.py
@@ -321,6 +321,11 @@
         self.assertEqual(self.sent, [])
 
 
+# Sound requests with the key, or the first part, of those that crash endpoints begin at
+# the first attempt this often after the bound, compared with before the crashes.
+MIN_GROUP_RATIO = 0.9
+
+
 class BoundInVirtualTimeTests(unittest.TestCase):
     """Guard against a fourth request that crashes endpoints after the bound.
 
@@ -334,8 +339,11 @@
             self.assertLessEqual(simulation.late_requests(), MAX_REQUESTS)
             self.assertGreaterEqual(simulation.most_crashes(), 1)
             self.assertEqual(simulation.wrong_blocks(), 0)
-            served = simulation.sound_served / simulation.sound
+            served = simulation.sound_served()
             self.assertGreaterEqual(served, 0.8)
+            ratio = simulation.lowest_ratio()
+            if ratio is not None:
+                self.assertGreaterEqual(ratio, MIN_GROUP_RATIO)
 
     def test_three_nodes(self):
         self.check(Scenario(nodes=3))
