--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -32,9 +32,11 @@
     Lost,
     NotRun,
     Outcome,
+    is_endpoint_failure,
 )
 from rattanwick.internal.gateway.part_guard import SOUND_STREAM_SECONDS
 from rattanwick.internal.gateway.prompt_blocks import PromptBlocks
+from rattanwick.internal.gateway.request_log import log_failed_attempt
 from rattanwick.internal.gateway.stream_forwarder import StreamForwarder
 
 log = get_logger("attempts")
@@ -364,29 +366,10 @@
             return
         endpoint = self._view.endpoint
         ejected = False
-        blameless = isinstance(outcome, NotRun) and not outcome.endpoint_failed
-        if isinstance(outcome, FailedAnswer):
-            blameless = outcome.head.rest_seconds is not None
-        if not blameless and not (
-            isinstance(outcome, Interrupted) and endpoint.leaving
-        ):
+        if is_endpoint_failure(outcome, endpoint.leaving):
             ejected = self._view.note_outcome(failed=True, now=self._now())
-        log.info(
-            "attempt failed",
-            extra={
-                "request": self._request.call.id,
-                "endpoint": endpoint.id,
-                "attempt": self._request.attempts,
-                "reused": self._connection.reused if self._connection else None,
-                "rested": round(self._connection.previous_idle_seconds, 2)
-                if self._connection
-                else None,
-                "outcome": type(outcome).__name__,
-                "reason": getattr(outcome, "reason", None)
-                or f"status {outcome.head.status}",
-                "failure_rate": round(self._view.failure_rate, 2),
-                "set_aside": ejected,
-            },
+        log_failed_attempt(
+            self._request, self._view, self._connection, outcome, ejected
         )
         if isinstance(outcome, Lost | Interrupted) and outcome.disconnected:
             self._view.last_response_at = None
--- a/src/rattanwick/internal/gateway/outcomes.py
+++ b/src/rattanwick/internal/gateway/outcomes.py
@@ -54,3 +54,21 @@
 
 
 Outcome = Answered | NotRun | FailedAnswer | Lost | Interrupted | Expired
+
+
+def is_endpoint_failure(outcome: Outcome, leaving: bool) -> bool:
+    """Return whether an outcome counts against its endpoint.
+
+    A refusal that asks for a rest doesn't, nor does a stream that ends while its
+    endpoint is ``leaving``.
+    """
+    match outcome:
+        case Answered():
+            return False
+        case NotRun():
+            return outcome.endpoint_failed
+        case FailedAnswer(head, _):
+            return head.rest_seconds is None
+        case Interrupted():
+            return not leaving
+    return True
--- a/src/rattanwick/internal/gateway/request_log.py
+++ b/src/rattanwick/internal/gateway/request_log.py
@@ -3,9 +3,13 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter, histogram
 from rattanwick.internal.gateway.active_request import ActiveRequest
+from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.node_state import NodeState
+from rattanwick.internal.gateway.outcomes import Outcome
 
 log = get_logger("relay")
+attempts_log = get_logger("attempts")
 
 requests_total = counter(
     "relay_requests",
@@ -62,5 +66,31 @@
     )
 
 
+def log_failed_attempt(
+    request: ActiveRequest,
+    view: EndpointView,
+    connection: EndpointConnection | None,
+    outcome: Outcome,
+    ejected: bool,
+) -> None:
+    """Log an attempt that got no answer which ends its request."""
+    idle = connection.previous_idle_seconds if connection else None
+    attempts_log.info(
+        "attempt failed",
+        extra={
+            "request": request.call.id,
+            "endpoint": view.endpoint.id,
+            "attempt": request.attempts,
+            "reused": connection.reused if connection else None,
+            "rested": None if idle is None else round(idle, 2),
+            "outcome": type(outcome).__name__,
+            "reason": getattr(outcome, "reason", None)
+            or f"status {outcome.head.status}",
+            "failure_rate": round(view.failure_rate, 2),
+            "set_aside": ejected,
+        },
+    )
+
+
 def _to_ms(seconds: float | None) -> int | None:
     return None if seconds is None else round(seconds * 1000)
