Send the answer that an endpoint has given if only its retry is blocked

A repeatable request whose first attempt was answered with an error got 400, "blocked part", in place of that answer if its prompt was blocked before the retry. The answer that is there is complete, and is sent now, as it is if no endpoint can take the retry. The new test got 400 before and 500 now.

--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -270,6 +270,11 @@
         )
         if response.started:
             self._abort_stream(request, response, "blocked_part")
+        if request.failed_answer is not None:
+            # Only the retry is blocked. The answer that is there is complete.
+            failed = request.failed_answer
+            self._send_failure(request, response, failed.head, failed.body)
+            return
         self._send_refusal(request.call, response, BLOCKED_STATUS, "blocked_part", None)
         self._log_end(request, "refused: blocked_part", response)
 
--- a/tests/failure/test_gateway_crashing_parts.py
+++ b/tests/failure/test_gateway_crashing_parts.py
@@ -3,6 +3,7 @@
 import gevent
 
 from rattanwick.internal.base.errors import ConnectionLost
+from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.crash_evidence import LEARNING_ANSWERS
 from tests.gateway_case import Answer, RelayCase
 
@@ -111,6 +112,23 @@
         self.assertEqual(self.ask_with("/stream/x", "x").status, 400)
         self.assertEqual(self.count_runs(), runs)
 
+    def test_an_error_answer_is_sent_if_its_retry_is_blocked(self):
+        """Guard against 400 in place of the answer that an endpoint has given."""
+        first, second = self.replace_endpoints("i-1", "i-2")
+        first.fault = second.fault = "error"
+        find, found = self.guard.find_block, []
+        block = Block("b", frozenset("x"), frozenset(), 3, (), (), 0.0, 0.0)
+
+        def find_after_first(*args):
+            found.append(find(*args))
+            ran = first.executed_requests or second.executed_requests
+            return block if ran else found[-1]
+
+        self.guard.find_block = find_after_first
+        answer = self.ask_with("/safe/x", "f", "x")
+        self.assertEqual((answer.status, answer.body), (500, b"no"))
+        self.assertEqual(self.count_runs(), 1)
+
     def test_connections_that_are_reset_are_no_crashes(self):
         self.add_endpoints("engine")
         for endpoint in self.endpoints:
