Count requests of the connections that a graceful stop accepts last

The product's own interface accepted the connections in the kernel's queue when it stopped, but asked at once whether a request was in flight, before any of them was read.

The stop now gives these connections 0.05 s to be read first.

--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -23,6 +23,7 @@
 
 MAX_HEADER_BYTES = 16_384  # without the request line, which may have 8 KiB
 CONNECTIONS_PER_REQUEST = 4  # connections for each request that may be in flight
+ACCEPTED_READ_SECONDS = 0.05  # for connections that a stop accepts last
 HEADER_TIMEOUT_SECONDS = 10.0  # time limit for receiving the header
 IDLE_TIMEOUT_SECONDS = 75.0  # longest time in which a caller neither sends nor reads
 MAX_DISCARD_BYTES = 1 << 20  # read and discarded of an unread body
@@ -283,6 +284,8 @@
         for conn in list(self.idle_connections):
             if not is_readable(conn):
                 _shut_down(conn)
+        # Requests count as in flight once the connections accepted last were read.
+        gevent.sleep(ACCEPTED_READ_SECONDS)
         ended = self._none_in_flight.wait(limit_seconds) or self._in_flight == 0
         self.stop(timeout=1.0)
         return ended
--- a/tests/failure/test_callers_and_drain.py
+++ b/tests/failure/test_callers_and_drain.py
@@ -395,6 +395,23 @@
                 self.assertIn(b"HTTP/1.1 ", caller.recv(65536)[:9])
         self.assertTrue(stopping.get(timeout=2.0))
 
+    # Guards against a request that is not counted, and is ended with the server, since
+    # its connection was accepted last.
+    def test_a_graceful_stop_waits_for_the_requests_accepted_last(self):
+        def respond(_environ, start_response):
+            gevent.sleep(1.3)  # longer than the pool has to end
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+
+        self.server.application = respond
+        conn = monkey.get_original("socket", "socket")()
+        conn.connect(("127.0.0.1", self.server.server_port))
+        conn.sendall(b"GET / HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+        stopping = gevent.spawn(self.server.close_gracefully, 5.0)
+        with socket.socket(fileno=conn.detach()) as caller:
+            self.assertIn(b"HTTP/1.1 200", caller.recv(65536)[:12])
+        self.assertTrue(stopping.get(timeout=2.0))
+
 
 class TraceTests(RequestCase):
     """Guard against steps that have no span under the caller's span.
