Ignore signals once a stop is complete

A node that got a second SIGTERM while its interpreter ended had the status -15 in place of 0: the interpreter and libev restore the default handlers at the end of a process.

The node ignores these signals after its stop; ignored ones stay ignored.

--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -135,6 +135,10 @@
         self._callers.start()
         self._stopping.wait()
         self._drain()
+        # The interpreter restores the default handlers at its end. A signal that is
+        # ignored stays so, and cannot turn the status of a complete stop into an error.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
 
     def _caller_limits(self) -> CallerLimits:
         cfg = self.state.configuration
--- a/tests/scenario/test_gateway_planned_stop.py
+++ b/tests/scenario/test_gateway_planned_stop.py
@@ -104,6 +104,15 @@
             self.assertEqual(request.status, 503)
         self.assertEqual(self.ran(), {"sent-0"})
 
+    # Guards against an error status of a complete stop, because a signal arrives while
+    # the interpreter ends and has restored the default handlers.
+    def test_signals_at_the_end_of_the_process_do_not_change_its_status(self):
+        self.node.terminate()
+        with gevent.Timeout(GRACE_SECONDS):
+            while self.node.poll() is None:
+                self.node.terminate()
+        self.assertEqual(self.node.status, 0)
+
     # Guards against a second signal that ends the process in the middle of its stop.
     def test_signals_in_a_stop_change_nothing(self):
         for endpoint in self.deployment.endpoints.values():
