Add a review case: a body without end hangs the node

A worker answers one request with a body in chunks of one byte that does not end. The node answers nothing else until that request's deadline, 6 s later: some 50 requests of 0.8 s to it get no answer for up to 5.3 s beyond their timeout (CONFIG).

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Open connections to the store go silent between two configurations."""
+"""A worker in trouble answers one request with a body that does not end."""
 
 import asyncio
 import sys
@@ -12,32 +12,38 @@
 from deployment import Deployment  # noqa: E402
 from recording import play, with_trouble  # noqa: E402
 
-NODES = 6
-CONTACT_SECONDS = 3.0  # contact_ms
-APPLY_SECONDS = 2.0  # config_apply_ms
-# From a configuration to the moment at which connections go silent. By then the nodes
-# wait for the next change.
-SILENCE_AFTER_SECONDS = 0.4
-# From that moment to the configuration that is judged. The machines are in touch, and
-# the store is stable, from 3 s on.
-CHANGE_AFTER_SECONDS = CONTACT_SECONDS + 0.2
-WATCH_SECONDS = 5.0
-SEND_INTERVAL_SECONDS = 0.05
-TIMEOUT_MS = 1500
-
-
-async def run_booking(worker, first, headers, body, writer) -> bool:
-    await asyncio.sleep(0.01)
-    body = f"booked by {worker.service}".encode()
-    return await worker.answer(writer, 200, headers["x-request-id"], body)
-
-
-def configuration(version: int, service: str, visits: str = "") -> dict:
-    """Return a configuration whose bookings go to a service."""
-    routes = [make_route("r-reserva", "/reserva/", "unsafe", service, slo_ms=200)]
-    if visits:
-        routes.append(make_route("r-visits", "/visits/", "safe", visits, slo_ms=200))
-    return make_configuration(version, routes, agenda_old={}, agenda_new={})
+NODES = 3
+WORKERS = 6
+SHORT_TIMEOUT_MS, LONG_TIMEOUT_MS = 800, 6000
+SHORT_INTERVAL_SECONDS = 0.1  # at each node
+TROUBLE_AT, END_AT = 4.0, 16.0  # seconds since the nodes know each other
+LATE_SECONDS = 0.5  # after the timeout of the route
+PATIENCE_SECONDS = 8.0
+# What the worker sends again and again: chunks of one byte.
+ENDLESS = b"1\r\nx\r\n" * 10_000
+MIN_REQUESTS = 20
+
+
+async def run_call(worker, first, headers, body, writer) -> bool:
+    request_id = headers["x-request-id"]
+    if worker.in_trouble and request_id.startswith("long"):
+        return await send_without_end(worker, request_id, writer)
+    await asyncio.sleep(0.03)
+    return await worker.answer(writer, 200, request_id, b"schedule")
+
+
+async def send_without_end(worker, request_id, writer) -> bool:
+    """Send a body until the caller closes the connection."""
+    worker.record.say(f"{worker.id} answers {request_id} with a body without end")
+    writer.write(worker.head(200, request_id, Transfer_Encoding="chunked"))
+    sent = 0
+    try:
+        while True:
+            writer.write(ENDLESS)
+            sent += len(ENDLESS)
+            await writer.drain()
+    finally:
+        worker.record.say(f"{worker.id}: the caller has closed after {sent} bytes")
 
 
 async def case(record) -> bool:
@@ -50,56 +56,96 @@
 
 async def run_case(record, d) -> bool:
     await d.platform.start()
-    d.configure(configuration(1, "agenda_old"))
-    for service in ("agenda_old", "agenda_new"):
-        for number in range(2):
-            await d.add_worker(f"i-{service}{number}", service, run_booking)
+    routes = [
+        make_route(
+            "r-ver",
+            "/ver/",
+            "safe",
+            "agenda-vans",
+            timeout_ms=SHORT_TIMEOUT_MS,
+            slo_ms=150,
+            max_attempts=2,
+        ),
+        make_route(
+            "r-reserva",
+            "/reserva/",
+            "unsafe",
+            "agenda-vans",
+            timeout_ms=LONG_TIMEOUT_MS,
+            slo_ms=400,
+        ),
+    ]
+    d.configure(make_configuration(1, routes))
+    for n in range(WORKERS):
+        worker = await d.add_worker(f"i-{n}", "agenda-vans", run_call)
+        worker.in_trouble = False
     await d.start()
-    await asyncio.sleep(2.0)
-    d.configure(configuration(4, "agenda_old", visits="agenda_old"))
-    await asyncio.sleep(SILENCE_AFTER_SECONDS)
-    if with_trouble():
-        count = d.platform.silence_connections()
-        record.say(f"{count} open connections to the store go silent for good")
-    await asyncio.sleep(CHANGE_AFTER_SECONDS)
-    acknowledged = d.configure(configuration(9, "agenda_new", visits="agenda_old"))
-    record.say("acknowledged: bookings move to agenda_new")
-    results: list[tuple[float, str, object]] = []
-
-    async def send(node, number: int) -> None:
+    begun = record.now()
+    done: list[tuple[str, float, object]] = []  # node, timeout, answer
+
+    async def send(node, method, path, request_id, timeout_ms) -> None:
         client = Client(node.front, record)
-        request_id = f"{node.name}-{number:04d}"
         answer = await client.send(
-            "POST", "/reserva/2f", request_id, TIMEOUT_MS, body=b"visit"
+            method, path, request_id, timeout_ms, patience=PATIENCE_SECONDS
         )
         client.close()
-        results.append((answer.sent_at - acknowledged, node.name, answer))
-
-    tasks = []
-    for number in range(int(WATCH_SECONDS / SEND_INTERVAL_SECONDS)):
-        tasks += [asyncio.create_task(send(node, number)) for node in d.nodes]
-        await asyncio.sleep(SEND_INTERVAL_SECONDS)
-    await asyncio.gather(*tasks)
-    return judge(record, results)
-
-
-def judge(record, results) -> bool:
-    """Judge: a request sent after the bound is not run by the old service."""
-    stale, last = 0, {}
-    for sent, node, answer in sorted(results, key=lambda item: item[0]):
-        old = answer.body == b"booked by agenda_old"
-        if old:
-            last[node] = sent
-        wrong = old and sent > APPLY_SECONDS
-        stale += wrong
+        done.append((node.name, timeout_ms / 1000, answer))
+
+    async def send_shorts(node) -> None:
+        number = 0
+        while record.now() - begun < END_AT - PATIENCE_SECONDS / 2:
+            number += 1
+            request_id = f"short-{node.name}-{number}"
+            args = (node, "GET", "/ver/2f", request_id, SHORT_TIMEOUT_MS)
+            tasks.append(asyncio.create_task(send(*args)))
+            await asyncio.sleep(SHORT_INTERVAL_SECONDS)
+
+    async def watch_ready(node) -> None:
+        was = True
+        while record.now() - begun < END_AT:
+            status, _ = await d.get(node.ip, d.ports["ready"], "/api/ready", 0.5)
+            if (status == 200) != was:
+                was = status == 200
+                text = "answers" if was else "does not answer"
+                record.say(f"{node.name} {text} the check of readiness")
+            await asyncio.sleep(0.1)
+
+    tasks: list[asyncio.Task] = []
+    for node in d.nodes:
+        tasks.append(asyncio.create_task(send_shorts(node)))
+        tasks.append(asyncio.create_task(watch_ready(node)))
+    await asyncio.sleep(TROUBLE_AT)
+    if with_trouble():
+        for worker in d.workers:
+            worker.in_trouble = True
+    args = (d.nodes[0], "POST", "/reserva/2f", "long-1", LONG_TIMEOUT_MS)
+    tasks.append(asyncio.create_task(send(*args)))
+    await asyncio.sleep(0.5)
+    for worker in d.workers:
+        worker.in_trouble = False
+    while pending := [task for task in tasks if not task.done()]:
+        await asyncio.gather(*pending)
+    return judge(record, done)
+
+
+def judge(record, done) -> bool:
+    """Judge: of the requests unanswered at their timeout, half are answered soon."""
+    late, very_late, worst = 0, 0, 0.0
+    for node, timeout, answer in sorted(done, key=lambda item: item[2].sent_at):
+        seconds = answer.ended_at - answer.sent_at
         record.write(
-            f"{sent:.3f} s after the acknowledgement to {node}: {answer.status} "
-            f"{answer.body.decode()!r}{' WRONG' if wrong else ''}"
+            f"sent {answer.sent_at:.3f} to {node}: status {answer.status}, "
+            f"complete {answer.complete}, after {seconds:.3f} s"
         )
-    for node, sent in sorted(last.items()):
-        record.say(f"{node} last used the old service {sent:.2f} s after it")
-    record.say(f"{len(results)} bookings, {stale} run by the old service too late")
-    return stale == 0
+        if seconds > timeout:
+            late += 1
+            very_late += seconds > timeout + LATE_SECONDS
+            worst = max(worst, seconds - timeout)
+    record.say(
+        f"{len(done)} requests; {late} unanswered at their route's timeout, "
+        f"{very_late} of them half a second later; worst {worst:.1f} s after it"
+    )
+    return very_late < MIN_REQUESTS or very_late * 2 <= late
 
 
 if __name__ == "__main__":
