Resume streams from the last event that was sent

Cause: the splitter searched the bytes of events for the last "id:" and kept the former id if that was not at the start of a line, so text such as "paid: 18.00" hid the id. On the same path, a CRLF that was cut between two reads completed no event, events without an id were resumed from an older one, and a run that resumed at the wrong event was passed on.

Events are now read by lines as the HTML standard defines them, and bytes are forwarded unchanged. EventSequence keeps the id of the last event that was sent; without a usable one the response is broken off. The first event of a resumed run must continue after it, or the attempt fails. A byte is searched once, so the work grows with the bytes.

--- a/src/rattanwick/internal/gateway/active_request.py
+++ b/src/rattanwick/internal/gateway/active_request.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from rattanwick.internal.gateway.endpoint_limits import Permit
+from rattanwick.internal.gateway.event_sequence import EventSequence
 from rattanwick.internal.gateway.model import (
     Call,
     Headers,
@@ -94,7 +95,8 @@
     misdirected: int = 0  # attempts that reached another endpoint (status 421)
     age_seconds: float = 0.0  # from its arrival to the last choice of an endpoint
     tried: set[str] = field(default_factory=set)  # ids of endpoints
-    last_event_id: str = ""
+    # Of a stream, as far as the caller has received it.
+    events: EventSequence = field(default_factory=EventSequence)
     # Error response of an earlier attempt, if that was the last outcome.
     failed_answer: FailedAnswer | None = None
     placed: Placed | None = None
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -168,7 +168,7 @@
             organisation=org.name if org else "",
             time_left=self._time_left(),
             urgency=request.urgency,
-            last_event_id=request.last_event_id,
+            last_event_id=request.events.resume_id or "",
         )
         headers = self._codec.encode_call(call, ctx)
         # Whatever ends the sending, the endpoint may have got the request.
@@ -242,7 +242,7 @@
         if self._response.started:
             # The caller has received a part of the stream; no other answer fits.
             reason = f"endpoint answered the rest of a stream with status {head.status}"
-            return Interrupted(reason, self._request.last_event_id)
+            return Interrupted(reason)
         if head.status >= 500 or head.status in (408, 429):
             return FailedAnswer(head, body)
         if head.status < 300 and not head.signed:
--- a/src/rattanwick/internal/gateway/outcomes.py
+++ b/src/rattanwick/internal/gateway/outcomes.py
@@ -42,7 +42,6 @@
     """A stream ended before its last event, after some were sent to the caller."""
 
     reason: str
-    last_event_id: str
     disconnected: bool = False  # the connection ended, as after a crash
 
 
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -15,6 +15,7 @@
 from rattanwick.internal.gateway.crash_check import CrashChecks
 from rattanwick.internal.gateway.crash_evidence import shared_parts
 from rattanwick.internal.gateway.crash_guard import call_fingerprint
+from rattanwick.internal.gateway.event_sequence import EventSequence
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import (
     Call,
@@ -136,7 +137,7 @@
             parts=parts,
             trial=trial,
             configuration_version=cfg.version,
-            last_event_id=call.last_event_id if route.resumable else "",
+            events=EventSequence(call.last_event_id if route.resumable else ""),
         )
         response.request = request
         times = self._state.stop.answer_times
@@ -213,9 +214,10 @@
                         continue
                     self._end_unknown(request, response, reason)
                     return
-                case Interrupted(reason, last_event_id):
-                    request.last_event_id = last_event_id
-                    if self._may_retry(request):
+                case Interrupted(reason):
+                    if request.events.resume_id is None:
+                        reason += "; the last event has no id to resume from"
+                    elif self._may_retry(request):
                         continue
                     self._abort_stream(request, response, f"stream_broken: {reason}")
                 case Expired(reason):
--- a/src/rattanwick/internal/gateway/request_log.py
+++ b/src/rattanwick/internal/gateway/request_log.py
@@ -86,6 +86,8 @@
             "outcome": type(outcome).__name__,
             "reason": getattr(outcome, "reason", None)
             or f"status {outcome.head.status}",
+            "events": request.events.events,
+            "last_event_id": request.events.resume_id,
             "failure_rate": round(view.failure_rate, 2),
             "set_aside": ejected,
         },
--- a/src/rattanwick/internal/gateway/stream_forwarder.py
+++ b/src/rattanwick/internal/gateway/stream_forwarder.py
@@ -22,7 +22,7 @@
 class StreamForwarder:
     """Forwarder of one stream; ``complete`` is true once it was read to its end.
 
-    ``note_event`` is called before complete events are sent to the caller.
+    ``note_event`` is called before events are sent to the caller.
     """
 
     __slots__ = (
@@ -48,11 +48,12 @@
         self._connection = connection
         self._timers = timers
         self._note_event = note_event
-        self._events = EventSplitter(request.last_event_id)
+        self._events = EventSplitter(request.events, resumes=response.started)
         self.complete = False
 
     def run(self, head: ResponseHead) -> Outcome:
         """Forward each event of a stream once it is complete."""
+        noted = self._request.events.events
         while True:
             try:
                 event = self._connection.next_event(
@@ -79,11 +80,13 @@
             except ValueError as exc:
                 return self._failure(str(exc))
             if complete:
-                self._note_event()
+                if self._request.events.events > noted:
+                    noted = self._request.events.events
+                    self._note_event()
                 start = None if self._response.started else (200, head.headers)
                 self._response.send_chunk(complete, start)
 
     def _failure(self, reason: str, disconnected: bool = False) -> Outcome:
         if self._response.started:
-            return Interrupted(reason, self._events.last_id, disconnected)
+            return Interrupted(reason, disconnected)
         return Lost(reason, disconnected)
--- a/src/rattanwick/internal/requests/engine_client.py
+++ b/src/rattanwick/internal/requests/engine_client.py
@@ -10,6 +10,7 @@
     TimedOut,
     Unavailable,
 )
+from rattanwick.internal.base.event_stream import EventLineReader, LineTooLong
 from rattanwick.internal.model.instances import Endpoint
 from rattanwick.internal.model.requests import RequestKind, ServingRequest, Usage
 from rattanwick.internal.requests.caller_errors import ORGANISATION_HEADER
@@ -46,13 +47,13 @@
 
     __slots__ = (
         "_body",
-        "_buffer",
         "_conn",
         "_connections",
         "_endpoint",
         "_headers_checked",
         "_is_chat",
         "_last_text_at",
+        "_lines",
         "_now",
         "_req",
         "_retry_fresh",
@@ -80,7 +81,7 @@
         self._body = build_engine_body(req, text_so_far, tokens_so_far)
         self._is_chat = req.kind is RequestKind.CHAT
         self._now = now
-        self._buffer = b""
+        self._lines = EventLineReader(MAX_EVENT_BYTES)
         self._conn: EndpointConnection | None = None
         self._headers_checked = False
         self._retry_fresh = False  # whether to send again on a new connection if lost
@@ -179,10 +180,10 @@
         raise Refused("generate", self.endpoint_id, reason)
 
     def _parse(self, data: bytes) -> list[str]:
-        lines = (self._buffer + data).split(b"\n")
-        self._buffer = lines.pop()
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ProtocolError("stream", self.endpoint_id, "event is too large")
+        try:
+            lines = self._lines.feed(data)
+        except LineTooLong as exc:
+            raise ProtocolError("stream", self.endpoint_id, str(exc))
         texts = []
         for line in lines:
             if line[:5] != b"data:" or self.done:
--- a/tests/unit/test_gateway_components.py
+++ b/tests/unit/test_gateway_components.py
@@ -9,6 +9,7 @@
 
 from rattanwick.internal.gateway.connection_pool import ConnectionPool
 from rattanwick.internal.gateway.crash_guard import CrashGuard, call_fingerprint
+from rattanwick.internal.gateway.event_sequence import EventSequence
 from rattanwick.internal.gateway.interfaces import StoredRow, Version
 from rattanwick.internal.gateway.members import (
     MEMBER_TIMEOUT_SECONDS,
@@ -146,7 +147,7 @@
     @given(st.lists(st.integers(1, 9), max_size=30))
     def test_only_complete_events_are_returned(self, sizes):
         data = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 8))
-        splitter, got, at = EventSplitter(), b"", 0
+        splitter, got, at = EventSplitter(EventSequence()), b"", 0
         for size in sizes:
             events = splitter.feed(data[at : at + size])
             self.assertTrue(events == b"" or events.endswith(b"\n\n"))
@@ -154,7 +155,7 @@
             at += size
         self.assertEqual(got + splitter.partial, data[:at])
         if got:
-            self.assertEqual(splitter.last_id, str(got.count(b"\n\n")))
+            self.assertEqual(splitter.sequence.resume_id, str(got.count(b"\n\n")))
 
 
 class MemberTests(unittest.TestCase):
