Bound the work for one message before other tasks run

Cause: gevent's recv gives way only if nothing has arrived, and the endpoint sends faster than the node parses. Bounds counted content alone. The same held for bodies that are no streams, comments and lines of streams, bodies of callers, responses of the store and the cloud, copies of tables and engines of the product's own interface.

Each loop that reads now counts its work and lets other tasks run after about 2 ms. Deadlines are checked after each pause. Too many small chunks and lines without events fail the attempt.

--- a/src/rattanwick/internal/base/event_stream.py
+++ b/src/rattanwick/internal/base/event_stream.py
@@ -1,10 +1,7 @@
 """Lines of event streams (``text/event-stream``), as the HTML standard defines them."""
 
-import re
-
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
-LINE_END = re.compile(rb"\r\n?|\n")
-CARRIAGE_RETURN = 0x0D
+LINE_END_BYTES = b"\r\n"  # each of them, or both in this order
 
 
 class LineTooLong(ValueError):
@@ -31,16 +28,18 @@
         """
         if not data:
             return []
-        if self._after_carriage_return and data[:1] == b"\n":
+        if self._after_carriage_return and data.startswith(b"\n"):
             data = data[1:]
-        self._after_carriage_return = data[-1:] == b"\r"
-        buffer, lines, start = self._buffer, [], 0
-        searched = len(buffer)
-        buffer += data
-        while end := LINE_END.search(buffer, searched):
-            lines.append(bytes(buffer[start : end.start()]))
-            start = searched = end.end()
-        del buffer[:start]
-        if len(buffer) > self._max_bytes:
+        self._after_carriage_return = data.endswith(b"\r")
+        lines = []
+        for line in data.splitlines(True):
+            if line[-1] not in LINE_END_BYTES:
+                self._buffer += line
+                break
+            if self._buffer:
+                line = bytes(self._buffer) + line
+                self._buffer.clear()
+            lines.append(line.rstrip(LINE_END_BYTES))
+        if len(self._buffer) > self._max_bytes:
             raise LineTooLong(f"line is longer than {self._max_bytes} bytes")
         return lines
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -10,6 +10,7 @@
 from gevent import get_hub, getcurrent
 
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
     CallerStalled,
@@ -17,7 +18,11 @@
     Phase,
     ResponseWriter,
 )
-from rattanwick.internal.gateway.connection_pool import is_readable
+from rattanwick.internal.gateway.connection_pool import (
+    MAX_SMALL_CHUNKS,
+    MIN_CHUNK_BYTES,
+    is_readable,
+)
 from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
 from rattanwick.internal.gateway.interfaces import InvalidRequest
 from rattanwick.internal.gateway.model import Call, Headers
@@ -281,11 +286,17 @@
             )
 
     def _read_body(self) -> bytes:
-        parts, size = [], 0
+        parts, size, chunks = [], 0, 0
+        pacer = Pacer(self._server.turns)
         while True:
             event = self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
+                size, chunks = size + len(event.data), chunks + 1
+                if chunks > MAX_SMALL_CHUNKS + size // MIN_CHUNK_BYTES:
+                    raise InvalidRequest(
+                        400, f"body: must not have over {MAX_SMALL_CHUNKS} small chunks"
+                    )
+                pacer.spend(1 + len(event.data) / BYTES_PER_UNIT, float("inf"))
                 if size > self._limits.body_bytes:
                     max_bytes = self._limits.body_bytes
                     raise InvalidRequest(
--- a/src/rattanwick/internal/gateway/caller_server.py
+++ b/src/rattanwick/internal/gateway/caller_server.py
@@ -7,6 +7,7 @@
 from gevent.server import StreamServer
 
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.pacing import TurnQueue
 from rattanwick.internal.gateway.answer_guard import AnswerGuard
 from rattanwick.internal.gateway.caller_connection import CallerConnection
 from rattanwick.internal.gateway.interfaces import MessageCodec
@@ -40,6 +41,7 @@
         self.limits = limits
         self.stop = stop
         self.guard = AnswerGuard(codec, stop)
+        self.turns = TurnQueue()
         self.draining = False
         self.connections: set[CallerConnection] = set()
         self._server = StreamServer(address, self._serve, backlog=LISTEN_BACKLOG)
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -15,12 +15,17 @@
     TimedOut,
 )
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer, TurnQueue
 from rattanwick.internal.gateway.model import Endpoint, Headers, Service
 
 log = get_logger("links")
 
 CONNECT_TIMEOUT_SECONDS = 0.6  # gives up after two lost SYN packets
 READ_BYTES = 65_536
+# Chunks of a body, or of one event, beyond those that hold MIN_CHUNK_BYTES on average.
+# Parsing a chunk takes far longer than forwarding its bytes.
+MAX_SMALL_CHUNKS = 65_536
+MIN_CHUNK_BYTES = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Responses of status 1xx before the final one. An endpoint that sends them without end
 # never sends the final one.
@@ -73,9 +78,12 @@
     """
 
     __slots__ = (
+        "_chunk_allowance",
         "_http",
+        "_pacer",
         "_sender",
         "_sock",
+        "_turns",
         "pool_key",
         "idle_limit",
         "idle_since",
@@ -83,9 +91,12 @@
         "reused",
     )
 
-    def __init__(self, pool_key: str, sock):
+    def __init__(self, pool_key: str, sock, turns: TurnQueue):
         self.pool_key = pool_key
         self._sock = sock
+        self._turns = turns
+        self._pacer = Pacer(turns)
+        self._chunk_allowance = MAX_SMALL_CHUNKS
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -112,6 +123,8 @@
         except h11.LocalProtocolError as exc:
             raise ProtocolError("encode", self.pool_key, str(exc))
         data = head + remaining
+        self._pacer = Pacer(self._turns)
+        self.note_progress()
         self._sock.settimeout(max(timeout, MIN_SEND_TIMEOUT_SECONDS))
         try:
             sent = self._sock.send(data[:DIRECT_SEND_BYTES])
@@ -155,12 +168,39 @@
                 if isinstance(event, h11.ConnectionClosed):
                     reason = "connection closed before the end of the response"
                     raise ConnectionLost("receive", self.pool_key, reason, True)
+                if type(event) is h11.Data:
+                    size = len(event.data)
+                    self._count_chunk(size)
+                    self.spend(1 + size / BYTES_PER_UNIT, deadline)
                 return event
             left = deadline - time.monotonic()
             if left <= 0:
                 raise TimedOut("receive", self.pool_key, "deadline has passed")
             self._http.receive_data(self._receive(left))
 
+    def spend(self, units: float, deadline: float) -> None:
+        """Count work for the response, and let other tasks run if it is due.
+
+        ``deadline`` is in monotonic seconds. Raises TimedOut if it has passed then.
+        """
+        if self._pacer.spend(units, deadline) and time.monotonic() >= deadline:
+            raise TimedOut("receive", self.pool_key, "deadline has passed")
+
+    @property
+    def paced_seconds(self) -> float:
+        """Return how long the response had to wait for turns of the processor."""
+        return self._pacer.waited
+
+    def note_progress(self) -> None:
+        """Record that the chunks received so far have completed an event."""
+        self._chunk_allowance = MAX_SMALL_CHUNKS
+
+    def _count_chunk(self, size: int) -> None:
+        self._chunk_allowance += size / MIN_CHUNK_BYTES - 1
+        if self._chunk_allowance < 0:
+            reason = f"more than {MAX_SMALL_CHUNKS} chunks that are too small"
+            raise ProtocolError("receive", self.pool_key, reason)
+
     def _receive(self, timeout: float) -> bytes:
         self._sock.settimeout(timeout)
         try:
@@ -203,6 +243,7 @@
     """Pool of idle connections to endpoints, which also opens new ones."""
 
     def __init__(self):
+        self._turns = TurnQueue()
         self._idle: dict[str, list[EndpointConnection]] = defaultdict(list)
         self._safe_idle_seconds = float("inf")
         self._safe_idle_until = 0.0  # monotonic seconds
@@ -261,7 +302,7 @@
         except OSError as exc:
             raise ConnectionLost("connect", endpoint.id, str(exc), sent=False)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
-        return EndpointConnection(_connection_key(endpoint), sock)
+        return EndpointConnection(_connection_key(endpoint), sock, self._turns)
 
     def _take_idle(
         self, endpoint: Endpoint, no_retry: bool
--- a/src/rattanwick/internal/gateway/event_sequence.py
+++ b/src/rattanwick/internal/gateway/event_sequence.py
@@ -25,7 +25,7 @@
     def __init__(self, resume_id: str = ""):
         self.resume_id: str | None = resume_id
         self.events = 0  # received by the caller
-        self._number: int | None = None  # id of the last event, if numeric
+        self._number = _number_of(resume_id)  # id of the last event, if numeric
         # Difference between successive ids; None once two differences were unequal.
         self._increment: int | None = 0
         self._equal_increments = 0
--- a/src/rattanwick/internal/gateway/request_log.py
+++ b/src/rattanwick/internal/gateway/request_log.py
@@ -86,6 +86,7 @@
             "outcome": type(outcome).__name__,
             "reason": getattr(outcome, "reason", None)
             or f"status {outcome.head.status}",
+            "paced_ms": _to_ms(connection.paced_seconds) if connection else None,
             "events": request.events.events,
             "last_event_id": request.events.resume_id,
             "failure_rate": round(view.failure_rate, 2),
--- a/src/rattanwick/internal/gateway/stream_events.py
+++ b/src/rattanwick/internal/gateway/stream_events.py
@@ -4,22 +4,19 @@
 events would not do.
 """
 
-from rattanwick.internal.base.event_stream import (
-    BYTE_ORDER_MARK,
-    CARRIAGE_RETURN,
-    LINE_END,
-)
+from rattanwick.internal.base.event_stream import BYTE_ORDER_MARK, LINE_END_BYTES
 from rattanwick.internal.gateway.event_sequence import EventSequence
 
 MAX_EVENT_BYTES = 1 << 20
-COLON = 0x3A
+MAX_LINES_WITHOUT_EVENT = 1 << 18  # comments and fields
+FIELD_INITIALS = b"di"  # of the fields that are read: data and id
 
 
 class EventSplitter:
     """Splitter that returns complete events of the byte stream of one endpoint.
 
-    Each event is recorded in ``sequence``. If the caller has received events already,
-    the first one must continue after them.
+    Each event is recorded in ``sequence``. If the stream is resumed, the first one must
+    continue after the last one that the caller has received.
     """
 
     __slots__ = (
@@ -29,9 +26,10 @@
         "_event_id",
         "_has_data",
         "_has_id",
-        "_line_start",
+        "_line",
+        "_lines_at_event",
         "_resumes",
-        "_searched",
+        "_start",
         "_starting",
         "lines",
         "sequence",
@@ -41,92 +39,101 @@
         """Create a splitter; ``resumes`` states that the response has begun."""
         self.sequence = sequence
         self.lines = 0  # read so far
+        self._lines_at_event = 0  # of ``lines``, up to the last event
         self._buffer = bytearray()  # of the incomplete event
-        self._line_start = 0  # of the incomplete line, in ``_buffer``
-        self._searched = 0  # bytes of ``_buffer`` that were searched for line ends
+        self._line = bytearray()  # incomplete, at the end of ``_buffer``
         # A line feed that follows belongs to the end of the line before.
         self._after_carriage_return = False
         self._starting = True  # a byte order mark may come
+        self._start = b""  # of a byte order mark
         self._resumes = resumes
-        self._checks_first_event = sequence.events > 0
+        self._checks_first_event = bool(sequence.resume_id)
         self._has_data = self._has_id = False  # in the incomplete event
         self._event_id: str | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events completed by them, joined; may be empty.
 
-        Raises ValueError if an event is longer than MAX_EVENT_BYTES, or if the first
-        one does not continue the stream.
+        Raises ValueError if an event is longer than MAX_EVENT_BYTES, if none comes for
+        many lines, or if the first one does not continue the stream.
         """
-        buffer = self._buffer
+        if self._starting:
+            data = self._skip_byte_order_mark(data)
         if not data:
             return b""
-        line_feed = b""
-        if self._after_carriage_return and data[:1] == b"\n":
-            line_feed, data = data[:1], data[1:]
-            if buffer:
-                buffer += line_feed
-                self._line_start = self._searched = len(buffer)
-                line_feed = b""
-        buffer += data
-        if self._starting and not self._skip_byte_order_mark():
-            return b""
-        complete = line_feed + self._take_complete()
-        if not complete and len(buffer) > MAX_EVENT_BYTES:
+        taken = self._read_lines(data)
+        if taken == len(data) and not self._buffer:
+            return data
+        complete = b""
+        if taken:
+            complete = bytes(self._buffer) + data[:taken]
+            self._buffer = bytearray(data[taken:])
+        else:
+            self._buffer += data
+        if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError("event is too large")
         return complete
 
     @property
     def partial(self) -> bytes:
         """Return the bytes of an incomplete event."""
-        return bytes(self._buffer)
+        return self._start + bytes(self._buffer)
+
+    @property
+    def partial_size(self) -> int:
+        """Return the number of bytes of an incomplete event."""
+        return len(self._buffer)
+
+    def _skip_byte_order_mark(self, data: bytes) -> bytes:
+        """Return the bytes after a byte order mark; none if more must come first.
 
-    def _skip_byte_order_mark(self) -> bool:
-        """Step over a byte order mark; return False if more bytes must come first."""
-        buffer = self._buffer
-        if len(buffer) < len(BYTE_ORDER_MARK) and BYTE_ORDER_MARK.startswith(buffer):
-            return False
+        It is a mark only at the start of a response, so that of a resumed run is not
+        forwarded.
+        """
+        data, self._start = self._start + data, b""
+        if len(data) < len(BYTE_ORDER_MARK) and BYTE_ORDER_MARK.startswith(data):
+            self._start = data
+            return b""
         self._starting = False
-        if buffer.startswith(BYTE_ORDER_MARK):
-            if self._resumes:
-                # It is a mark only at the start of a response.
-                del buffer[: len(BYTE_ORDER_MARK)]
-            else:
-                self._line_start = self._searched = len(BYTE_ORDER_MARK)
-        return True
-
-    def _take_complete(self) -> bytes:
-        buffer, line_start, taken = self._buffer, self._line_start, 0
-        searched = self._searched
-        while match := LINE_END.search(buffer, searched):
-            line_end, searched = match.span()
+        if not data.startswith(BYTE_ORDER_MARK):
+            return data
+        if not self._resumes:
+            self._buffer += BYTE_ORDER_MARK
+        return data[len(BYTE_ORDER_MARK) :]
+
+    def _read_lines(self, data: bytes) -> int:
+        """Read lines and return how many bytes complete an event."""
+        position = taken = 0
+        if self._after_carriage_return and data.startswith(b"\n"):
+            position = 1
+            taken = 0 if self._buffer else 1
+        self._after_carriage_return = data.endswith(b"\r")
+        for line in (data[position:] if position else data).splitlines(True):
+            position += len(line)
+            if line[-1] not in LINE_END_BYTES:
+                self._line += line
+                break
+            if self._line:
+                line = bytes(self._line) + line
+                self._line.clear()
             self.lines += 1
-            if line_end == line_start:
+            if line[0] in LINE_END_BYTES:
                 self._end_event()
-                taken = searched
-            else:
-                self._read_line(line_start, line_end)
-            line_start = searched
-        self._after_carriage_return = (
-            searched == len(buffer) > 0 and buffer[-1] == CARRIAGE_RETURN
-        )
-        complete = bytes(buffer[:taken])
-        del buffer[:taken]
-        self._line_start = line_start - taken
-        self._searched = len(buffer)
-        return complete
-
-    def _read_line(self, start: int, end: int) -> None:
-        buffer = self._buffer
-        if buffer.startswith(b"data", start):
-            self._has_data |= end == start + 4 or buffer[start + 4] == COLON
-        elif buffer.startswith(b"id", start) and (
-            end == start + 2 or buffer[start + 2] == COLON
-        ):
-            self._read_id(bytes(buffer[start + 3 : end]))
-
-    def _read_id(self, value: bytes) -> None:
-        if b"\0" not in value:
+                taken = position
+            elif line[0] in FIELD_INITIALS:
+                self._read_field(line)
+        if self.lines - self._lines_at_event > MAX_LINES_WITHOUT_EVENT:
+            raise ValueError(f"no event in {MAX_LINES_WITHOUT_EVENT} lines")
+        return taken
+
+    def _read_field(self, line: bytes) -> None:
+        if line.startswith(b"data:"):
+            self._has_data = True
+            return
+        name, _, value = line.rstrip(LINE_END_BYTES).partition(b":")
+        if name == b"data":
+            self._has_data = True
+        elif name == b"id" and b"\0" not in value:
             self._has_id = True
             self._event_id = value.removeprefix(b" ").decode("latin-1") or None
 
@@ -136,6 +143,7 @@
         Without data nothing is delivered to the caller, but an id still takes effect.
         """
         if self._has_data:
+            self._lines_at_event = self.lines
             if self._checks_first_event:
                 self.sequence.check_resumed(self._event_id)
                 self._checks_first_event = False
--- a/src/rattanwick/internal/gateway/stream_forwarder.py
+++ b/src/rattanwick/internal/gateway/stream_forwarder.py
@@ -5,6 +5,7 @@
 import h11
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+from rattanwick.internal.base.pacing import LINES_PER_UNIT
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.gateway.active_request import ActiveRequest, ResponseWriter
 from rattanwick.internal.gateway.connection_pool import EndpointConnection
@@ -18,6 +19,8 @@
 )
 from rattanwick.internal.gateway.stream_events import EventSplitter
 
+PART_BYTES = 4096  # of a piece of the body
+
 
 class StreamForwarder:
     """Forwarder of one stream; ``complete`` is true once it was read to its end.
@@ -53,7 +56,6 @@
 
     def run(self, head: ResponseHead) -> Outcome:
         """Forward each event of a stream once it is complete."""
-        noted = self._request.events.events
         while True:
             try:
                 event = self._connection.next_event(
@@ -75,16 +77,36 @@
                 return Answered(head.status)
             if not isinstance(event, h11.Data):
                 return self._failure(f"unexpected HTTP event {type(event).__name__}")
+            outcome = self._forward(bytes(event.data), head)
+            if outcome is not None:
+                return outcome
+
+    def _forward(self, data: bytes, head: ResponseHead) -> Outcome | None:
+        """Forward the events that these bytes complete; return the outcome if it fails.
+
+        A large piece is read in parts, between which other tasks can run.
+        """
+        sequence = self._request.events
+        for start in range(0, len(data), PART_BYTES):
+            events, lines = sequence.events, self._events.lines
             try:
-                complete = self._events.feed(bytes(event.data))
+                complete = self._events.feed(data[start : start + PART_BYTES])
             except ValueError as exc:
                 return self._failure(str(exc))
+            if sequence.events > events:
+                self._connection.note_progress()
+                self._note_event()
             if complete:
-                if self._request.events.events > noted:
-                    noted = self._request.events.events
-                    self._note_event()
-                start = None if self._response.started else (200, head.headers)
-                self._response.send_chunk(complete, start)
+                first = None if self._response.started else (200, head.headers)
+                self._response.send_chunk(complete, first)
+            lines = self._events.lines - lines
+            if lines <= LINES_PER_UNIT:
+                continue
+            try:
+                self._connection.spend(lines / LINES_PER_UNIT, self._request.deadline)
+            except TimedOut as exc:
+                return Expired(exc.reason)
+        return None
 
     def _failure(self, reason: str, disconnected: bool = False) -> Outcome:
         if self._response.started:
--- a/src/rattanwick/internal/gateway/table_copies.py
+++ b/src/rattanwick/internal/gateway/table_copies.py
@@ -11,6 +11,7 @@
 
 from rattanwick.internal.base.errors import ProtocolError
 from rattanwick.internal.base.log import get_logger
+from rattanwick.internal.base.pacing import let_others_run
 from rattanwick.internal.gateway.interfaces import NO_VERSION, Version
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
@@ -246,3 +247,6 @@
         if not data:
             raise ValueError("stream ended inside a message")
         unpacker.feed(data)
+        # Without this, a peer that sends faster than this node reads would keep all
+        # other tasks, and the time limit of the copy, from running.
+        let_others_run()
--- a/src/rattanwick/internal/platform/http.py
+++ b/src/rattanwick/internal/platform/http.py
@@ -5,18 +5,25 @@
 
 import select
 import socket
+import time
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
 import gevent
+import gevent.socket
 from geventhttpclient.connectionpool import ConnectionPool, SSLConnectionPool
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+from rattanwick.internal.base.pacing import UNIT_SECONDS, Pacer, TurnQueue
 
 MAX_RESPONSE_BYTES = 16 << 20
 DEFAULT_CONNECTIONS = 8
 BLOCK_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+# Bytes in which a block of a body arrives. Chunks of one byte take six.
+MAX_FRAMED_BLOCK_BYTES = 8 * BLOCK_BYTES
 # Each request has its own time-out. That of the pool is long, so that it does not
 # end a long poll before the request's time-out does.
 SOCKET_TIMEOUT_SECONDS = 60.0
@@ -34,7 +41,47 @@
     body: bytes
 
 
+class ResponseTooLarge(OSError):
+    """More bytes have arrived than a part of a response may have."""
+
+
+class _ResponseSocket(gevent.socket.socket):
+    """Socket that bounds the bytes of a response and lets other tasks run.
+
+    The library reads heads of any length, and does not wait while bytes arrive.
+    """
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._pacer: Pacer | None = None
+        self._allowed_bytes = 0
+        self._received_at: float | None = None  # monotonic seconds
+
+    def start_response(self, turns: TurnQueue) -> None:
+        """Prepare for reading a response."""
+        self._pacer, self._received_at = Pacer(turns), None
+
+    def allow(self, size: int) -> None:
+        """Set how many bytes may arrive until this is called again."""
+        self._allowed_bytes = size
+
+    def recv(self, *args) -> bytes:
+        if self._pacer is not None and self._received_at is not None:
+            # The library has parsed the former bytes in this time.
+            seconds = time.monotonic() - self._received_at
+            self._pacer.spend(seconds / UNIT_SECONDS, float("inf"))
+        data = super().recv(min(args[0], READ_BYTES), *args[1:])
+        self._received_at = time.monotonic()
+        self._allowed_bytes -= len(data)
+        if self._allowed_bytes < 0:
+            raise ResponseTooLarge("part of the response is too large")
+        return data
+
+
 class _PoolMixin:
+    def _create_tcp_socket(self, family, socktype, protocol):
+        return _ResponseSocket(family, socktype, protocol)
+
     def after_connect(self, sock) -> None:
         # Otherwise the last segment of a large body waits for an acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -80,6 +127,7 @@
             size=connections,
             network_timeout=SOCKET_TIMEOUT_SECONDS,
         )
+        self._turns = TurnQueue()
         self._base_path = parts.path
         self._host_header = parts.netloc
 
@@ -150,6 +198,10 @@
         return "\r\n".join((*lines, "", "")).encode("latin-1")
 
     def _read(self, step: str, conn, method: str) -> HttpResponse:
+        bounded = isinstance(conn, _ResponseSocket)  # connections with TLS are not
+        if bounded:
+            conn.start_response(self._turns)
+            conn.allow(MAX_HEAD_BYTES + READ_BYTES)
         response = HTTPSocketPoolResponse(
             conn, self._pool, block_size=BLOCK_BYTES, method=method
         )
@@ -160,7 +212,12 @@
                     step, self._peer, f"response of {length} bytes is too large"
                 )
             parts, size = [], 0
-            while part := response.read(BLOCK_BYTES):
+            while True:
+                if bounded:
+                    conn.allow(MAX_FRAMED_BLOCK_BYTES)
+                part = response.read(BLOCK_BYTES)
+                if not part:
+                    break
                 parts.append(part)
                 size += len(part)
                 if size > MAX_RESPONSE_BYTES:
--- a/src/rattanwick/internal/requests/connections.py
+++ b/src/rattanwick/internal/requests/connections.py
@@ -8,6 +8,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+from rattanwick.internal.base.pacing import Pacer, TurnQueue
 from rattanwick.internal.model.instances import Endpoint
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -17,6 +18,7 @@
 MAX_IDLE_SECONDS = 4.0
 RECEIVE_BYTES = 65_536  # read at once
 MAX_HEADER_BYTES = 65_536
+PARSED_BYTES_PER_UNIT = 512  # of work; see ``pacing``
 
 poll = monkey.get_original("select", "poll")
 
@@ -54,12 +56,21 @@
 class EndpointConnection:
     """Connection to an endpoint, for one request and response at a time."""
 
-    __slots__ = ("_sock", "_timeout", "endpoint_id", "idle_since", "reader", "reused")
-
-    def __init__(self, endpoint_id: str, sock):
+    __slots__ = (
+        "_pacer",
+        "_sock",
+        "_timeout",
+        "endpoint_id",
+        "idle_since",
+        "reader",
+        "reused",
+    )
+
+    def __init__(self, endpoint_id: str, sock, turns: TurnQueue):
         self.endpoint_id = endpoint_id
         self._sock = sock
         self._timeout: float | None = None
+        self._pacer = Pacer(turns)
         self.reused = False
         self.idle_since = 0.0
         self.reader = ResponseReader()
@@ -99,6 +110,7 @@
             raise ProtocolError("receive", self.endpoint_id, str(exc))
         if not data and not self.reader.message_complete:
             raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
+        self._pacer.spend(len(data) / PARSED_BYTES_PER_UNIT, float("inf"))
         return True
 
     def is_reusable(self) -> bool:
@@ -130,6 +142,7 @@
     """Pool of idle connections to endpoints, which also opens new ones."""
 
     def __init__(self):
+        self._turns = TurnQueue()
         self._idle: dict[str, list[EndpointConnection]] = {}
 
     def open(self, endpoint: Endpoint, fresh: bool = False) -> EndpointConnection:
@@ -148,7 +161,7 @@
         except OSError as exc:
             raise ConnectionLost("connect", endpoint.id, str(exc), False)
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
-        return EndpointConnection(endpoint.id, sock)
+        return EndpointConnection(endpoint.id, sock, self._turns)
 
     def _take_idle(self, endpoint_id: str) -> EndpointConnection | None:
         idle = self._idle.get(endpoint_id, [])
