Renew calls to the store in turn, within the time to apply a change

Cause: a call waited for changes for 5 to 10 s and 1.5 s for its answer, at every node for equally long from the last change on, so no node noticed the silence before the others. A retry could take another silent connection of the pool.

The waits now follow from the bounds of the deployment. Nodes renew their calls in turn by the clock of the store, so that one of them soon reads what the others miss and tells them. Idle connections are closed after a call without an answer. The soak silences connections while configurations change.

--- a/fakes/gateway_platform.py
+++ b/fakes/gateway_platform.py
@@ -171,4 +171,5 @@
         else:
             item["value"] = base64.b64encode(row.value).decode()
         encoded.append(item)
-    return {"rows": encoded, "ver": version.number}
+    now_ms = int(time.monotonic() * 1000)
+    return {"rows": encoded, "ver": version.number, "now_ms": now_ms}
--- a/fakes/gateway_rows.py
+++ b/fakes/gateway_rows.py
@@ -54,6 +54,9 @@
         """Return the number of times that the store was restored, and the first era."""
         return self.version.era
 
+    def close_idle(self) -> None:
+        """Do nothing; there are no connections."""
+
     def forget_history(self) -> None:
         """Drop the changes so far, as a store with limited history does."""
         self._oldest = self.version.number + 1
--- a/fakes/gateway_settings.py
+++ b/fakes/gateway_settings.py
@@ -11,6 +11,7 @@
     usage_window=5.0,
     usage_late=10.0,
     address_lifetime=5.0,
+    apply=2.0,
     limit_slack=0.0,
 )
 
--- a/fakes/gateway_store_client.py
+++ b/fakes/gateway_store_client.py
@@ -39,6 +39,9 @@
         self._era = page.version.era
         return page
 
+    def close_idle(self) -> None:
+        """Do nothing; there are no connections."""
+
     def wait_for_changes(self, table: str, after: Version, wait: float) -> RowPage:
         """Return the rows changed after a version."""
         page = self._call(lambda: self._store.wait_for_changes(table, after, wait))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,7 @@
 )
 # Requests per second, as text; the last ones are malformed.
 LIMITS = ("0.5", "2", "2", "8", "nan", "-1")
+MAX_SILENCE_SECONDS = 4.0  # before a change of the configuration
 LIMIT_SECONDS = (4.0, 9.0)  # shortest and longest duration of a limit
 STREAM_FAULTS = (*RESPONSE_FAULTS[:7], "cut_in_event", "cut_between_events")
 
@@ -147,6 +148,24 @@
         return f"{kind} {','.join(nodes)}"
 
 
+class SilentConnections(Fault):
+    """Lets open connections to the store go silent, and changes the configuration."""
+
+    name = "silent connections"
+
+    def inject(self) -> str:
+        """Silence the connections of one node or of all, then write a version."""
+        system, rng = self._system, self._random
+        nodes = rng.choice(([self._random_node()], system.names))
+        # For the promises, this counts as a reset of the connections.
+        with system.record_store_disruption():
+            for node in nodes:
+                system.store_proxies[node].silence_open()
+        gevent.sleep(rng.uniform(0.0, MAX_SILENCE_SECONDS))
+        version = system.change_configuration()
+        return f"{','.join(nodes)}, then configuration {version}"
+
+
 class StoreFault(Fault):
     """Makes the store fail, lose responses or forget its history."""
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,13 +15,21 @@
 
 
 class _Connection:
-    __slots__ = ("ended", "expired", "last_data_at", "downstream", "upstream")
+    __slots__ = (
+        "ended",
+        "expired",
+        "last_data_at",
+        "downstream",
+        "silent",
+        "upstream",
+    )
 
     def __init__(self, downstream, upstream):
         self.downstream = downstream
         self.upstream = upstream
         self.ended = False
         self.expired = False
+        self.silent = False  # what arrives is dropped, and so is an end
         self.last_data_at = time.monotonic()
 
     def reset(self) -> None:
@@ -82,6 +90,14 @@
             if connection.last_data_at < limit:
                 connection.expired = True
 
+    def silence_open(self) -> None:
+        """Let the open connections go silent for good, without a reset.
+
+        New connections work.
+        """
+        for connection in self._connections:
+            connection.silent = True
+
     def stop_listening(self) -> None:
         """Refuse new connections and reset the open ones, as an ended process does."""
         if not self._server.closed:
@@ -130,6 +146,8 @@
     def _pump(self, connection: _Connection, source, target, cut: str) -> None:
         try:
             while data := source.recv(READ_BYTES):
+                if connection.silent:
+                    continue
                 if connection.expired:
                     connection.reset()
                     return
@@ -141,7 +159,8 @@
                 target.sendall(data)
             while getattr(self, cut):
                 gevent.sleep(CUT_POLL_INTERVAL_SECONDS)
-            target.shutdown(socket.SHUT_WR)
+            if not connection.silent:
+                target.shutdown(socket.SHUT_WR)
         except OSError:
             # When one side is reset, the other one is reset too.
             connection.reset()
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
     FAULTS,
     MAX_FAULT_SECONDS,
     EndpointLimit,
+    SilentConnections,
 )
 from soak.planned_work import MAX_ROLL_SECONDS, PLANNED_WORK, RollNodes
 from soak.slow_callers import SlowCaller
@@ -41,6 +42,8 @@
 RECOVERED_LOAD_SECONDS = 1.5  # load after the recovery, in which nothing may fail
 MAX_FAULT_INTERVAL_SECONDS = 0.8  # between the starts of two faults
 MAX_PLANNED_INTERVAL_SECONDS = 2.0  # between two pieces of planned work
+SILENCES = 2  # of connections to the store, at the end of a run
+MAX_SILENCE_PAUSE_SECONDS = 3.0  # after the configuration that follows a silence
 MAX_RESTORE_INTERVAL_SECONDS = 4.0  # between two restores of the store
 
 
@@ -127,6 +130,8 @@
             self._inject_faults()
             self._crashing_caller.stopping = True
             gevent.joinall([crashing], raise_error=True)
+            if not self._size.planned_only:
+                self._silence_connections()
             self._recover()
             recovered_at = time.monotonic()
             gevent.sleep(RECOVERED_LOAD_SECONDS)
@@ -182,6 +187,17 @@
             gevent.sleep(rng.uniform(0.0, MAX_RESTORE_INTERVAL_SECONDS))
             self._inject(RestoreStore(self._system, rng))
 
+    def _silence_connections(self) -> None:
+        """Silence connections to the store while nothing else is faulty.
+
+        A disruption at the same time would excuse a late configuration.
+        """
+        self._system.heal()
+        rng = random.Random(f"{self._report.seed} silences")
+        for _ in range(SILENCES):
+            self._inject(SilentConnections(self._system, rng))
+            gevent.sleep(rng.uniform(0.0, MAX_SILENCE_PAUSE_SECONDS))
+
     def _let_endpoints_leave(self, until: float) -> None:
         """Let endpoints leave, one after the other."""
         rng = random.Random(f"{self._report.seed} departures")
--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -184,6 +184,7 @@
         try:
             event = self._connection.next_event(timeout)
         except TimedOut as exc:
+            self._state.connections.note_silent(self._connection)
             return None, self._timeout_outcome(exc.reason)
         except ConnectionLost as exc:
             self._state.connections.note_lost(
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -282,6 +282,15 @@
             },
         )
 
+    def note_silent(self, connection: EndpointConnection) -> None:
+        """Close the idle connections to an endpoint that was silent on a reused one.
+
+        They may have gone silent at the same time, without a reset.
+        """
+        if connection.reused:
+            for idle in self._idle.pop(connection.pool_key, []):
+                idle.close()
+
     def _max_safe_idle(self) -> float:
         """Return the idle limit for requests that are not retried, in seconds."""
         expired = time.monotonic() >= self._safe_idle_until
--- a/src/rattanwick/internal/gateway/interfaces.py
+++ b/src/rattanwick/internal/gateway/interfaces.py
@@ -61,6 +61,8 @@
 
     rows: tuple[StoredRow, ...]
     version: Version
+    # Steady clock of the store, in seconds, if it names one.
+    store_time: float | None = None
 
 
 class RowStore(ABC):
@@ -88,6 +90,10 @@
         store is in another era than that of ``after``.
         """
 
+    @abstractmethod
+    def close_idle(self) -> None:
+        """Close idle connections, which may have gone silent; new ones may work."""
+
     @abstractmethod
     def write(
         self, table: str, key: str, value: bytes | None, expected: Version
--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -28,6 +28,7 @@
 from rattanwick.internal.gateway.node_state import make_node_state
 from rattanwick.internal.gateway.operator_configuration import OperatorConfiguration
 from rattanwick.internal.gateway.peer_exchange import PeerExchange
+from rattanwick.internal.gateway.poll_schedule import PollSchedule
 from rattanwick.internal.gateway.relay import Relay
 from rattanwick.internal.gateway.settings import GatewaySettings
 from rattanwick.internal.gateway.shutdown import GracefulShutdown
@@ -66,6 +67,7 @@
             configuration.apply_rows,
             self.state.members.count_nodes,
             self.state.polls_store,
+            PollSchedule(settings.bounds.apply, self.state.poll_slot),
         )
         self._endpoint_watch = TableWatch(
             store,
@@ -74,6 +76,7 @@
             self._apply_endpoints,
             self.state.members.count_nodes,
             self.state.polls_store,
+            PollSchedule(settings.bounds.apply, self.state.poll_slot),
         )
         self._block_rows = BlockRows(self.state, store)
         self.peers = PeerExchange(
--- a/src/rattanwick/internal/gateway/node_state.py
+++ b/src/rattanwick/internal/gateway/node_state.py
@@ -19,12 +19,14 @@
 from rattanwick.internal.gateway.members import Member, Members
 from rattanwick.internal.gateway.model import Configuration, PromptPart
 from rattanwick.internal.gateway.node_selection import (
+    MAX_NODES_ALL_SERVING,
     CandidateNode,
     choose_serving_nodes,
     choose_store_pollers,
 )
 from rattanwick.internal.gateway.part_guard import PartGuard
 from rattanwick.internal.gateway.planned_stop import PlannedStop
+from rattanwick.internal.gateway.poll_schedule import PollSlot
 from rattanwick.internal.gateway.prefill import PrefillEstimator
 from rattanwick.internal.gateway.rate_limits import SharedRateLimiter
 from rattanwick.internal.gateway.retries import RetryBudget
@@ -172,6 +174,19 @@
                 },
             )
 
+    def poll_slot(self) -> PollSlot:
+        """Return this node's place among the nodes that poll the store."""
+        own = self.settings.node_id
+        live = self.members.live(self.timers.now())
+        if self.members.count_nodes() <= MAX_NODES_ALL_SERVING:
+            pollers = sorted([own, *(member.node_id for member in live)])
+            return PollSlot(pollers.index(own), len(pollers))
+        data_centre = self.settings.data_centre
+        data_centres = sorted({data_centre, *(member.data_centre for member in live)})
+        local = sorted(self.store_pollers | {own})
+        rank = local.index(own) * len(data_centres) + data_centres.index(data_centre)
+        return PollSlot(rank, len(local) * len(data_centres))
+
     def polls_store(self) -> bool:
         """Return whether this node polls the store, for itself or its data centre."""
         return not self.ready or self.settings.node_id in self.store_pollers
--- a/src/rattanwick/internal/gateway/settings.py
+++ b/src/rattanwick/internal/gateway/settings.py
@@ -17,6 +17,8 @@
     usage_window: float
     usage_late: float  # age of a window at which its report is late
     address_lifetime: float  # of a list of nodes' addresses at a caller
+    # Longest time from the acknowledgement of a change to its effect at all nodes.
+    apply: float
     limit_slack: float  # spent in a window in addition to a rate limit, in its unit
 
 
--- a/src/rattanwick/internal/gateway/table_watch.py
+++ b/src/rattanwick/internal/gateway/table_watch.py
@@ -19,6 +19,7 @@
     StoredRow,
     Version,
 )
+from rattanwick.internal.gateway.poll_schedule import PollSchedule, PollSlot
 
 log = get_logger("store")
 
@@ -26,20 +27,17 @@
     "store_reads", "Calls that read tables of the store", ("table", "result")
 )
 
-# A lost answer is noticed within this time. Shorter polls cost more, since each call is
-# billed.
-LONG_POLL_SECONDS = 5.0
-MAX_LONG_POLL_SECONDS = 10.0
 # Pause after a change, so that the next call returns several changes at once.
 MIN_BATCHING_SECONDS = 0.1
 # Each change ends a long poll of every polling node, and each call is billed. Above
-# this number of nodes, batching and long polls last longer, so that the number of calls
-# grows more slowly.
+# this number of nodes, batching lasts longer, so that the number of calls grows more
+# slowly.
 MAX_NODES_AT_FULL_POLL_RATE = 24
 MAX_BATCHING_SECONDS = 0.4
 RETRY_INTERVAL_SECONDS = 0.3  # while the store fails; refused calls are billed too
 ROLE_CHECK_INTERVAL_SECONDS = 0.2  # between checks whether this node polls the store
 
+DEFAULT_APPLY_SECONDS = 2.0
 MAX_LOGGED_KEYS = 12  # in one log line
 
 Listener = Callable[[dict[str, StoredRow], set[str]], None]
@@ -95,6 +93,7 @@
         listener: Listener,
         count_nodes: Callable[[], int] = lambda: 1,
         is_polling: Callable[[], bool] = lambda: True,
+        schedule: PollSchedule | None = None,
     ):
         self.table = table
         self.rows: dict[str, StoredRow] = {}
@@ -111,6 +110,9 @@
         self._timers = timers
         self._listener = listener
         self._count_nodes = count_nodes
+        self._schedule = schedule or PollSchedule(
+            DEFAULT_APPLY_SECONDS, lambda: PollSlot(0, 1)
+        )
         # False until the whole table has been read, and after HistoryLost.
         self._complete = False
         self._read_at = float("-inf")  # monotonic seconds of the last whole read
@@ -133,6 +135,8 @@
         """Cancel a long poll, because a peer knows a newer version."""
         if self._call is not None and self.failing_since is None:
             self._call.kill(block=False)
+            # Its connection may have gone silent, and idle ones with it.
+            self._store.close_idle()
 
     def failed_seconds(self) -> float | None:
         """Return the seconds since the last failed call here or at a peer, or None."""
@@ -216,6 +220,7 @@
 
     def _read_table(self) -> None:
         page = self._store.read(self.table)
+        self._schedule.note_store_time(page.store_time, self._timers.now())
         if page.version < self.version:
             log.warning(
                 "table of older version ignored",
@@ -240,6 +245,7 @@
         """Wait for changes and apply them; return the pause before the next call."""
         wait, started = self._poll_seconds(), self._timers.now()
         page = self._store.wait_for_changes(self.table, self.version, wait)
+        self._schedule.note_store_time(page.store_time, self._timers.now())
         after = max(self.changed_version, self._read_version)
         self._apply(page.rows, page.version)
         self._note_success()
@@ -271,10 +277,7 @@
         """
         if self.failing_since is not None:
             return 0.0
-        return min(
-            LONG_POLL_SECONDS * poll_interval_factor(self._count_nodes()),
-            MAX_LONG_POLL_SECONDS,
-        )
+        return self._schedule.seconds_to_renewal(self._timers.now())
 
     def _note_failure(self, exc: StepError) -> None:
         store_reads_total.labels(self.table, "failed").inc()
--- a/src/rattanwick/internal/platform/http.py
+++ b/src/rattanwick/internal/platform/http.py
@@ -86,6 +86,10 @@
         # Otherwise the last segment of a large body waits for an acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def close_idle(self) -> None:
+        while not self._socket_queue.empty():
+            self._socket_queue.get(block=False).close()
+
     # The library uses select(), which fails for descriptors from 1024 on; a busy
     # node would then open a new connection for each call.
     def _is_socket_alive(self, sock) -> bool:
@@ -157,12 +161,18 @@
                 raise
             if not sent:
                 raise ConnectionLost(step, self._peer, "no connection in time", False)
+            # Other connections may have gone silent with this one.
+            self.close_idle()
             raise TimedOut(step, self._peer, f"no response within {timeout:g} s")
         finally:
             request_timeout.close()
 
+    def close_idle(self) -> None:
+        """Close idle connections, so that the next request opens a new one."""
+        self._pool.close_idle()
+
     def close(self) -> None:
-        """Close idle connections."""
+        """Close idle connections, and open no more."""
         self._pool.close()
 
     def _connect(self, step: str):
--- a/src/rattanwick/platform/node_file.py
+++ b/src/rattanwick/platform/node_file.py
@@ -11,6 +11,7 @@
 )
 
 PATH_VARIABLE = "RATTANWICK_NODE_FILE"
+MIN_APPLY_SECONDS = 0.5  # a shorter time would be spent on calls to the store
 MAX_ADDRESS_LIFETIME_SECONDS = 5.0  # the longest lifetime that the platform allows
 
 
@@ -82,9 +83,19 @@
             usage_window=self._number("usage_window_s", 5),
             usage_late=self._number("usage_late_s", 10),
             address_lifetime=self._number("ttl_max_s", MAX_ADDRESS_LIFETIME_SECONDS),
+            apply=self._apply_seconds(),
             limit_slack=self._number("quota_slack", 0),
         )
 
+    def _apply_seconds(self) -> float:
+        """Return the shortest of the times in which changes must take effect."""
+        bounds = (
+            self._number("config_apply_ms", 2000),
+            self._number("drain_ms", 2000),
+            self._number("contact_ms", 3000),
+        )
+        return max(min(bounds) / 1000, MIN_APPLY_SECONDS)
+
     def _number(self, key: str, default: float, section: str = "bounds") -> float:
         value = self._raw.get(section, {}).get(key, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
--- a/src/rattanwick/platform/store.py
+++ b/src/rattanwick/platform/store.py
@@ -33,7 +33,12 @@
 # counts as available.
 READ_TIMEOUT_SECONDS = 2.5
 WRITE_TIMEOUT_SECONDS = 2.5
-LONG_POLL_MARGIN_SECONDS = 1.5  # added to the wait in the request
+# Added to the wait in a request: a multiple of the slowest recent response. A shorter
+# time shows sooner that a connection has gone silent.
+MIN_POLL_MARGIN_SECONDS = 0.5
+MAX_POLL_MARGIN_SECONDS = 1.5
+POLL_MARGIN_FACTOR = 4.0
+LATENCY_DECAY = 0.9  # of the slowest recent response, with each response
 POOL_CONNECTIONS = 4
 PEER = "store"
 MAX_VERSION = MAX_EXACT_INTEGER - 1  # peers send versions to each other
@@ -51,6 +56,7 @@
             "http://{}:{}".format(*address), PEER, connections=POOL_CONNECTIONS
         )
         self._era = 0
+        self._slowest_seconds = 0.0  # see LATENCY_DECAY
         self._malformed_era_logged_at = float("-inf")  # monotonic seconds
 
     @property
@@ -78,7 +84,7 @@
                 raise Unavailable("read", PEER, "restored between two pages")
             rows.extend(row for row in page.rows if row.value is not None)
             if not body.get("truncated"):
-                return RowPage(tuple(rows), version)
+                return RowPage(tuple(rows), version, page.store_time)
             if not page.rows:
                 raise ProtocolError("decode", PEER, "truncated page has no usable rows")
             start = page.rows[-1].key + "\x00"
@@ -90,8 +96,10 @@
             "start_after": after.number,
             "wait_ms": int(wait * 1000),
         }
-        timeout = wait + LONG_POLL_MARGIN_SECONDS
-        body, era = self._get("follow", "/api/rows-feed", query, timeout)
+        # A call without a wait follows a failure: the store may be slow.
+        margin = self._poll_margin() if wait else MAX_POLL_MARGIN_SECONDS
+        path = "/api/rows-feed"
+        body, era = self._get("follow", path, query, wait + margin, wait)
         if era != after.era:
             # The store has given out the number again. Changes since the older copy
             # that it was restored from may precede it.
@@ -187,13 +195,28 @@
             self._era = era
         return era
 
+    def _poll_margin(self) -> float:
+        margin = POLL_MARGIN_FACTOR * self._slowest_seconds
+        return min(max(margin, MIN_POLL_MARGIN_SECONDS), MAX_POLL_MARGIN_SECONDS)
+
+    def _note_latency(self, seconds: float) -> None:
+        self._slowest_seconds = max(seconds, LATENCY_DECAY * self._slowest_seconds)
+
+    def close_idle(self) -> None:
+        """Close idle connections, so that the next call opens a new one."""
+        self._pool.close_idle()
+
     def _get(
-        self, step: str, path: str, query: dict, timeout: float
+        self, step: str, path: str, query: dict, timeout: float, wait: float = 0.0
     ) -> tuple[dict, int]:
-        """Return the body and the era of a response."""
+        """Return the body and the era of a response.
+
+        ``wait`` is the time in seconds that the store may wait for changes.
+        """
         target = f"{path}?{urlencode(query)}"
-        sent_era = self._era
+        sent_era, started = self._era, time.monotonic()
         response = self._pool.request(step, "GET", target, {}, b"", timeout)
+        self._note_latency(time.monotonic() - started - wait)
         era = self._note_era(response, sent_era)
         if era < self._era:
             raise Unavailable(step, PEER, f"response is of the earlier era {era}")
@@ -237,7 +260,15 @@
     number = body.get("ver")
     if not _is_version(number, MAX_VERSION):
         raise ProtocolError("decode", PEER, "page has no valid version")
-    return RowPage(_decode_rows(body, era, number), Version(era, number))
+    rows = _decode_rows(body, era, number)
+    return RowPage(rows, Version(era, number), _decode_time(body.get("now_ms")))
+
+
+def _decode_time(milliseconds: object) -> float | None:
+    """Return the store's clock in seconds; None if the response has no usable one."""
+    if type(milliseconds) is not int or not 0 <= milliseconds <= MAX_EXACT_INTEGER:
+        return None
+    return milliseconds / 1000
 
 
 def _decode_rows(body: dict, era: int, newest: int) -> tuple[StoredRow, ...]:
