Bound the size of messages between nodes, whatever callers send

Cause: a state carried what nodes need from each other and placements of any size, and was dropped whole above 8 KiB. Nodes lost each other, and after 20 s each took itself for the only one, with the whole limit, although the store lists the others. The receiver also cut datagrams at 8 KiB.

States and loads are divided into datagrams of at most 8 KiB. Placements get what room is left in the last one. Messages about blocks are divided by size. Datagrams arrive whole. A node that hears nobody while the store lists members takes its part of a limit. Datagrams that are too large count in a metric and are warned of once.

--- a/bench/parts_lab.py
+++ b/bench/parts_lab.py
@@ -24,7 +24,7 @@
 from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.gateway.crash_evidence import LostRequest
 from rattanwick.internal.gateway.part_guard import SOUND_STREAM_SECONDS, PartGuard
-from rattanwick.internal.gateway.part_messages import MAX_BLOCKS_PER_MESSAGE, PeerParts
+from rattanwick.internal.gateway.part_messages import PeerParts, split_blocks
 from rattanwick.internal.gateway.peer_messages import decode_datagram, encode_parts
 
 CONTACT_SECONDS = 3.0
@@ -205,7 +205,7 @@
         for node, guard in self.guards.items():
             for target, digest in digests.items():
                 if digest != digests[node]:
-                    blocks = guard.blocks.all()[:MAX_BLOCKS_PER_MESSAGE]
+                    blocks = split_blocks(guard.blocks.all())[0]
                     message = PeerParts(blocks=blocks)
                     self._send(target, encode_parts(node, 1, message, self.now))
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,8 @@
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_SECONDS = 1.0
 DEADLINE_SECONDS = 2.5  # sent in the X-Deadline-Ms header, in milliseconds
+CALLERS_PER_LONG_PROMPT = 3  # one caller of so many sends long prompts
+LONG_PROMPT = [f"{number:08x}" for number in range(0x5000, 0x5190)]
 TIMEOUT_MARGIN_SECONDS = 1.5  # a caller waits this long beyond the deadline
 ADDRESS_CACHE_SECONDS = 2.0
 REQUEST_INTERVAL_SECONDS = 0.03  # between the requests of a caller
@@ -199,6 +201,8 @@
 
     def _make_prompt(self, request_id: str) -> str:
         parts = ["first", f"group-{self._sent_count % GROUPS}", self._extra_part]
+        if self._number % CALLERS_PER_LONG_PROMPT == 0:
+            parts += LONG_PROMPT
         return ",".join(f"{part}:10" for part in (*parts, request_id) if part)
 
     def _read_response(self, result: CallResult) -> None:
--- a/src/rattanwick/internal/gateway/grantor_choice.py
+++ b/src/rattanwick/internal/gateway/grantor_choice.py
@@ -52,6 +52,10 @@
             and not member.is_live(now)
             and now - member.last_heard_at < SILENT_MEMBER_SECONDS
         ]
+        if not live:
+            # The store lists members that this node has not heard for long. They may
+            # be alive, and hear no more of this node than it does of them.
+            silent = [member for member in members.all() if not member.leaving]
         self.share = (1 + len(live)) / (1 + len(live) + len(silent))
         candidates = [member.node_id for member in live if not member.standby]
         if self.eligible or not candidates:
--- a/src/rattanwick/internal/gateway/part_exchange.py
+++ b/src/rattanwick/internal/gateway/part_exchange.py
@@ -14,7 +14,11 @@
 from rattanwick.internal.gateway.blocked_part_rows import BlockRows
 from rattanwick.internal.gateway.members import Member
 from rattanwick.internal.gateway.node_state import NodeState
-from rattanwick.internal.gateway.part_messages import MAX_BLOCKS_PER_MESSAGE, PeerParts
+from rattanwick.internal.gateway.part_messages import (
+    PeerParts,
+    split_blocks,
+    split_message,
+)
 from rattanwick.internal.gateway.peer_messages import encode_parts
 from rattanwick.internal.state.boot_clock import boot_seconds
 
@@ -180,13 +184,11 @@
     def _block_messages(self) -> list[PeerParts]:
         """Return messages that hold all blocks; one without any if there are none."""
         blocks = self._guard.blocks.all()
-        return [
-            PeerParts(blocks=blocks[start : start + MAX_BLOCKS_PER_MESSAGE])
-            for start in range(0, len(blocks) or 1, MAX_BLOCKS_PER_MESSAGE)
-        ]
+        return [PeerParts(blocks=group) for group in split_blocks(blocks)]
 
     def _broadcast(self, message: PeerParts) -> None:
-        self._send(self._encode(message), self._state.members.all())
+        for part in split_message(message):
+            self._send(self._encode(part), self._state.members.all())
 
     def _encode(self, message: PeerParts) -> bytes:
         return encode_parts(
--- a/src/rattanwick/internal/gateway/part_messages.py
+++ b/src/rattanwick/internal/gateway/part_messages.py
@@ -1,12 +1,15 @@
 """Messages between nodes about prompt parts that crash endpoints."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+from msgpack import packb
 
 from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.crash_evidence import LostRequest
 from rattanwick.internal.gateway.shapes import Amount, matches
 
-MAX_BLOCKS_PER_MESSAGE = 20
+MAX_BLOCK_BYTES_PER_MESSAGE = 6000  # of several blocks; one alone may be larger
+MAX_ANSWERS_PER_MESSAGE = 120
 # Of all requests of a crash in one message, so that it fits into a datagram.
 MAX_PARTS_PER_MESSAGE = 120
 
@@ -53,26 +56,27 @@
                 for crash in self.crashes
             ],
             [[part, now - at] for part, at in self.answers],
-            [
-                [
-                    block.id,
-                    sorted(block.parts),
-                    sorted(block.organisations),
-                    block.crashes,
-                    list(block.endpoints),
-                    list(block.nodes),
-                    now - block.made_at,
-                    now - block.used_at,
-                    block.trials,
-                    block.saved,
-                ]
-                for block in self.blocks
-            ],
+            [_block_fields(block, now) for block in self.blocks],
             self.query,
             self.reply,
         ]
 
 
+def _block_fields(block: Block, now: float) -> list:
+    return [
+        block.id,
+        sorted(block.parts),
+        sorted(block.organisations),
+        block.crashes,
+        list(block.endpoints),
+        list(block.nodes),
+        now - block.made_at,
+        now - block.used_at,
+        block.trials,
+        block.saved,
+    ]
+
+
 MESSAGE_SHAPE = (
     [(str, float, [(str, [str], float)])],
     [(str, float)],
@@ -165,3 +169,32 @@
     if requests:
         reports.append(CrashReport(report.endpoint_id, report.at, requests))
     return reports
+
+
+def split_blocks(blocks: list[Block]) -> list[list[Block]]:
+    """Return the blocks in groups that each fit into a message; at least one group."""
+    groups: list[list[Block]] = [[]]
+    size = 0
+    for block in blocks:
+        needed = len(packb(_block_fields(block, 0.0)))
+        if groups[-1] and size + needed > MAX_BLOCK_BYTES_PER_MESSAGE:
+            groups.append([])
+            size = 0
+        groups[-1].append(block)
+        size += needed
+    return groups
+
+
+def split_message(message: PeerParts) -> list[PeerParts]:
+    """Return messages that each fit into a datagram and together hold this one."""
+    groups = split_blocks(message.blocks)
+    messages = [replace(message, blocks=groups[0], answers=[])]
+    messages += [PeerParts(blocks=group) for group in groups[1:]]
+    answers = message.answers
+    for start in range(0, len(answers), MAX_ANSWERS_PER_MESSAGE):
+        part = answers[start : start + MAX_ANSWERS_PER_MESSAGE]
+        if start == 0:
+            messages[0].answers = part
+        else:
+            messages.append(PeerParts(answers=part))
+    return messages
--- a/src/rattanwick/internal/gateway/peer_exchange.py
+++ b/src/rattanwick/internal/gateway/peer_exchange.py
@@ -4,29 +4,29 @@
 from math import ceil
 
 import gevent
-from gevent.server import DatagramServer
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.blocked_part_rows import BlockRows
-from rattanwick.internal.gateway.endpoint_view import PeerLoad
 from rattanwick.internal.gateway.limit_exchange import LimitExchange
 from rattanwick.internal.gateway.limit_messages import PeerLimits
 from rattanwick.internal.gateway.members import Member
+from rattanwick.internal.gateway.message_pages import (
+    encode_loads_pages,
+    encode_state_pages,
+)
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.operator_configuration import OperatorConfiguration
 from rattanwick.internal.gateway.part_exchange import PartExchange
 from rattanwick.internal.gateway.part_messages import PeerParts
+from rattanwick.internal.gateway.peer_datagrams import PeerDatagrams
+from rattanwick.internal.gateway.peer_loads import PeerLoadTable
 from rattanwick.internal.gateway.peer_messages import (
-    MAX_DATAGRAM_BYTES,
-    NO_LOAD,
     Loads,
     PeerLoads,
     PeerState,
     changed_loads,
     decode_datagram,
-    encode_loads,
     encode_placement,
-    encode_state,
     make_brief,
     placements_after,
 )
@@ -41,6 +41,7 @@
 
 log = get_logger("peers")
 
+
 PLACEMENT_SEND_COUNT = 3  # times each peer gets a placement, against lost datagrams
 MAX_SENT_CRASH_AGE_SECONDS = 10.0  # older crashes are not sent
 
@@ -63,8 +64,7 @@
         self._last_sequence: dict[tuple[str, int], int] = {}
         # Number of placements (``placed``) in the peer's last message.
         self._received_placed: dict[tuple[str, int], int] = {}
-        # By node id: endpoints at which the node last reported a load.
-        self._loaded_endpoints: dict[str, set[str]] = {}
+        self._peer_loads = PeerLoadTable(state.endpoints)
         # Loads, and number of placements, in this node's last message of loads.
         self._sent_loads: Loads = {}
         self._sent_placed = 0
@@ -72,12 +72,11 @@
         self._prompt_tokens: dict[tuple[str, int], dict[str, int]] = {}
         settings = state.settings
         address = (settings.ip, settings.peer_port)
-        self._datagrams = DatagramServer(address, self._receive)
-        self._copies = TableCopies(state, watches, self._send, configuration)
-        self._limits = LimitExchange(state, self._boot, self._send, self._send_to)
-        self._parts = PartExchange(
-            state, block_rows, self._boot, self._send, self._send_to
-        )
+        self._datagrams = PeerDatagrams(address, self._receive)
+        send, send_to = self._datagrams.send, self._datagrams.send_to
+        self._copies = TableCopies(state, watches, send, configuration)
+        self._limits = LimitExchange(state, self._boot, send, send_to)
+        self._parts = PartExchange(state, block_rows, self._boot, send, send_to)
 
     @property
     def boot(self) -> int:
@@ -119,8 +118,8 @@
 
     def broadcast_state(self) -> None:
         """Send a brief state to all members at once, for changes that must not wait."""
-        data = encode_state(make_brief(self._own_state(self._state.timers.now())))
-        self._send(data, self._state.members.all())
+        state = make_brief(self._own_state(self._state.timers.now()))
+        self._send_pages(self._encode_state(state), self._state.members.all())
 
     def _send_in_rotation(self, message: PeerState, members: list[Member]) -> None:
         """Send a message to the members that are next in rotation."""
@@ -128,11 +127,17 @@
         recipients = self._rotation.next_members(members, count)
         if not recipients:
             return
-        data = encode_state(message)
-        if len(data) > MAX_DATAGRAM_BYTES:
-            log.warning("state too large for a datagram", extra={"bytes": len(data)})
-            return
-        self._send(data, recipients)
+        self._send_pages(self._encode_state(message), recipients)
+
+    def _encode_state(self, message: PeerState) -> list[bytes]:
+        """Return the datagrams of a state, whose sequence numbers are then used up."""
+        pages = encode_state_pages(message)
+        self._sequence = max(self._sequence, message.sequence + len(pages) - 1)
+        return pages
+
+    def _send_pages(self, pages: list[bytes], members: list[Member]) -> None:
+        for page in pages:
+            self._datagrams.send(page, members)
 
     def _broadcast_loads(self) -> None:
         """Send this node's loads to active members whenever ``load_changed`` is set."""
@@ -141,7 +146,10 @@
             state.load_changed.wait()
             state.load_changed.clear()
             members = state.members.active()
-            self._send(encode_loads(self._changed_loads(state.timers.now())), members)
+            message = self._changed_loads(state.timers.now())
+            pages = encode_loads_pages(message)
+            self._sequence += len(pages) - 1
+            self._send_pages(pages, members)
             state.timers.sleep(load_pause(len(members)))
 
     def _changed_loads(self, now: float) -> PeerLoads:
@@ -173,19 +181,6 @@
         count = peers_per_interval(peers, self._state.standby)
         return SEND_INTERVAL_SECONDS * max(ceil(peers / count), 1)
 
-    def _send(self, data: bytes, members: list[Member]) -> None:
-        for member in members:
-            self._send_to(data, member.address)
-
-    def _send_to(self, data: bytes, address: tuple[str, int]) -> None:
-        try:
-            self._datagrams.socket.sendto(data, address)
-        except OSError as exc:
-            # State is sent again soon, and a request for permits is repeated.
-            log.debug(
-                "datagram not sent", extra={"peer": address[0], "error": str(exc)}
-            )
-
     def _own_loads(self, now: float) -> Loads:
         loads = {}
         for view in self._state.endpoints.all():
@@ -277,7 +272,7 @@
             self._apply_spending(peer, message, now)
             self._apply_notices(message)
             self._apply_placements(peer, message)
-            self._apply_loads(message.node_id, message.loads)
+            self._peer_loads.apply(message.node_id, message.loads, now)
         else:
             self._apply_state(peer, message, address[0])
 
@@ -324,12 +319,13 @@
         )
         if state.members.put(member):
             # A node that has started waits to hear which configuration is in force.
-            self._send(encode_state(make_brief(self._own_state(now))), [member])
+            own_state = make_brief(self._own_state(now))
+            self._send_pages(self._encode_state(own_state), [member])
             self._limits.inform(member)
         self._parts.compare(member, message.block_digest)
         self._apply_spending(peer, message, now)
         self._apply_notices(message)
-        self._prompt_tokens[peer] = message.prompt_tokens
+        self._prompt_tokens.setdefault(peer, {}).update(message.prompt_tokens)
         state.prefill_estimator.update_from_peer(message.node_id, message.prefill_seen)
         for request_fingerprint, endpoint_id, age in message.crashes:
             state.crash_guard.note_crash(request_fingerprint, endpoint_id, now - age)
@@ -337,12 +333,7 @@
             return
         state.usage.update_from_peer(peer, message.usage)
         self._apply_placements(peer, message)
-        ended = (
-            self._loaded_endpoints.get(message.node_id, set()) - message.loads.keys()
-        )
-        self._apply_loads(
-            message.node_id, {**dict.fromkeys(ended, NO_LOAD), **message.loads}
-        )
+        self._peer_loads.apply_state(message, now)
 
     def _apply_spending(
         self, peer: tuple[str, int], message: PeerState | PeerLoads, now: float
@@ -361,19 +352,5 @@
             view = self._state.endpoints.get(placement.endpoint_id)
             if view is not None:
                 view.note_cached(placement.prompt)
-        self._received_placed[peer] = message.placed
-
-    def _apply_loads(self, node_id: str, loads: Loads) -> None:
-        """Apply a node's loads by endpoint; NO_LOAD removes those of an endpoint."""
-        now = self._state.timers.now()
-        loaded = self._loaded_endpoints.setdefault(node_id, set())
-        for endpoint_id, figures in loads.items():
-            view = self._state.endpoints.get(endpoint_id)
-            if figures == NO_LOAD:
-                loaded.discard(endpoint_id)
-                if view is not None:
-                    view.peers.pop(node_id, None)
-                continue
-            loaded.add(endpoint_id)
-            if view is not None:
-                view.peers[node_id] = PeerLoad(*figures, last_heard_at=now)
+        received = self._received_placed.get(peer, 0)
+        self._received_placed[peer] = max(received, message.placed)
--- a/src/rattanwick/internal/gateway/peer_messages.py
+++ b/src/rattanwick/internal/gateway/peer_messages.py
@@ -18,8 +18,8 @@
 from rattanwick.internal.gateway.table_watch import TableChanges, TableCopy
 from rattanwick.internal.peers.packing import pack_compressed, unpack_compressed
 
-PROTOCOL_VERSION = 5
-MAX_DATAGRAM_BYTES = 8192
+PROTOCOL_VERSION = 6
+MAX_DATAGRAM_BYTES = 8192  # of a state, loads, limits or parts
 # Changes that do not fit, such as a large configuration, are fetched as a copy.
 MAX_CHANGES_BYTES = 48 << 10
 
@@ -67,6 +67,8 @@
     "leaving_endpoints": [(str, Amount(int))],
     "placed": Amount(int),
     "placements": [(str, [(str, Amount(int))])],
+    "page": Amount(int),
+    "pages": Amount(int),
     "table": str,
     "after": VERSION_SHAPE,
     "version": VERSION_SHAPE,
@@ -104,6 +106,8 @@
     """State of a node.
 
     A brief state leaves out what only active nodes need: usage, loads and placements.
+    A state that is too large for a datagram is divided into pages, with sequence
+    numbers one after the other; each holds a part of the maps and lists.
     """
 
     node_id: str
@@ -135,6 +139,8 @@
     # Endpoint id, and id and tokens of each prompt part. Most of them are known
     # already, so each is decoded only if it is needed.
     placements: list[list]
+    page: int = 0  # number of this page, from 0 on
+    pages: int = 1
 
 
 def placements_after(message: PeerState | PeerLoads, received: int) -> list[Placement]:
--- a/src/rattanwick/internal/gateway/prefill.py
+++ b/src/rattanwick/internal/gateway/prefill.py
@@ -120,8 +120,8 @@
         return {service: fit.sums() for service, fit in self._fits.items()}
 
     def update_from_peer(self, peer: str, seen: dict[str, Sums]) -> None:
-        """Replace the observations of a peer."""
-        self._peers[peer] = seen
+        """Replace the observations of a peer for some services."""
+        self._peers.setdefault(peer, {}).update(seen)
         for service in seen:
             self._models.pop(service, None)
 
--- a/src/rattanwick/internal/gateway/usage.py
+++ b/src/rattanwick/internal/gateway/usage.py
@@ -36,7 +36,8 @@
     def update_from_peer(self, peer: tuple[str, int], counts: Counts) -> None:
         """Update a peer's counts; ``peer`` is its node id and process start."""
         kept = self._peers.setdefault(peer, {})
-        kept.update(counts)
+        for window, by_organisation in counts.items():
+            kept.setdefault(window, {}).update(by_organisation)
         self._trim(kept)
 
     def total(self, window: int) -> dict[str, int]:
--- a/tests/failure/test_gateway_odd_messages.py
+++ b/tests/failure/test_gateway_odd_messages.py
@@ -40,7 +40,7 @@
     def setUp(self):
         self.state = make_state(ManualTimerService(), make_settings("n1"))
         self.peers = PeerExchange(self.state, [])
-        self.peers._send_to = lambda *_: None  # no socket is open
+        self.peers._datagrams.send_to = lambda *_: None  # no socket is open
         other = make_state(ManualTimerService(), make_settings("n2"))
         now = other.timers.now()
         self.message = replace(PeerExchange(other, [])._own_state(now), port=7600)
