Take callers' connections before the directory names the node

Callers would see: connections refused for some milliseconds by a node that has just started, although its directory names it.

Cause: starting a web server looks up a host name, which lets other tasks run. The directory thus answered before the listener for callers was open.

The listener for callers is opened first.

--- a/src/rattanwick/internal/gateway/node.py
+++ b/src/rattanwick/internal/gateway/node.py
@@ -135,12 +135,14 @@
         self._timers.subscribe(
             "links.idle", IDLE_CHECK_INTERVAL_SECONDS, self._close_idle_connections
         )
+        # Before the directory answers with this node's address. Starting a web server
+        # lets other tasks run.
+        self._callers.start()
         for address, application in web:
             server = WSGIServer(address, application, log=None, error_log=None)
             server.start()
             self._web.append(server)
         tune_garbage_collector()
-        self._callers.start()
         self._stopping.wait()
         self._drain()
         # The interpreter restores the default handlers at its end. A signal that is
