Split the response writer from the connection of a caller

The writer of responses is a module of its own, and the refusal of a blocked prompt is logged in one place, which stood twice. A body that an attempt has lost gives back its memory before the next endpoint is chosen, not after.

Tests of callers, answers, relay and crashing parts: 55 passed.

--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -16,9 +16,9 @@
     CallerStalled,
     NodeStopping,
     Phase,
-    ResponseWriter,
 )
 from rattanwick.internal.gateway.body_memory import OutOfBodyMemory
+from rattanwick.internal.gateway.caller_response import CallerResponseWriter
 from rattanwick.internal.gateway.connection_pool import (
     MAX_SMALL_CHUNKS,
     MIN_CHUNK_BYTES,
@@ -26,7 +26,7 @@
 )
 from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
 from rattanwick.internal.gateway.interfaces import InvalidRequest
-from rattanwick.internal.gateway.model import Call, Headers
+from rattanwick.internal.gateway.model import Call
 from rattanwick.internal.gateway.placement import RefusalReason
 from rattanwick.internal.gateway.planned_stop import STOPPING_RETRY_AFTER_SECONDS
 from rattanwick.internal.gateway.unanswered import log_unanswered
@@ -37,7 +37,6 @@
 log = get_logger("callers")
 
 READ_BYTES = 65_536
-MAX_JOINED_BYTES = 65_536  # of a body that is written together with its head
 SEND_TIMEOUT_SECONDS = 10.0  # without progress; then the connection counts as closed
 # Time for a caller to read the last response of a connection. If the connection were
 # closed with bytes unread, a reset would discard the response.
@@ -57,59 +56,6 @@
     """Raised if a connection ends or idles too long before a request has arrived."""
 
 
-class CallerResponseWriter(ResponseWriter):
-    """Writer of the response to one request."""
-
-    __slots__ = ("_conn", "closes", "completing", "request", "started", "status")
-
-    def __init__(self, conn: "CallerConnection"):
-        self._conn = conn
-        self.closes = False
-        self.request = None
-        self.started = False
-        self.completing = False  # the response is being written to its end
-        self.status = 0
-
-    def start(self, status: int, headers: Headers) -> bytes:
-        """Return the encoded head of the response."""
-        # The node may have begun to stop while the request was served.
-        self.closes = self.closes or self._conn.draining
-        if self.closes:
-            headers = [*headers, (b"Connection", b"close")]
-        # This raises if the head cannot be encoded; another one may then be sent.
-        head = h11.Response(status_code=status, headers=headers, reason=b"")
-        self.started, self.status = True, status
-        return self._conn.http.send(head)
-
-    def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response; a Content-Length in ``headers`` is replaced."""
-        headers = [item for item in headers if item[0].lower() != b"content-length"]
-        headers.append((b"Content-Length", b"%d" % len(body)))
-        head = self.start(status, headers)
-        self.completing = True
-        http = self._conn.http
-        if self._conn.answers_head_request:
-            body = b""  # such a response ends with its head
-        data = http.send(h11.Data(data=body)) if body else b""
-        end = http.send(h11.EndOfMessage())
-        if len(data) <= MAX_JOINED_BYTES:
-            self._conn.write(head + data + end)
-            return
-        # A copy of a large body would take as much memory again.
-        for part in (head, data, end):
-            self._conn.write(part)
-
-    def send_chunk(self, data: bytes, head: tuple[int, Headers] | None) -> None:
-        """Send some bytes of a stream, after the head if one is given."""
-        prefix = self.start(*head) if head else b""
-        self._conn.write(prefix + self._conn.http.send(h11.Data(data=data)))
-
-    def finish(self) -> None:
-        """End the stream as complete."""
-        self.completing = True
-        self._conn.write(self._conn.http.send(h11.EndOfMessage()))
-
-
 class CallerConnection:
     """Connection of a caller, whose requests are served one after the other."""
 
--- a/src/rattanwick/internal/gateway/prompt_blocks.py
+++ b/src/rattanwick/internal/gateway/prompt_blocks.py
@@ -1,9 +1,12 @@
 """Check of requests against the blocks of prompt parts that crash endpoints."""
 
+from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.gateway.active_request import ActiveRequest
 from rattanwick.internal.gateway.blocked_parts import Block
 from rattanwick.internal.gateway.node_state import NodeState
 
+log = get_logger("relay")
+
 
 class PromptBlocks:
     """Blocks of prompt parts, as they hold for requests."""
@@ -38,13 +41,17 @@
             return block
         return None
 
-    def describe(self, block: Block) -> dict:
-        """Return the fields of a log line that tell why a block is in force."""
-        return {
-            "block": block.id,
-            "prompt_parts": sorted(block.parts),
-            "crashes": block.crashes,
-            "endpoints": block.endpoints,
-            "nodes": block.nodes,
-            "age_s": round(self._state.timers.now() - block.made_at, 2),
-        }
+    def log_refusal(self, request_id: str, block: Block) -> None:
+        """Log that a request is refused, and why the block is in force."""
+        log.info(
+            "prompt holds parts that crash endpoints",
+            extra={
+                "request": request_id,
+                "block": block.id,
+                "prompt_parts": sorted(block.parts),
+                "crashes": block.crashes,
+                "endpoints": block.endpoints,
+                "nodes": block.nodes,
+                "age_s": round(self._state.timers.now() - block.made_at, 2),
+            },
+        )
--- a/src/rattanwick/internal/gateway/relay.py
+++ b/src/rattanwick/internal/gateway/relay.py
@@ -162,10 +162,7 @@
     def _refuse_blocked(
         self, call: Call, response: ResponseWriter, block: Block, cfg: Configuration
     ) -> bool:
-        log.info(
-            "prompt holds parts that crash endpoints",
-            extra={"request": call.id, **self._blocks.describe(block)},
-        )
+        self._blocks.log_refusal(call.id, block)
         return self._refuse(call, response, BLOCKED_STATUS, "blocked_part", None, cfg)
 
     def _run(self, request: ActiveRequest, response: ResponseWriter) -> None:
@@ -182,7 +179,7 @@
                 self._end_unplaced(request, response, placed)
                 return
             request.placed, request.failed_answer = placed, None
-            request.release_body()
+            request.release_body()  # of the failed answer
             outcome = Attempt(
                 self._state,
                 self._codec,
@@ -191,6 +188,8 @@
                 self._crash_checks,
                 self._blocks,
             ).run()
+            if not isinstance(outcome, FailedAnswer):
+                request.release_body()
             match outcome:
                 case Answered(status):
                     self._state.crash_guard.note_answer(
@@ -268,10 +267,7 @@
     def _end_blocked(
         self, request: ActiveRequest, response: ResponseWriter, block: Block
     ) -> None:
-        log.info(
-            "prompt holds parts that crash endpoints",
-            extra={"request": request.call.id, **self._blocks.describe(block)},
-        )
+        self._blocks.log_refusal(request.call.id, block)
         if response.started:
             self._abort_stream(request, response, "blocked_part")
         if request.failed_answer is not None:
