--- a/fakes/endless_endpoint.py
+++ b/fakes/endless_endpoint.py
@@ -2,6 +2,7 @@
 
 ``python -m fakes.endless_endpoint`` prints its port. A request names in
 ``X-Endless`` which bytes are sent, over and over, as fast as the node takes them.
+With a port as its argument, it is a caller whose request's body does not end.
 After commas may follow the number of bytes sent in all, at whose end the connection
 is closed, and the bytes per second.
 """
@@ -79,8 +80,19 @@
         send_repeatedly(conn, block, int(limit or sys.maxsize), float(rate or 0))
 
 
+def call(port: int) -> None:
+    """Send a request whose body does not end, until the connection does."""
+    head = "POST /safe/x HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: endless\r\n"
+    with socket.create_connection(("127.0.0.1", port)) as sock:
+        sock.sendall(f"{head}X-Api-Key: key-1\r\n{CHUNKED}".encode())
+        send_repeatedly(sock, repeat(chunk(b"x")), sys.maxsize)
+
+
 def main() -> None:
-    """Serve until the process is ended."""
+    """Serve, or call a node, until the process is ended."""
+    if len(sys.argv) > 1:
+        call(int(sys.argv[1]))
+        return
     server = socket.create_server(("127.0.0.1", 0), backlog=128)
     sys.stdout.write(f"{server.getsockname()[1]}\n")
     sys.stdout.flush()
--- a/tests/failure/test_gateway_endless_answers.py
+++ b/tests/failure/test_gateway_endless_answers.py
@@ -117,6 +117,34 @@
                 self.check("/unsafe/x", kind)
 
 
+class EndlessCallerTests(RelayCase):
+    """Guard against a caller whose body keeps a node from serving others."""
+
+    def test_bodies_without_end(self):
+        self.add_endpoint("i-sound")
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        callers = [
+            SpawnedProcess(
+                [sys.executable, "-m", "fakes.endless_endpoint", str(self.server.port)],
+                module_environment(),
+                Path(folder.name) / "output",
+            )
+            for _ in range(STREAMS)
+        ]
+        for caller in callers:
+            self.addCleanup(caller.kill)
+        with gevent.Timeout(START_SECONDS):
+            while self.server.busy < STREAMS:
+                gevent.sleep(0.01)
+        while self.server.busy:
+            started = time.monotonic()
+            self.assertEqual(self.ask("/safe/x", call_id="sound").status, 200)
+            self.assertLess(time.monotonic() - started, LATE_SECONDS)
+        for caller in callers:
+            self.assertIsNotNone(caller.wait(START_SECONDS))
+
+
 class EndlessPeerTests(unittest.TestCase):
     """Guard against other peers whose bytes keep this process from its other tasks."""
 
