--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,7 @@
 )
 # Requests per second, as text; the last ones are malformed.
 LIMITS = ("0.5", "2", "2", "8", "nan", "-1")
+ENDLESS_FAULTS = ("endless_head", "endless_body", "endless_interim")
 MAX_SILENCE_SECONDS = 4.0  # before a change of the configuration
 LIMIT_SECONDS = (4.0, 9.0)  # shortest and longest duration of a limit
 STREAM_FAULTS = (*RESPONSE_FAULTS[:7], "cut_in_event", "cut_between_events")
@@ -224,6 +225,19 @@
         return f"{endpoint.fault} {endpoint.id}"
 
 
+class EndlessAnswers(Fault):
+    """Makes an endpoint send heads or bodies without end."""
+
+    name = "endless answers"
+
+    def inject(self) -> str:
+        """Let the next few answers of a random endpoint not end."""
+        endpoint = self._system.deployment.endpoints[self._random_endpoint()]
+        endpoint.fault = self._random.choice(ENDLESS_FAULTS)
+        endpoint.faults_left = self._random.randint(1, 4)
+        return f"{endpoint.fault} {endpoint.id}"
+
+
 class EndpointLimit(Fault):
     """Makes an endpoint name a limit of requests per second for a while."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
     EXIT_TIMEOUT_SECONDS,
     FAULTS,
     MAX_FAULT_SECONDS,
+    EndlessAnswers,
     EndpointLimit,
     SilentConnections,
 )
@@ -188,13 +189,14 @@
             self._inject(RestoreStore(self._system, rng))
 
     def _silence_connections(self) -> None:
-        """Silence connections to the store while nothing else is faulty.
+        """Silence connections to the store while only answers are endless.
 
         A disruption at the same time would excuse a late configuration.
         """
         self._system.heal()
         rng = random.Random(f"{self._report.seed} silences")
         for _ in range(SILENCES):
+            self._inject(EndlessAnswers(self._system, rng))
             self._inject(SilentConnections(self._system, rng))
             gevent.sleep(rng.uniform(0.0, MAX_SILENCE_PAUSE_SECONDS))
 
