Keep an endpoint of the soak reachable after overlapping restarts

The logs show no fault of the nodes. A restart that kept the address ended after one that moved the endpoint, and registered the address of a proxy that the other one had closed.

A restart that another one has overtaken now changes nothing.

--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -30,6 +30,9 @@
 ENDPOINT_BACK_AFTER_RESTORE = (
     "after the store had come back older, an endpoint that had left was used again"
 )
+RESTARTS_OVERLAPPED = (
+    "of two overlapping restarts of the soak, one left an endpoint at a closed address"
+)
 
 REGRESSIONS: dict[int, str] = {
     2: ENDPOINT_BACK_AFTER_RESTORE,
@@ -45,6 +48,7 @@
     23: RELEASED_WHILE_CONFIRMING,
     124: ENDPOINTS_DOWN_BEFORE,
     250: PAUSED_WHILE_CONNECTING,
+    703: RESTARTS_OVERLAPPED,
 }
 
 # Seeds of runs with planned work only.
--- a/soak/system.py
+++ b/soak/system.py
@@ -307,6 +307,8 @@
         proxy.refuses = True
         proxy.reset_all()
         gevent.sleep(seconds)
+        if self.endpoint_proxies[endpoint_id] is not proxy:
+            return  # another restart has moved the endpoint meanwhile
         if changes_address:
             proxy.close()
         self._born += 1
