--- a/tests/failure/test_gateway_resumed_streams.py
+++ b/tests/failure/test_gateway_resumed_streams.py
@@ -154,3 +154,13 @@
         answer = self.stream(headers={"Last-Event-Id": "1"})
         self.assertEqual(self.texts_in(answer), list(TEXTS[1:]))
         self.assertEqual(second.requests[0]["last-event-id"], "3")
+
+    def test_an_engine_that_repeats_events_to_a_resuming_caller_fails(self):
+        for shift in (-2, -1):
+            with self.subTest(shift=shift):
+                self.state.endpoints._views.clear()
+                self.endpoints.clear()
+                self.add_engine(shift=shift)
+                self.add_engine()
+                answer = self.stream(headers={"Last-Event-Id": "2"})
+                self.assertEqual(self.texts_in(answer), list(TEXTS[2:]))
