--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A part of prompts crashes workers; are the requests of sound sessions served?"""
+"""A part of prompts crashes workers; are sound requests with its neighbours served?"""
 
 import asyncio
 import json
@@ -23,22 +23,24 @@
 )
 
 NODES = 3
-ENGINES = 3
-PART_TOKENS = 400
-EPISODES = 3  # each with new sessions and another part that crashes workers
-SESSIONS = 30  # of an episode, that start one after the other
-START_SECONDS = 1.5  # in which they start
-TURN_SECONDS = 1.2  # between the requests of a session
-POISON_DELAY_SECONDS = 1.0  # from the first session to the first request with the part
-POISON_REQUESTS = 2  # at a time, at any machines
-POISON_SECONDS = 0.7  # between them
-EPISODE_SECONDS = 25.0
+ENGINES = 4
+BLOCK_TOKENS = 16  # as of the site's engines
+COMMON_PARTS = 20  # that all prompts of the organisation share
+DOCUMENT_PARTS = 200
+POISON_INDEX = 150  # place of the part that crashes workers, in the prompt
+DOCUMENTS = 40  # that sound requests are about
 TIMEOUT_SECONDS = 4.0  # timeout_ms of the route
 DEADLINE_SECONDS = 6.0  # of the clients
 EVENTS, EVENT_SECONDS = 20, 0.1
 FIRST_EVENT_SECONDS = 0.15
 RETURN_SECONDS = 2.0  # from a crash to the next start of the worker
-POISON = "badbad"  # start of the ids of the parts that crash workers
+WARM_SECONDS = 12.0
+TROUBLE_SECONDS = 30.0
+PER_SECOND = 4  # sound requests about other documents
+POISON_SECONDS = 0.8  # between two requests with the part
+POISON = "badbad00"
+# Sound requests about the same document, so that all its parts are also in those.
+SHARING_DELAY_SECONDS, SHARING_SECONDS = 4.0, 0.125
 
 ROUTE = {
     "name": "chat",
@@ -67,13 +69,10 @@
     def __init__(self, deployment, record, trouble):
         self.deployment, self.record, self.trouble = deployment, record, trouble
         self.random = random.Random(7)
-        self.answers, self.poisoned, self.crashes = [], [], []
-        self.tasks: set = set()
-        self.number = 0  # of worker processes
-
-    def spawn(self, task) -> None:
-        """Run a task beside the others."""
-        self.tasks.add(asyncio.ensure_future(task))
+        self.answers, self.poisoned = [], []
+        self.crashes, self.engines = [], {}
+        self.ran = set()
+        self.number = 0
 
     async def start_engine(self, place: int) -> None:
         """Start a worker as a new incarnation."""
@@ -88,6 +87,7 @@
             64,
         )
         await worker.start()
+        self.engines[place] = worker
 
     async def serve(self, worker, writer, line, values, body) -> bool:
         """Answer with a stream, or crash as the answer begins."""
@@ -97,9 +97,11 @@
             if not worker.stopped:
                 self.crashes.append(time.monotonic())
                 self.record.note(f"crash: {worker.id} runs {request_id}")
+                place = int(worker.id.split("-")[1])
                 worker.crash()
-                self.spawn(self.restart(int(worker.id.split("-")[1])))
+                asyncio.ensure_future(self.restart(place))
             return False
+        self.ran.add(request_id)
         self.record.note(f"run: {worker.id} runs {request_id}")
         await worker.start_stream(writer, values)
         first = int(values.get("last-event-id", "0")) + 1
@@ -114,23 +116,26 @@
         await asyncio.sleep(RETURN_SECONDS)
         await self.start_engine(place)
 
-    async def send(self, request_id: str, part: str, answers: list):
-        """Send one request to a random machine and return its Answer.
+    def prompt(self, request_id: str, document: str) -> list[str]:
+        """Return the ids of a prompt's parts: common, of a document, its own."""
+        common = [f"c{n:07x}" for n in range(COMMON_PARTS)]
+        parts = [f"{document}{n:05x}" for n in range(DOCUMENT_PARTS)]
+        return [*common, *parts, f"{zlib.crc32(request_id.encode()):08x}"]
 
-        Its prompt has a common part, the given one and one of its own.
-        """
+    async def send(self, request_id: str, parts: list[str], answers: list) -> None:
+        """Send one request to a random machine."""
         name = self.random.choice(sorted(self.deployment.ips))
-        parts = ["c0000000", part, f"{zlib.crc32(request_id.encode()):08x}"]
+        tokens = BLOCK_TOKENS * len(parts)
         headers = [
             ("X-Request-Id", request_id),
             ("X-Api-Key", KEY),
             ("X-Deadline-Ms", str(int(DEADLINE_SECONDS * 1000))),
             ("X-Model", "m"),
-            ("X-Token-Counts", f"{PART_TOKENS * len(parts)},60"),
-            ("X-Prompt-Prefix", ",".join(f"{p}:{PART_TOKENS}" for p in parts)),
+            ("X-Token-Counts", f"{tokens},60"),
+            ("X-Prompt-Prefix", ",".join(f"{p}:{BLOCK_TOKENS}" for p in parts)),
             ("Content-Type", "application/json"),
         ]
-        self.record.note(f"send: {request_id} with {part} to {name}")
+        self.record.note(f"send: {request_id} to {name}")
         answer = await call(
             self.deployment.ips[name],
             "POST",
@@ -142,59 +147,67 @@
         )
         answers.append(answer)
         self.record.note(answer.describe())
-        return answer
-
-    async def send_with_retry(self, request_id: str, part: str) -> None:
-        """Send a sound request, and once more if it fails, as clients do."""
-        answer = await self.send(request_id, part, self.answers)
-        failed = answer.status in (0, 429, 502, 503, 504) or not answer.complete
-        if failed and answer.ended is not None:
-            await asyncio.sleep(float(answer.headers.get("retry-after", 0.0)))
-            await self.send(f"{request_id}-again", part, self.answers)
 
-    async def run_session(self, episode: int, session: int, ends_at: float) -> None:
+    async def traffic(self, tasks: set) -> None:
+        """Send sound requests."""
         number = 0
-        while time.monotonic() < ends_at:
+        while True:
             number += 1
-            request_id = f"sound-{episode}-{session}-{number}"
-            part = f"5e{episode:02x}{session:04x}"
-            self.spawn(self.send_with_retry(request_id, part))
-            await asyncio.sleep(TURN_SECONDS)
+            document = f"{number % DOCUMENTS:03x}"
+            request_id = f"sound-{number}"
+            parts = self.prompt(request_id, document)
+            tasks.add(asyncio.ensure_future(self.send(request_id, parts, self.answers)))
+            await asyncio.sleep(self.random.expovariate(PER_SECOND))
 
-    async def poison(self, episode: int, ends_at: float) -> None:
+    async def poison(self, tasks: set) -> None:
         """Send requests that hold the part; no two are alike."""
-        await asyncio.sleep(POISON_DELAY_SECONDS)
         number = 0
-        part = f"{POISON if self.trouble else '900d00'}{episode:02x}"
-        while time.monotonic() < ends_at:
-            for _ in range(POISON_REQUESTS):
-                number += 1
-                self.spawn(self.send(f"poison-{episode}-{number}", part, self.poisoned))
+        while True:
+            number += 1
+            request_id = f"poison-{number}"
+            parts = self.prompt(request_id, "bad")
+            if self.trouble:
+                parts.insert(POISON_INDEX, POISON)
+            tasks.add(
+                asyncio.ensure_future(self.send(request_id, parts, self.poisoned))
+            )
             await asyncio.sleep(POISON_SECONDS)
 
-    async def play_episode(self, episode: int) -> None:
-        ends_at = time.monotonic() + EPISODE_SECONDS
-        self.spawn(self.poison(episode, ends_at))
-        for session in range(SESSIONS):
-            self.spawn(self.run_session(episode, session, ends_at))
-            await asyncio.sleep(START_SECONDS / SESSIONS)
-        await asyncio.sleep(ends_at - time.monotonic())
-
-    def judge(self) -> int:
-        """Apply DENIED."""
-        refused = [a for a in self.answers if 400 <= a.status < 500 and a.status != 429]
+    async def share(self, tasks: set) -> None:
+        """Send sound requests about the document whose requests hold the part."""
+        number = 0
+        await asyncio.sleep(SHARING_DELAY_SECONDS)
+        while True:
+            number += 1
+            request_id = f"sharing-{number}"
+            parts = self.prompt(request_id, "bad")
+            tasks.add(asyncio.ensure_future(self.send(request_id, parts, self.answers)))
+            await asyncio.sleep(SHARING_SECONDS)
+
+    def judge(self, warm: float, began: float, ended: float) -> int:
+        """Apply LOST, and count what DENIED does."""
+        since = max(self.crashes, default=began) + 2 * CONTACT_SECONDS
+        before = [a for a in self.answers if warm <= a.sent < began]
+        during = [a for a in self.answers if since <= a.sent <= ended]
+        shares = []
+        for name, answers in (("before", before), ("during", during)):
+            began_count = sum(a.id in self.ran for a in answers)
+            shares.append(began_count / max(len(answers), 1))
+            statuses = Counter(a.status for a in answers)
+            self.record.note(
+                f"LOST: {name}: {began_count} of {len(answers)} sound requests with "
+                f"the same key and first part began at a worker; {dict(statuses)}"
+            )
+        refused = sum(400 <= a.status < 500 for a in self.answers)
         total = len(self.answers) + len(self.poisoned)
-        allowed = 5 + total / 500
-        counts = Counter(a.id.split("-")[1] for a in refused)
         self.record.note(
-            f"DENIED: {len(refused)} sound requests ended with a 4xx of the machines, "
-            f"of {total} requests in all; allowed are {allowed:.1f}; "
-            f"by episode {dict(counts)}"
+            f"DENIED: {refused} sound requests ended with a 4xx of the machines, of "
+            f"{total} requests in all; allowed are {5 + total // 500}"
         )
-        statuses = Counter(a.status for a in self.answers)
-        self.record.note(f"sound requests by status: {dict(statuses)}")
         self.record.note(f"{len(self.crashes)} crashes of workers")
-        return int(len(refused) > allowed)
+        if min(len(before), len(during)) < 20:
+            return 2
+        return int(2 * shares[1] < shares[0])
 
 
 async def play(deployment, record, trouble) -> int:
@@ -207,10 +220,19 @@
         deployment.start_node(name)
     await deployment.wait_ready()
     await asyncio.sleep(CONTACT_SECONDS)
-    for episode in range(1, EPISODES + 1):
-        await case.play_episode(episode)
-    await asyncio.wait(case.tasks, timeout=DEADLINE_SECONDS + 2)
-    return case.judge()
+    tasks: set = set()
+    warm = time.monotonic()
+    jobs = [asyncio.ensure_future(case.traffic(tasks))]
+    await asyncio.sleep(WARM_SECONDS)
+    began = time.monotonic()
+    jobs.append(asyncio.ensure_future(case.poison(tasks)))
+    jobs.append(asyncio.ensure_future(case.share(tasks)))
+    await asyncio.sleep(TROUBLE_SECONDS)
+    ended = time.monotonic()
+    for job in jobs:
+        job.cancel()
+    await asyncio.wait(tasks, timeout=DEADLINE_SECONDS + 2)
+    return case.judge(warm, began, ended)
 
 
 run_case(FOLDER, NODES, play)
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -20,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HEARTBEAT_SECONDS = 1.2
+COPY_SECONDS = 0.2  # between two copies of the store
 CONTACT_SECONDS = 3.0  # contact_ms
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s
 FRONT, READY, DIRECTORY, PEERS = 8221, 8224, 8220, 7600
@@ -149,6 +150,7 @@
         self.calls: list[tuple[float, str, str, int, dict, int]] = []
         self._changed = asyncio.Condition()
         self.writers: set = set()
+        self._copies: list = []  # time, rows and version, the newest last
         # Called with path and query or body; may delay, or return a status to answer.
         self.before = None
         # Called with path, body and status after a call took effect; returns whether
@@ -160,6 +162,28 @@
         self._server = await asyncio.start_server(self._serve, self._ip, 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{self._ip}:{port}"
+        self._copying = asyncio.ensure_future(self._copy())
+
+    async def _copy(self) -> None:
+        while True:
+            self._copies.append((time.monotonic(), dict(self.rows), self.version))
+            await asyncio.sleep(COPY_SECONDS)
+
+    async def restore(self, age: float, away: float) -> None:
+        """Be away for some seconds, and come back from a copy of an earlier time."""
+        at = time.monotonic() - age
+        copies = [copy for copy in self._copies if copy[0] <= at]
+        self._server.close()
+        for writer in list(self.writers):
+            reset(writer)
+        await asyncio.sleep(away)
+        _, self.rows, self.version = copies[-1]
+        self.feed = []
+        self.oldest = self.version
+        self.era += 1
+        self._copies = copies
+        host, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, host, int(port))
 
     def put(self, table: str, key: str, value: bytes | None) -> int:
         """Write a row, or remove it; return its version."""
@@ -323,24 +347,34 @@
 
     async def _beat(self) -> None:
         while not self.stopped:
-            self._sequence += 1
-            self.platform.put_json(
-                "servers",
-                self.id,
-                {
-                    "service": self.service,
-                    "address": self.address,
-                    "zone": self.zone,
-                    "version": 1,
-                    "slots": self.slots,
-                    "state": self.state,
-                    "cold_left_ms": 0,
-                    "sequence": self._sequence,
-                    "born": self.born,
-                },
-            )
+            self._write()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def _write(self) -> None:
+        self._sequence += 1
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": 1,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "sequence": self._sequence,
+            "born": self.born,
+        }
+        self.platform.put_json("servers", self.id, entry)
+
+    def leave(self) -> None:
+        """Report that the worker is leaving."""
+        self.state = "draining"
+        self._write()
+
+    def deregister(self) -> None:
+        """Remove the entry; the worker goes on serving."""
+        self._beats.cancel()
+        self.platform.put("servers", self.id, None)
+
     def crash(self) -> None:
         """Reset all connections and accept no more; the entry lapses."""
         if self.stopped:
