--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -347,10 +347,11 @@
 
     async def _beat(self) -> None:
         while not self.stopped:
-            self._write()
+            self.write_entry()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    def _write(self) -> None:
+    def write_entry(self) -> None:
+        """Write the worker's entry to the store."""
         self._sequence += 1
         entry = {
             "service": self.service,
@@ -365,11 +366,6 @@
         }
         self.platform.put_json("servers", self.id, entry)
 
-    def leave(self) -> None:
-        """Report that the worker is leaving."""
-        self.state = "draining"
-        self._write()
-
     def deregister(self) -> None:
         """Remove the entry; the worker goes on serving."""
         self._beats.cancel()
@@ -587,12 +583,6 @@
         self.record.note(f"signal: {signal.Signals(number).name} to {name}")
         self.processes[name].send_signal(number)
 
-    def cpu_seconds(self, name: str) -> float:
-        """Return the processor time that a node has used."""
-        path = Path("/proc", str(self.processes[name].pid), "stat")
-        fields = path.read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
     async def wait_ready(self, seconds: float = 20.0) -> None:
         """Wait until all nodes are ready."""
         ends_at = time.monotonic() + seconds
