Treat a reset at the end of an unframed response as a loss

Callers got a part of a response as a complete one: a 200 with a Content-Length of ours, or a stream with its last chunk. It happened when an endpoint responded to a large upload without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: two tasks use the socket of an endpoint. The system reports a reset once, to the first call. A trace showed ECONNRESET at the task that sends (state CLOSE, 3.4 MB unacknowledged), which dropped the error, and then an orderly end at the task that reads. A second order was found on the way: an endpoint that closes after it has read all that has arrived ends the connection in an orderly way and resets it when more of the upload arrives, which may be after the response was taken as complete.

The end of a connection now completes a response only if the sender has not failed, the connection is not in the state that a reset leaves, and the endpoint's system has acknowledged the whole request. This does not depend on the order of the tasks. A sender that is still blocked is waited for until the deadline of the attempt, so an endpoint that ends only its sending side and reads on is still believed. Responses with a length or chunks end before the connection and are not checked.

--- a/soak/slow_callers.py
+++ b/soak/slow_callers.py
@@ -10,7 +10,7 @@
 from gevent import socket
 
 from fakes.gateway_deployment import GatewayDeployment
-from rattanwick.internal.gateway.connection_pool import is_readable
+from rattanwick.internal.base.tcp import is_readable
 from soak.callers import (
     CHUNKED,
     REQUEST_KINDS,
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -11,6 +11,7 @@
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer
+from rattanwick.internal.base.tcp import is_readable
 from rattanwick.internal.gateway.active_request import (
     CallerConnectionClosed,
     CallerStalled,
@@ -22,7 +23,6 @@
 from rattanwick.internal.gateway.connection_pool import (
     MAX_SMALL_CHUNKS,
     MIN_CHUNK_BYTES,
-    is_readable,
 )
 from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
 from rattanwick.internal.gateway.interfaces import InvalidRequest
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -6,7 +6,7 @@
 
 import gevent
 import h11
-from gevent import monkey, socket
+from gevent import socket
 
 from rattanwick.internal.base.errors import (
     ConnectionLost,
@@ -16,6 +16,7 @@
 )
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer, TurnQueue
+from rattanwick.internal.base.tcp import is_readable, is_reset, unacknowledged_bytes
 from rattanwick.internal.gateway.model import Endpoint, Headers, Service
 
 log = get_logger("links")
@@ -52,8 +53,8 @@
 SAFE_IDLE_SHARE = 0.5
 SAFE_IDLE_RETENTION_SECONDS = 30.0  # after the last such loss
 
-poll = monkey.get_original("select", "poll")
-POLLIN = 1  # select.POLLIN
+# The system reports no acknowledgements, so they are polled.
+ACKNOWLEDGEMENT_POLL_SECONDS = 0.005
 
 
 def max_idle_connections(service: Service, nodes: int) -> int:
@@ -61,16 +62,6 @@
     return max(1, int(MAX_IDLE_SHARE * service.max_connections / nodes))
 
 
-def is_readable(sock) -> bool:
-    """Return whether a socket has bytes to read, was closed by the peer or failed."""
-    poller = poll()
-    try:
-        poller.register(sock.fileno(), POLLIN)
-        return bool(poller.poll(0))
-    except (OSError, ValueError):
-        return True
-
-
 class EndpointConnection:
     """Connection to an endpoint, for one request and response at a time.
 
@@ -81,6 +72,7 @@
         "_chunk_allowance",
         "_http",
         "_pacer",
+        "_send_error",
         "_sender",
         "_sock",
         "_turns",
@@ -101,6 +93,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
         self._sender: gevent.Greenlet | None = None
+        self._send_error = ""  # why the rest of the request could not be sent
         self.reused = False
         self.idle_since = 0.0  # monotonic seconds
         self.previous_idle_seconds = 0.0  # before the current request
@@ -134,13 +127,19 @@
             # The response may arrive before the endpoint has read the whole body.
             self._sender = gevent.spawn(self._send_remaining, data[sent:])
 
-    def _send_remaining(self, data: bytes) -> bool:
+    def _send_remaining(self, data: bytes) -> None:
         try:
             self._sock.sendall(data)
-        except OSError:
-            # Reading the response fails too, and reports the error.
-            return False
-        return True
+        except OSError as exc:
+            # An endpoint may send a whole response and close the connection, so only
+            # a response that ends with the connection depends on this.
+            self._send_error = str(exc)
+
+    def _is_sent(self) -> bool:
+        """Return whether the system has accepted the whole request for sending."""
+        if self._sender is None:
+            return True
+        return self._sender.successful() and not self._send_error
 
     def next_event(self, timeout: float):
         """Return the next h11 event of the response.
@@ -172,12 +171,36 @@
                     size = len(event.data)
                     self._count_chunk(size)
                     self.spend(1 + size / BYTES_PER_UNIT, deadline)
+                elif type(event) is h11.EndOfMessage and self._http.trailing_data[1]:
+                    self._check_orderly_end(deadline)
                 return event
             left = deadline - time.monotonic()
             if left <= 0:
                 raise TimedOut("receive", self.pool_key, "deadline has passed")
             self._http.receive_data(self._receive(left))
 
+    def _check_orderly_end(self, deadline: float) -> None:
+        """Raise ConnectionLost if the connection was reset instead of closed.
+
+        The end of the connection delimits the response. The system reports a reset only
+        once, either to the task that sends or to the one that reads, and the other one
+        sees an orderly end. A reset may also follow an end that was read, since an
+        endpoint that closes its connection resets it when more of the request arrives.
+        The end is orderly if the endpoint's system has acknowledged the whole request.
+        ``deadline`` is in monotonic seconds. Raises TimedOut if it passes before that.
+        """
+        if self._sender is not None:
+            self._sender.join(max(deadline - time.monotonic(), 0))
+        while not self._send_error and not is_reset(self._sock):
+            if self._is_sent() and not unacknowledged_bytes(self._sock):
+                return
+            if time.monotonic() >= deadline:
+                reason = "response ended, but the request was not read in time"
+                raise TimedOut("receive", self.pool_key, reason)
+            gevent.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
+        reason = f"reset at the end of the response: {self._send_error or 'not read'}"
+        raise ConnectionLost("receive", self.pool_key, reason, True)
+
     def spend(self, units: float, deadline: float) -> None:
         """Count work for the response, and let other tasks run if it is due.
 
@@ -212,9 +235,7 @@
 
     def finish(self) -> bool:
         """Prepare for another request; return whether the connection is reusable."""
-        if self._sender is not None and not (
-            self._sender.ready() and self._sender.value
-        ):
+        if not self._is_sent():
             return False
         self._sender = None
         unread, closed = self._http.trailing_data
--- a/src/rattanwick/internal/requests/server.py
+++ b/src/rattanwick/internal/requests/server.py
@@ -13,8 +13,8 @@
 from rattanwick.internal.base.files import digest_files
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.settings import CallerSettings
+from rattanwick.internal.base.tcp import is_readable
 from rattanwick.internal.base.timers import TimerService
-from rattanwick.internal.gateway.connection_pool import is_readable
 from rattanwick.internal.requests.admission import BODY_READ_KEY
 from rattanwick.internal.requests.caller_errors import OUTCOME_HEADER, error_body
 from rattanwick.internal.requests.disconnects import CONNECTION_KEY
