Treat a reset after the end of a service's response as a loss

On the product's own interface a call was answered with a part of a response. It happened when a service read what had arrived of a call, responded without a length and closed the connection while the rest of the call was still to be sent: the end of the connection arrives first, the rest of the call is accepted by the local system, and the reset that follows is not reported to a reader that has seen an end.

Here one task sends and then reads, so the sender cannot hide a reset. The cause is the second one of the gateway: an end that was read does not exclude a reset. The wait for the acknowledgement of the request is moved to base.tcp and used by both.

--- a/src/rattanwick/internal/base/tcp.py
+++ b/src/rattanwick/internal/base/tcp.py
@@ -3,12 +3,16 @@
 import fcntl
 import struct
 import termios
+import time
 
+import gevent
 from gevent import monkey
 
 poll = monkey.get_original("select", "poll")
 POLLIN = 1  # select.POLLIN
 POLLHUP = 16  # select.POLLHUP
+# The system does not signal acknowledgements, so they are polled.
+ACKNOWLEDGEMENT_POLL_SECONDS = 0.005
 
 
 def is_readable(sock) -> bool:
@@ -16,16 +20,25 @@
     return _events(sock) != 0
 
 
-def is_reset(sock) -> bool:
-    """Return whether a connection has failed, even if a call has reported the error.
+def wait_until_acknowledged(sock, deadline: float) -> None:
+    """Wait until the peer's system has acknowledged all bytes sent.
 
-    This side must not have ended its sending.
+    Raises ConnectionResetError if the connection was reset, and TimeoutError at
+    ``deadline``, in monotonic seconds. The system reports a reset only once, to any
+    call on the socket, so an orderly end that was read does not exclude one. A reset
+    may also follow an end that was read: a peer that has closed its connection resets
+    it when more arrives. This side must not have ended its sending.
     """
-    return _events(sock) & POLLHUP != 0
+    while not _events(sock) & POLLHUP:
+        if not _unacknowledged_bytes(sock):
+            return
+        if time.monotonic() >= deadline:
+            raise TimeoutError("sent bytes were not acknowledged in time")
+        gevent.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
+    raise ConnectionResetError("connection was reset")
 
 
-def unacknowledged_bytes(sock) -> int:
-    """Return how many sent bytes the peer's system has not acknowledged."""
+def _unacknowledged_bytes(sock) -> int:
     size = struct.calcsize("i")
     return struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(size)))[0]
 
--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -16,7 +16,7 @@
 )
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer, TurnQueue
-from rattanwick.internal.base.tcp import is_readable, is_reset, unacknowledged_bytes
+from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.gateway.model import Endpoint, Headers, Service
 
 log = get_logger("links")
@@ -53,9 +53,6 @@
 SAFE_IDLE_SHARE = 0.5
 SAFE_IDLE_RETENTION_SECONDS = 30.0  # after the last such loss
 
-# The system reports no acknowledgements, so they are polled.
-ACKNOWLEDGEMENT_POLL_SECONDS = 0.005
-
 
 def max_idle_connections(service: Service, nodes: int) -> int:
     """Return how many idle connections one of ``nodes`` may keep to an endpoint."""
@@ -182,24 +179,23 @@
     def _check_orderly_end(self, deadline: float) -> None:
         """Raise ConnectionLost if the connection was reset instead of closed.
 
-        The end of the connection delimits the response. The system reports a reset only
-        once, either to the task that sends or to the one that reads, and the other one
-        sees an orderly end. A reset may also follow an end that was read, since an
-        endpoint that closes its connection resets it when more of the request arrives.
-        The end is orderly if the endpoint's system has acknowledged the whole request.
+        Its end delimits the response. That is taken as orderly only once the endpoint's
+        system has acknowledged the whole request; see ``wait_until_acknowledged``.
         ``deadline`` is in monotonic seconds. Raises TimedOut if it passes before that.
         """
+        step = "end of response"
         if self._sender is not None:
             self._sender.join(max(deadline - time.monotonic(), 0))
-        while not self._send_error and not is_reset(self._sock):
-            if self._is_sent() and not unacknowledged_bytes(self._sock):
-                return
-            if time.monotonic() >= deadline:
-                reason = "response ended, but the request was not read in time"
-                raise TimedOut("receive", self.pool_key, reason)
-            gevent.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
-        reason = f"reset at the end of the response: {self._send_error or 'not read'}"
-        raise ConnectionLost("receive", self.pool_key, reason, True)
+        try:
+            if self._send_error:
+                raise ConnectionResetError(self._send_error)
+            if not self._is_sent():
+                raise TimeoutError("the request was not read in time")
+            wait_until_acknowledged(self._sock, deadline)
+        except TimeoutError as exc:
+            raise TimedOut(step, self.pool_key, str(exc))
+        except OSError as exc:
+            raise ConnectionLost(step, self.pool_key, str(exc), True)
 
     def spend(self, units: float, deadline: float) -> None:
         """Count work for the response, and let other tasks run if it is due.
--- a/src/rattanwick/internal/requests/connections.py
+++ b/src/rattanwick/internal/requests/connections.py
@@ -4,11 +4,12 @@
 import time
 from collections.abc import Mapping
 
-from gevent import monkey, socket
+from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
 from rattanwick.internal.base.pacing import Pacer, TurnQueue
+from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.model.instances import Endpoint
 
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -20,8 +21,6 @@
 MAX_HEADER_BYTES = 65_536
 PARSED_BYTES_PER_UNIT = 512  # of work; see ``pacing``
 
-poll = monkey.get_original("select", "poll")
-
 
 class ResponseReader(HTTPResponse):
     """Parser of one response, which returns the body as it arrives."""
@@ -91,7 +90,8 @@
     def receive(self, timeout: float) -> bool:
         """Read once; return whether anything arrived within ``timeout`` seconds.
 
-        Raises ConnectionLost, or ProtocolError for a response that is not HTTP.
+        Raises ConnectionLost, ProtocolError for a response that is not HTTP, and
+        TimedOut if the connection has ended and the request was not read in time.
         """
         if timeout != self._timeout:
             self._sock.settimeout(timeout)
@@ -108,19 +108,29 @@
             if not data:
                 raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
             raise ProtocolError("receive", self.endpoint_id, str(exc))
-        if not data and not self.reader.message_complete:
-            raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
+        if not data:
+            if not self.reader.message_complete:
+                raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
+            self._check_orderly_end(time.monotonic() + timeout)
         self._pacer.spend(len(data) / PARSED_BYTES_PER_UNIT, float("inf"))
         return True
 
+    def _check_orderly_end(self, deadline: float) -> None:
+        """Raise an error unless the endpoint took the whole request and then closed.
+
+        The end of the connection delimits the response.
+        """
+        step = "end of response"
+        try:
+            wait_until_acknowledged(self._sock, deadline)
+        except TimeoutError as exc:
+            raise TimedOut(step, self.endpoint_id, str(exc))
+        except OSError as exc:
+            raise ConnectionLost(step, self.endpoint_id, str(exc), True)
+
     def is_reusable(self) -> bool:
         """Return whether an idle connection is open and has no unread input."""
-        poller = poll()
-        try:
-            poller.register(self._sock.fileno(), 1)  # 1 is POLLIN
-            return not poller.poll(0)
-        except (OSError, ValueError):
-            return False
+        return not is_readable(self._sock)
 
     def allows_keep_alive(self) -> bool:
         """Return whether the response allows another request on this connection."""
