Reject responses with a status outside 100 to 599

On the product's own interface a call whose service responded with status 000, 001 or 099 got a 500 without an outcome, and a call answered with 600 or 999 got that as the answer. The result was stored under the idempotency key. The parser, llhttp, takes any three digits, and nothing checked them after it. h11, the parser of the gateway, refuses 000 to 099 and 101 but takes 600 to 999, which reached callers too.

RFC 9110 calls statuses outside 100 to 599 invalid. The one check in base.response_heads is now called by both readers, as soon as a head is complete. The outcome of such a call is `unknown`; at the gateway the attempt fails and counts against its endpoint.

--- a/src/rattanwick/internal/gateway/connection_pool.py
+++ b/src/rattanwick/internal/gateway/connection_pool.py
@@ -16,6 +16,7 @@
 )
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer, TurnQueue
+from rattanwick.internal.base.response_heads import MalformedHead, check_status
 from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.gateway.model import Endpoint, Headers, Service
 
@@ -155,6 +156,8 @@
                     raise ConnectionLost("receive", self.pool_key, str(exc), True)
                 raise ProtocolError("receive", self.pool_key, str(exc))
             if event is not h11.NEED_DATA:
+                if isinstance(event, h11.InformationalResponse | h11.Response):
+                    self._check_head(event)
                 if isinstance(event, h11.InformationalResponse):
                     interim_responses += 1
                     if interim_responses > MAX_INTERIM_RESPONSES:
@@ -176,6 +179,13 @@
                 raise TimedOut("receive", self.pool_key, "deadline has passed")
             self._http.receive_data(self._receive(left))
 
+    def _check_head(self, event: h11.InformationalResponse | h11.Response) -> None:
+        """Raise ProtocolError for a head that the parser should not have accepted."""
+        try:
+            check_status(event.status_code)
+        except MalformedHead as exc:
+            raise ProtocolError("receive", self.pool_key, str(exc))
+
     def _check_orderly_end(self, deadline: float) -> None:
         """Raise ConnectionLost if the connection was reset instead of closed.
 
--- a/src/rattanwick/internal/platform/http.py
+++ b/src/rattanwick/internal/platform/http.py
@@ -12,10 +12,11 @@
 import gevent
 import gevent.socket
 from geventhttpclient.connectionpool import ConnectionPool, SSLConnectionPool
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from geventhttpclient.response import HTTPParseError
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
 from rattanwick.internal.base.pacing import UNIT_SECONDS, Pacer, TurnQueue
+from rattanwick.internal.base.strict_responses import StrictPoolResponse
 
 MAX_RESPONSE_BYTES = 16 << 20
 DEFAULT_CONNECTIONS = 8
@@ -212,7 +213,7 @@
         if bounded:
             conn.start_response(self._turns)
             conn.allow(MAX_HEAD_BYTES + READ_BYTES)
-        response = HTTPSocketPoolResponse(
+        response = StrictPoolResponse(
             conn, self._pool, block_size=BLOCK_BYTES, method=method
         )
         try:
--- a/src/rattanwick/internal/requests/connections.py
+++ b/src/rattanwick/internal/requests/connections.py
@@ -5,10 +5,11 @@
 from collections.abc import Mapping
 
 from gevent import socket
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+from geventhttpclient.response import HTTPParseError
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
 from rattanwick.internal.base.pacing import Pacer, TurnQueue
+from rattanwick.internal.base.strict_responses import StrictResponse
 from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.model.instances import Endpoint
 
@@ -22,7 +23,7 @@
 PARSED_BYTES_PER_UNIT = 512  # of work; see ``pacing``
 
 
-class ResponseReader(HTTPResponse):
+class ResponseReader(StrictResponse):
     """Parser of one response, which returns the body as it arrives."""
 
     def __init__(self):
--- /dev/null
+++ b/tests/failure/test_malformed_answers.py
@@ -0,0 +1,133 @@
+"""Endpoints of the own interface whose answers are not in the protocol."""
+
+import unittest
+
+from gevent.server import StreamServer
+
+from fakes.collaborators import endpoint
+from rattanwick.internal.base.errors import ConnectionLost
+from rattanwick.internal.platform.http import HttpPool
+from tests.request_case import SERVICE, RequestCase
+
+BODY = b'{"booked": true}'
+EVENTS = (
+    b'data: {"choices": [{"delta": {"content": "ok"}, "finish_reason": "stop"}]}\n\n'
+    b"data: [DONE]\n\n"
+)
+
+
+class RawServer:
+    """Server that sends fixed bytes in place of ``{id}`` and ends the connection."""
+
+    def __init__(self, answer: bytes):
+        self.answer = answer
+        self.requests = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.port = self._server.server_port
+
+    def stop(self) -> None:
+        """Stop accepting connections."""
+        self._server.stop(timeout=0.1)
+
+    def _serve(self, sock, _address) -> None:
+        reader = sock.makefile("rb")
+        fields = {}
+        reader.readline()
+        while (line := reader.readline().strip()) != b"":
+            name, _, value = line.partition(b":")
+            fields[name.lower()] = value.strip()
+        reader.read(int(fields.get(b"content-length", 0)))
+        self.requests += 1
+        sock.sendall(self.answer.replace(b"{id}", fields.get(b"x-request-id", b"")))
+        reader.close()
+        sock.close()
+
+
+def make_answer(status_line: bytes, body: bytes, fields: bytes = b"") -> bytes:
+    """Return a response with a length to the request ``{id}``."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    if b"transfer-encoding" in fields.lower():
+        length = b""
+    head = status_line + b"\r\nX-Request-Id: {id}\r\n" + length + fields
+    return head + b"\r\n" + body
+
+
+class OwnInterfaceCase(RequestCase):
+    """Test case with one endpoint that sends fixed bytes."""
+
+    def serve(self, answer: bytes, kind: str) -> RawServer:
+        """Put an endpoint that answers like this in place of all others."""
+        server = RawServer(answer)
+        self.addCleanup(server.stop)
+        pool = {"service": "agenda", "engine": "rattan"}[kind]
+        listed = endpoint(f"x{server.port}", pool, kind, server.port)
+        self.services.instances.replace([listed])
+        return server
+
+    def call_service(self, status_line: bytes, fields: bytes = b"", body=BODY):
+        """Return the answer to a call of a service that responds like this."""
+        self.serve(make_answer(status_line, body, fields), "service")
+        return self.call("POST", SERVICE, b"{}")
+
+    def ask_engine(self, status_line: bytes, fields: bytes = b"", body=EVENTS):
+        """Return the answer to a chat with an engine that responds like this."""
+        self.serve(make_answer(status_line, body, fields), "engine")
+        return self.chat("hello")
+
+
+class StatusTests(OwnInterfaceCase):
+    """Guard against an answer with a status that the protocol does not have."""
+
+    STATUSES = (b"000", b"001", b"099", b"600", b"999")
+
+    def test_a_call_with_an_invalid_status_has_an_unknown_outcome(self):
+        for status in self.STATUSES:
+            with self.subTest(status=status):
+                answer = self.call_service(b"HTTP/1.1 %s X" % status)
+                self.assertEqual((answer.status, answer.outcome), (504, "unknown"))
+
+    def test_a_chat_with_an_invalid_status_is_not_answered(self):
+        for status in self.STATUSES:
+            with self.subTest(status=status):
+                answer = self.ask_engine(b"HTTP/1.1 %s X" % status)
+                self.assertGreaterEqual(answer.status, 500)
+                self.assertNotEqual(answer.outcome, "answered")
+
+    def test_answers_with_valid_statuses_reach_the_caller(self):
+        self.assertEqual(self.ask_engine(b"HTTP/1.1 200").status, 200)
+        for status in (200, 299, 404, 599):
+            with self.subTest(status=status):
+                answer = self.call_service(b"HTTP/1.1 %d" % status)
+                self.assertEqual((answer.status, answer.body), (status, BODY))
+
+
+class PoolTests(unittest.TestCase):
+    """Guard against a malformed answer of the store, the cloud or an order's engine."""
+
+    def ask(self, answer: bytes):
+        """Return the response to a call of a server that sends these bytes."""
+        server = RawServer(answer)
+        self.addCleanup(server.stop)
+        pool = HttpPool(f"http://127.0.0.1:{server.port}", "store")
+        return pool.request("write", "POST", "/x", {}, b"{}", 2.0)
+
+    def check_rejected(self, answer: bytes) -> None:
+        """Check that the outcome of a call is unknown."""
+        with self.assertRaises(ConnectionLost) as caught:
+            self.ask(answer)
+        self.assertTrue(caught.exception.sent)
+
+    def test_an_invalid_status_is_no_answer(self):
+        for status in StatusTests.STATUSES:
+            with self.subTest(status=status):
+                self.check_rejected(make_answer(b"HTTP/1.1 %s X" % status, BODY))
+
+    def test_a_valid_status_is_an_answer(self):
+        for status in (200, 404, 599):
+            response = self.ask(make_answer(b"HTTP/1.1 %d" % status, BODY))
+            self.assertEqual((response.status, response.body), (status, BODY))
+
+
+if __name__ == "__main__":
+    unittest.main()
