Take load reports only from sound responses

One engine whose load report was malformed, for example with status 000, ended the round of reports of all engines that the node owns: the parser's error is neither an OSError nor a ValueError and left the pool of tasks. A report in a response with another status than 200 was taken.

The error is now a failed report like any other, and the status must be 200. The other clients of the same library were looked at: transfers of KV caches and the operator client handle the error and require 200; the pool of platform connections reports a lost connection.

Test: before the change the round ends with HTTPParseError; after it the one sound report of six is taken.

--- a/src/rattanwick/internal/routing/load_poller.py
+++ b/src/rattanwick/internal/routing/load_poller.py
@@ -5,6 +5,7 @@
 
 from gevent.pool import Pool
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter
@@ -94,11 +95,14 @@
             self._clients[endpoint.id] = client
         try:
             response = client.get("/load")
-            report = json.loads(response.read())
+            data = response.read()
+            if response.status_code != 200:
+                raise ValueError(f"status {response.status_code}")
+            report = json.loads(data)
             age = max(0.0, self._timers.wall_time() - float(report["time"]))
             running, queued = int(report["running"]), int(report["queued"])
             self._report(endpoint.id, running, queued, age)
-        except (OSError, ValueError, KeyError, TypeError) as exc:
+        except (OSError, ValueError, KeyError, TypeError, HTTPParseError) as exc:
             READS.labels("failed").inc()
             log.debug("endpoint %s gave no valid load report: %s", endpoint.id, exc)
             return
--- a/tests/failure/test_malformed_answers.py
+++ b/tests/failure/test_malformed_answers.py
@@ -4,9 +4,17 @@
 
 from gevent.server import StreamServer
 
-from fakes.collaborators import endpoint
+from fakes.collaborators import (
+    FirstNodeOwnership,
+    StaticInstances,
+    StaticMembers,
+    endpoint,
+    node,
+)
 from rattanwick.internal.base.errors import ConnectionLost
+from rattanwick.internal.base.timers import ManualTimerService
 from rattanwick.internal.platform.http import HttpPool
+from rattanwick.internal.routing.load_poller import LoadPoller
 from tests.request_case import SERVICE, RequestCase
 
 BODY = b'{"booked": true}'
@@ -129,5 +137,42 @@
             self.assertEqual((response.status, response.body), (status, BODY))
 
 
+class LoadPollerTests(unittest.TestCase):
+    """Guard against a load report that is no answer, and one that ends the polling."""
+
+    def poll(self, *answers: bytes) -> list[str]:
+        """Poll endpoints that answer like this; return those with a report."""
+        listed = []
+        for number, answer in enumerate(answers):
+            server = RawServer(answer)
+            self.addCleanup(server.stop)
+            listed.append(endpoint(f"e{number}", "rattan", "engine", server.port))
+        members = StaticMembers([node("n1", "dc-a")])
+        reported = []
+        poller = LoadPoller(
+            StaticInstances(listed),
+            members,
+            FirstNodeOwnership(members),
+            ManualTimerService(),
+            8,
+            lambda endpoint_id, *_: reported.append(endpoint_id),
+        )
+        poller.read_all()
+        return reported
+
+    def test_only_sound_reports_are_taken(self):
+        report = b'{"time": 1, "running": 2, "queued": 3}'
+        status_lines = (
+            b"HTTP/1.1 000 X",
+            b"HTTP/1.1 099 X",
+            b"HTTP/1.1 500 X",
+            b"HTTP/1.1 999 X",
+            b"no HTTP",
+            b"HTTP/1.1 200 OK",
+        )
+        answers = [make_answer(line, report) for line in status_lines]
+        self.assertEqual(self.poll(*answers), ["e5"])
+
+
 if __name__ == "__main__":
     unittest.main()
