--- a/src/rattanwick/internal/gateway/attempts.py
+++ b/src/rattanwick/internal/gateway/attempts.py
@@ -16,11 +16,9 @@
     ResponseWriter,
 )
 from rattanwick.internal.gateway.body_memory import OutOfBodyMemory
-from rattanwick.internal.gateway.connection_pool import (
-    EndpointConnection,
-    max_idle_connections,
-)
+from rattanwick.internal.gateway.connection_pool import max_idle_connections
 from rattanwick.internal.gateway.crash_check import CrashChecks, LostAttempt
+from rattanwick.internal.gateway.endpoint_connection import EndpointConnection
 from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.interfaces import MessageCodec
 from rattanwick.internal.gateway.model import CallKind, ForwardContext, ResponseHead
--- a/src/rattanwick/internal/gateway/caller_connection.py
+++ b/src/rattanwick/internal/gateway/caller_connection.py
@@ -20,11 +20,11 @@
 )
 from rattanwick.internal.gateway.body_memory import OutOfBodyMemory
 from rattanwick.internal.gateway.caller_response import CallerResponseWriter
-from rattanwick.internal.gateway.connection_pool import (
+from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
+from rattanwick.internal.gateway.endpoint_connection import (
     MAX_SMALL_CHUNKS,
     MIN_CHUNK_BYTES,
 )
-from rattanwick.internal.gateway.disconnect_watch import DisconnectWatch
 from rattanwick.internal.gateway.interfaces import InvalidRequest
 from rattanwick.internal.gateway.model import Call
 from rattanwick.internal.gateway.placement import RefusalReason
--- a/src/rattanwick/internal/gateway/request_log.py
+++ b/src/rattanwick/internal/gateway/request_log.py
@@ -3,7 +3,7 @@
 from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.metrics import counter, histogram
 from rattanwick.internal.gateway.active_request import ActiveRequest
-from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.internal.gateway.endpoint_connection import EndpointConnection
 from rattanwick.internal.gateway.endpoint_view import EndpointView
 from rattanwick.internal.gateway.node_state import NodeState
 from rattanwick.internal.gateway.outcomes import Outcome
--- a/src/rattanwick/internal/gateway/stream_forwarder.py
+++ b/src/rattanwick/internal/gateway/stream_forwarder.py
@@ -9,7 +9,7 @@
 from rattanwick.internal.base.timers import TimerService
 from rattanwick.internal.gateway.active_request import ActiveRequest, ResponseWriter
 from rattanwick.internal.gateway.body_memory import OutOfBodyMemory
-from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.internal.gateway.endpoint_connection import EndpointConnection
 from rattanwick.internal.gateway.model import ResponseHead
 from rattanwick.internal.gateway.outcomes import (
     Answered,
--- a/tests/failure/test_gateway_answers.py
+++ b/tests/failure/test_gateway_answers.py
@@ -6,7 +6,7 @@
 from gevent import socket
 
 from rattanwick.internal.gateway.caller_response import CallerResponseWriter
-from rattanwick.internal.gateway.connection_pool import EndpointConnection
+from rattanwick.internal.gateway.endpoint_connection import EndpointConnection
 from rattanwick.platform.codec import PlatformCodec
 from tests.gateway_case import Answer, RelayCase, make_route, read_all
 
--- a/tests/failure/test_gateway_early_answers.py
+++ b/tests/failure/test_gateway_early_answers.py
@@ -11,10 +11,8 @@
 from fakes.addresses import address_of
 from fakes.gateway_endpoint import SIGNATURE, prepare_reset
 from rattanwick.internal.base.errors import ConnectionLost
-from rattanwick.internal.gateway.connection_pool import (
-    ConnectionPool,
-    EndpointConnection,
-)
+from rattanwick.internal.gateway.connection_pool import ConnectionPool
+from rattanwick.internal.gateway.endpoint_connection import EndpointConnection
 from rattanwick.internal.gateway.model import CallerLimits
 from tests.gateway_case import Answer, RelayCase, make_view
 
