Reject response heads with folded lines

Callers got a 200 whose head or body was not the endpoint's: a line of the head that began with a blank or a tab was joined to the value of the field before it. Where that line was `Transfer-Encoding: chunked`, the caller got the sizes of the chunks as part of the body.

Cause: h11 accepts the folded lines of older versions of the protocol and tells nobody. A server that does not fold reads a name that begins with a blank, so the two sides disagree about the fields. RFC 9112, 5.2, lets a proxy reject such a response with a 502; llhttp, the parser of the own interface, rejects them already. The gateway now keeps the bytes of a head until it is complete and looks for such lines in it. The attempt fails and counts against its endpoint, and the connection is closed.

Blanks at the start of lines of a body are accepted before and after.

--- a/src/rattanwick/internal/base/response_heads.py
+++ b/src/rattanwick/internal/base/response_heads.py
@@ -1,5 +1,8 @@
 """Checks of response heads that the HTTP parsers do not make."""
 
+import re
+
+FOLDED_LINE = re.compile(rb"\n[ \t]")
 FIRST_STATUS, LAST_STATUS = 100, 599
 
 
@@ -13,3 +16,13 @@
         raise MalformedHead(
             f"status {status:03}: must be between {FIRST_STATUS} and {LAST_STATUS}"
         )
+
+
+def check_lines(head: bytes) -> None:
+    """Raise MalformedHead if a line begins with whitespace.
+
+    A parser may take such a line as the rest of the field before it, and another one as
+    a field. RFC 9112, 5.2, lets a proxy reject it.
+    """
+    if FOLDED_LINE.search(head):
+        raise MalformedHead("a line of the head begins with whitespace")
--- a/src/rattanwick/internal/gateway/endpoint_connection.py
+++ b/src/rattanwick/internal/gateway/endpoint_connection.py
@@ -7,7 +7,11 @@
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
 from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer, TurnQueue
-from rattanwick.internal.base.response_heads import MalformedHead, check_status
+from rattanwick.internal.base.response_heads import (
+    MalformedHead,
+    check_lines,
+    check_status,
+)
 from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.gateway.model import Headers
 
@@ -36,6 +40,7 @@
 
     __slots__ = (
         "_chunk_allowance",
+        "_head",
         "_http",
         "_pacer",
         "_send_error",
@@ -58,6 +63,8 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
+        # What has been received and not been checked, None once the head is complete.
+        self._head: bytearray | None = bytearray()
         self._sender: gevent.Greenlet | None = None
         self._send_error = ""  # why the rest of the request could not be sent
         self.reused = False
@@ -82,7 +89,7 @@
         except h11.LocalProtocolError as exc:
             raise ProtocolError("encode", self.pool_key, str(exc))
         data = head + remaining
-        self._pacer = Pacer(self._turns)
+        self._pacer, self._head = Pacer(self._turns), bytearray()
         self.note_progress()
         self._sock.settimeout(max(timeout, MIN_SEND_TIMEOUT_SECONDS))
         try:
@@ -145,12 +152,19 @@
             left = deadline - time.monotonic()
             if left <= 0:
                 raise TimedOut("receive", self.pool_key, "deadline has passed")
-            self._http.receive_data(self._receive(left))
+            data = self._receive(left)
+            if self._head is not None:
+                self._head += data
+            self._http.receive_data(data)
 
     def _check_head(self, event: h11.InformationalResponse | h11.Response) -> None:
         """Raise ProtocolError for a head that the parser should not have accepted."""
+        unread = self._http.trailing_data[0]
+        head = self._head.removesuffix(unread)
+        self._head = None if type(event) is h11.Response else bytearray(unread)
         try:
             check_status(event.status_code)
+            check_lines(head)
         except MalformedHead as exc:
             raise ProtocolError("receive", self.pool_key, str(exc))
 
