Reject versions, control bytes and framings outside the protocol

Callers got responses that are none in HTTP/1: status lines of HTTP/0.9, 2.0, 3.7 and RTSP, control bytes in a reason or a value, Content-Length beside Transfer-Encoding, chunks with HTTP/1.0. On the own interface the body of a response with the coding gzip was passed on coded.

Cause: both parsers take more than the protocol allows, each something else, and nothing decided what the product takes. base.response_heads now decides for both readers. What RFC 9110 and 9112 allow stays accepted: no reason, tabs and bytes over 127, empty and repeated fields, equal lengths twice (gateway), interim responses, trailers, later minor versions (gateway).

Tests of sound heads and framings pass before and after.

--- a/src/rattanwick/internal/base/strict_responses.py
+++ b/src/rattanwick/internal/base/strict_responses.py
@@ -6,16 +6,35 @@
     HTTPSocketPoolResponse,
 )
 
-from rattanwick.internal.base.response_heads import MalformedHead, check_status
+from rattanwick.internal.base.response_heads import (
+    MalformedHead,
+    check_framing,
+    check_start,
+)
 
 
 class StrictResponse(HTTPResponse):
-    """Response that raises HTTPParseError for a head outside the protocol."""
+    """Response that raises HTTPParseError for a head outside the protocol.
+
+    The parser itself rejects folded lines, and control bytes in names and values.
+    """
+
+    def feed(self, data):
+        """Parse received bytes."""
+        # The parser also takes responses of RTSP and ICE.
+        if data and not self.message_begun and data[:1] != b"H":
+            raise HTTPProtocolViolationError("response does not begin with 'HTTP/'")
+        super().feed(data)
 
     def _on_headers_complete(self):
         result = super()._on_headers_complete()
+        version = self.get_http_version().removeprefix("HTTP/")
+        codings = self.get("transfer-encoding", [])
+        if isinstance(codings, str):
+            codings = [codings]
         try:
-            check_status(self.status_code)
+            check_start(version, self.status_code, self.status_message or "")
+            check_framing(version, codings, "content-length" in self)
         except MalformedHead as exc:
             raise HTTPProtocolViolationError(str(exc))
         return result
--- a/src/rattanwick/internal/gateway/endpoint_connection.py
+++ b/src/rattanwick/internal/gateway/endpoint_connection.py
@@ -9,8 +9,9 @@
 from rattanwick.internal.base.pacing import BYTES_PER_UNIT, Pacer, TurnQueue
 from rattanwick.internal.base.response_heads import (
     MalformedHead,
+    check_framing,
     check_lines,
-    check_status,
+    check_start,
 )
 from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.gateway.model import Headers
@@ -163,8 +164,13 @@
         head = self._head.removesuffix(unread)
         self._head = None if type(event) is h11.Response else bytearray(unread)
         try:
-            check_status(event.status_code)
             check_lines(head)
+            version = event.http_version.decode()
+            check_start(version, event.status_code, event.reason.decode("latin-1"))
+            fields = list(event.headers)
+            codings = [v.decode() for name, v in fields if name == b"transfer-encoding"]
+            has_length = any(name == b"content-length" for name, _ in fields)
+            check_framing(version, codings, has_length)
         except MalformedHead as exc:
             raise ProtocolError("receive", self.pool_key, str(exc))
 
--- a/tests/failure/test_malformed_answers.py
+++ b/tests/failure/test_malformed_answers.py
@@ -110,6 +110,64 @@
                 self.assertEqual((answer.status, answer.body), (status, BODY))
 
 
+def chunked(body: bytes) -> bytes:
+    """Return a body in one chunk."""
+    return b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+# Status lines, fields and whether the body is sent in chunks.
+MALFORMED_HEADS = (
+    (b"HTTP/2.0 200 OK", b"", False),
+    (b"HTTP/0.9 200 OK", b"", False),
+    (b"RTSP/1.0 200 OK", b"", False),
+    (b"HTTP/1.1 200 O\x01K", b"", False),
+    (b"HTTP/1.1 200 O\x7fK", b"", False),
+    (b"HTTP/1.0 200 OK", CHUNKED, True),
+    (b"HTTP/1.1 200 OK", CHUNKED * 2, True),
+    (b"HTTP/1.1 200 OK", CHUNKED + b"Content-Length: 9\r\n", True),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: gzip\r\n", False),
+    (b"HTTP/1.1 200 OK", b"Transfer-Encoding: gzip, chunked\r\n", True),
+    (b"HTTP/1.1 200 OK", b"X Y: v\r\n", False),
+    (b"HTTP/1.1 200 OK", b"X\x01Y: v\r\n", False),
+    (b"HTTP/1.1 200 OK", b"A: b\r\n X: v\r\n", False),
+    (b"HTTP/1.1 200 OK", b"A: b\r\n\tTransfer-Encoding: chunked\r\n", True),
+    (b"HTTP/1.1 200 OK", b"A: b\x01c\r\n", False),
+)
+SOUND_HEADS = (
+    (b"HTTP/1.1 200", b"A:\r\nB: c\td \xe9\r\nB: 2\r\n", False),
+    (b"HTTP/1.1 200 Fine \xe9", b"Transfer-Encoding: Chunked\r\n", True),
+    (b"HTTP/1.0 200 OK", b"", False),
+)
+
+
+class HeadTests(OwnInterfaceCase):
+    """Guard against an answer whose head is not in the protocol."""
+
+    def test_a_call_with_a_malformed_head_has_an_unknown_outcome(self):
+        for status_line, fields, in_chunks in MALFORMED_HEADS:
+            with self.subTest(status_line, fields=fields):
+                body = chunked(BODY) if in_chunks else BODY
+                answer = self.call_service(status_line, fields, body)
+                self.assertEqual((answer.status, answer.outcome), (504, "unknown"))
+
+    def test_a_chat_with_a_malformed_head_is_not_answered(self):
+        for status_line, fields, in_chunks in MALFORMED_HEADS:
+            with self.subTest(status_line, fields=fields):
+                body = chunked(EVENTS) if in_chunks else EVENTS
+                answer = self.ask_engine(status_line, fields, body)
+                self.assertGreaterEqual(answer.status, 500)
+
+    def test_sound_heads_are_accepted(self):
+        for status_line, fields, in_chunks in SOUND_HEADS:
+            with self.subTest(status_line, fields=fields):
+                body = chunked(BODY) if in_chunks else BODY
+                answer = self.call_service(status_line, fields, body)
+                self.assertEqual((answer.status, answer.body), (200, BODY))
+                body = chunked(EVENTS) if in_chunks else EVENTS
+                self.assertEqual(self.ask_engine(status_line, fields, body).status, 200)
+
+
 class PoolTests(unittest.TestCase):
     """Guard against a malformed answer of the store, the cloud or an order's engine."""
 
@@ -131,10 +189,20 @@
             with self.subTest(status=status):
                 self.check_rejected(make_answer(b"HTTP/1.1 %s X" % status, BODY))
 
+    def test_a_malformed_head_is_no_answer(self):
+        for status_line, fields, in_chunks in MALFORMED_HEADS:
+            with self.subTest(status_line, fields=fields):
+                body = chunked(BODY) if in_chunks else BODY
+                self.check_rejected(make_answer(status_line, body, fields))
+
     def test_a_valid_status_is_an_answer(self):
         for status in (200, 404, 599):
             response = self.ask(make_answer(b"HTTP/1.1 %d" % status, BODY))
             self.assertEqual((response.status, response.body), (status, BODY))
+        for status_line, fields, in_chunks in SOUND_HEADS:
+            body = chunked(BODY) if in_chunks else BODY
+            response = self.ask(make_answer(status_line, body, fields))
+            self.assertEqual((response.status, response.body), (200, BODY))
 
 
 class LoadPollerTests(unittest.TestCase):
