Wait for the final response after an interim one

On the product's own interface a service that sends 103 before its response had the 103 passed on as the answer, with an empty body, and stored under the idempotency key; an engine that does so failed with 502. It happened when the final response came in a later segment: the parser marks the interim response as complete, and the reader took that as the end. A large body after an interim response, or after a part of a head, was refused as too large a head, since the bytes were counted before they were parsed.

The reader now asks whether the final response has arrived, and counts the bytes of a head after parsing.

--- a/src/rattanwick/internal/base/strict_responses.py
+++ b/src/rattanwick/internal/base/strict_responses.py
@@ -12,13 +12,26 @@
     check_start,
 )
 
+FIRST_FINAL_STATUS = 200
+
 
 class StrictResponse(HTTPResponse):
     """Response that raises HTTPParseError for a head outside the protocol.
 
     The parser itself rejects folded lines, and control bytes in names and values.
+    ``final_status`` is that of the final response, 0 until its head is complete;
+    interim responses may precede it.
     """
 
+    def __init__(self, *args, **options):
+        self.final_status = 0
+        super().__init__(*args, **options)
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the final response has arrived."""
+        return self.message_complete and self.final_status > 0
+
     def feed(self, data):
         """Parse received bytes."""
         # The parser also takes responses of RTSP and ICE.
@@ -37,6 +50,8 @@
             check_framing(version, codings, "content-length" in self)
         except MalformedHead as exc:
             raise HTTPProtocolViolationError(str(exc))
+        if self.status_code >= FIRST_FINAL_STATUS:
+            self.final_status = self.status_code
         return result
 
 
--- a/src/rattanwick/internal/requests/connections.py
+++ b/src/rattanwick/internal/requests/connections.py
@@ -37,9 +37,9 @@
     def feed_bytes(self, data: bytes) -> None:
         """Parse received bytes; empty bytes mean that the connection ended."""
         self.received += len(data)
-        if not self.headers_complete and self.received > MAX_HEADER_BYTES:
-            raise HTTPParseError("header is too large")
         self.feed(data)
+        if not self.final_status and self.received > MAX_HEADER_BYTES:
+            raise HTTPParseError("header is too large")
 
     def take_body(self) -> bytes:
         """Return the body bytes that arrived since the last call."""
@@ -110,7 +110,7 @@
                 raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
             raise ProtocolError("receive", self.endpoint_id, str(exc))
         if not data:
-            if not self.reader.message_complete:
+            if not self.reader.is_complete:
                 raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
             self._check_orderly_end(time.monotonic() + timeout)
         self._pacer.spend(len(data) / PARSED_BYTES_PER_UNIT, float("inf"))
--- a/src/rattanwick/internal/requests/engine_client.py
+++ b/src/rattanwick/internal/requests/engine_client.py
@@ -150,13 +150,13 @@
             return []
         reader = conn.reader
         if not self._headers_checked:
-            if not reader.headers_complete:
+            if not reader.final_status:
                 return []
             self._check_headers()
         texts = self._parse(reader.take_body())
         if texts:
             self._record_texts(len(texts))
-        if not self.done and reader.message_complete:
+        if not self.done and reader.is_complete:
             reason = "stream ended without [DONE]"
             raise ConnectionLost("stream", self.endpoint_id, reason, True)
         return texts
@@ -164,12 +164,12 @@
     def _check_headers(self) -> None:
         """Check the status and the request id; raise the error of any other status."""
         conn = self._conn
-        status = conn.reader.status_code
+        status = conn.reader.final_status
         if status == 200:
             check_response_id(conn, self._req.id)
             self._headers_checked = True
             return
-        while not conn.reader.message_complete:
+        while not conn.reader.is_complete:
             if conn.reader.received > MAX_ERROR_BYTES or not conn.receive(1.0):
                 break
         reason = f"status {status}: {_error_message(conn.reader.take_body())}"
@@ -261,7 +261,7 @@
         conn, self._conn = self._conn, None
         if conn is None:
             return
-        if self.done and conn.reader.message_complete:
+        if self.done and conn.reader.is_complete:
             self._connections.release(conn)
         else:
             conn.close()
@@ -269,7 +269,7 @@
     def read_end(self) -> None:
         """Read the end of the response after ``[DONE]``, to reuse the connection."""
         try:
-            if not self._conn.reader.message_complete:
+            if not self._conn.reader.is_complete:
                 self._conn.receive(END_TIMEOUT_SECONDS)
         except (ConnectionLost, ProtocolError, TimedOut):
             pass
--- a/src/rattanwick/internal/requests/service_client.py
+++ b/src/rattanwick/internal/requests/service_client.py
@@ -61,7 +61,7 @@
         return encode_http_request("POST", path, host, headers, req.body["data"])
 
     def _receive_response(self, conn: EndpointConnection, req: ServingRequest) -> None:
-        while not conn.reader.message_complete:
+        while not conn.reader.is_complete:
             seconds_left = req.deadline - self._wall_time()
             if seconds_left <= 0 or not conn.receive(seconds_left):
                 raise timed_out("answer", conn.endpoint_id, max(seconds_left, 0.0))
@@ -74,11 +74,11 @@
         reader = conn.reader
         check_response_id(conn, req.id)
         if reader.header(OUTCOME_HEADER.lower()) == "not_run":
-            reason = f"service did not run the call, status {reader.status_code}"
+            reason = f"service did not run the call, status {reader.final_status}"
             raise Unavailable("call", conn.endpoint_id, reason)
         headers = {name: reader.header(name) for name in RELAYED_HEADERS}
         relayed = {name: value for name, value in headers.items() if value}
-        return StoredResponse(reader.status_code, relayed, reader.take_body())
+        return StoredResponse(reader.final_status, relayed, reader.take_body())
 
 
 def provably_not_run(error: Exception) -> bool:
--- a/tests/failure/test_malformed_answers.py
+++ b/tests/failure/test_malformed_answers.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import gevent
 from gevent.server import StreamServer
 
 from fakes.collaborators import (
@@ -29,7 +30,8 @@
 
     def __init__(self, answer: bytes):
         self.answer = answer
-        self.requests = 0
+        self.interim = b""  # sent first
+        self.pause_seconds = 0.0  # after it
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
         self.port = self._server.server_port
@@ -46,8 +48,10 @@
             name, _, value = line.partition(b":")
             fields[name.lower()] = value.strip()
         reader.read(int(fields.get(b"content-length", 0)))
-        self.requests += 1
-        sock.sendall(self.answer.replace(b"{id}", fields.get(b"x-request-id", b"")))
+        own_id = fields.get(b"x-request-id", b"")
+        sock.sendall(self.interim.replace(b"{id}", own_id))
+        gevent.sleep(self.pause_seconds)
+        sock.sendall(self.answer.replace(b"{id}", own_id))
         reader.close()
         sock.close()
 
@@ -168,6 +172,42 @@
                 self.assertEqual(self.ask_engine(status_line, fields, body).status, 200)
 
 
+class InterimResponseTests(OwnInterfaceCase):
+    """Guard against an interim response that is taken as the final one."""
+
+    INTERIM = b"HTTP/1.1 103 Early Hints\r\nX-Request-Id: {id}\r\n\r\n"
+
+    def test_the_final_response_of_a_service_reaches_the_caller(self):
+        for pause_seconds in (0.0, 0.05):
+            with self.subTest(pause_seconds=pause_seconds):
+                server = self.serve(make_answer(b"HTTP/1.1 200 OK", BODY), "service")
+                server.interim, server.pause_seconds = self.INTERIM, pause_seconds
+                answer = self.call("POST", SERVICE, b"{}")
+                self.assertEqual((answer.status, answer.body), (200, BODY))
+
+    def test_a_large_final_response_reaches_the_caller(self):
+        body = bytes(200_000)
+        server = self.serve(make_answer(b"HTTP/1.1 200 OK", body), "service")
+        server.interim, server.pause_seconds = self.INTERIM, 0.05
+        self.assertEqual(self.call("POST", SERVICE, b"{}").body, body)
+
+    def test_the_final_response_of_an_engine_reaches_the_caller(self):
+        for pause_seconds in (0.0, 0.05):
+            with self.subTest(pause_seconds=pause_seconds):
+                server = self.serve(make_answer(b"HTTP/1.1 200 OK", EVENTS), "engine")
+                server.interim, server.pause_seconds = self.INTERIM, pause_seconds
+                self.assertEqual(self.chat("hello").status, 200)
+
+    def test_interim_responses_alone_are_no_answer(self):
+        for count in (1, 1000):
+            with self.subTest(count=count):
+                self.serve(self.INTERIM * count, "service")
+                answer = self.call("POST", SERVICE, b"{}")
+                self.assertEqual((answer.status, answer.outcome), (504, "unknown"))
+                self.serve(self.INTERIM * count, "engine")
+                self.assertGreaterEqual(self.chat("hello").status, 500)
+
+
 class PoolTests(unittest.TestCase):
     """Guard against a malformed answer of the store, the cloud or an order's engine."""
 
