End a response of a service where its framing ends

On the product's own interface a caller got a body that was not the service's: a service that sent a second copy of its response in the same segment had both bodies joined into one answer. A part of a copy, or other bytes after the response, made the outcome of a complete answer unknown.

Cause: the parser goes on with a next response on the same object, and the reader collects what it parses. A response that begins after the final one now ends the parsing. The answer that is there is delivered, and the connection is not used again, as at the gateway. In the pool of platform connections such a call fails as lost.

--- a/src/rattanwick/internal/base/strict_responses.py
+++ b/src/rattanwick/internal/base/strict_responses.py
@@ -39,6 +39,12 @@
             raise HTTPProtocolViolationError("response does not begin with 'HTTP/'")
         super().feed(data)
 
+    def _on_message_begin(self):
+        if self.is_complete:
+            # The library would continue with the next response in place of this one.
+            raise HTTPProtocolViolationError("bytes after the end of the response")
+        super()._on_message_begin()
+
     def _on_headers_complete(self):
         result = super()._on_headers_complete()
         version = self.get_http_version().removeprefix("HTTP/")
--- a/src/rattanwick/internal/requests/connections.py
+++ b/src/rattanwick/internal/requests/connections.py
@@ -8,11 +8,14 @@
 from geventhttpclient.response import HTTPParseError
 
 from rattanwick.internal.base.errors import ConnectionLost, ProtocolError, TimedOut
+from rattanwick.internal.base.log import get_logger
 from rattanwick.internal.base.pacing import Pacer, TurnQueue
 from rattanwick.internal.base.strict_responses import StrictResponse
 from rattanwick.internal.base.tcp import is_readable, wait_until_acknowledged
 from rattanwick.internal.model.instances import Endpoint
 
+log = get_logger("requests")
+
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_IDLE_CONNECTIONS = 64  # of one endpoint
 # Shorter than the keep-alive time of common HTTP servers, so that an endpoint rarely
@@ -108,7 +111,13 @@
         except HTTPParseError as exc:
             if not data:
                 raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
-            raise ProtocolError("receive", self.endpoint_id, str(exc))
+            if not self.reader.is_complete:
+                raise ProtocolError("receive", self.endpoint_id, str(exc))
+            # They belong to no request; the connection is not used again.
+            log.info(
+                "bytes after a response ignored",
+                extra={"endpoint": self.endpoint_id, "error": str(exc)},
+            )
         if not data:
             if not self.reader.is_complete:
                 raise ConnectionLost("receive", self.endpoint_id, "ended early", True)
--- a/tests/failure/test_malformed_answers.py
+++ b/tests/failure/test_malformed_answers.py
@@ -208,6 +208,18 @@
                 self.assertGreaterEqual(self.chat("hello").status, 500)
 
 
+class ExtraBytesTests(OwnInterfaceCase):
+    """Guard against bytes after an answer that become a part of it."""
+
+    def test_a_second_answer_is_not_added_to_the_first(self):
+        answer = make_answer(b"HTTP/1.1 200 OK", BODY)
+        for extra in (answer, answer[:-3], b"HTTP/1.1 200 OK\r\n", b"bytes"):
+            with self.subTest(extra=extra):
+                self.serve(answer + extra, "service")
+                got = self.call("POST", SERVICE, b"{}")
+                self.assertEqual((got.status, got.body), (200, BODY))
+
+
 class PoolTests(unittest.TestCase):
     """Guard against a malformed answer of the store, the cloud or an order's engine."""
 
@@ -244,6 +256,11 @@
             response = self.ask(make_answer(status_line, body, fields))
             self.assertEqual((response.status, response.body), (200, BODY))
 
+    def test_a_second_answer_is_not_added_to_the_first(self):
+        answer = make_answer(b"HTTP/1.1 200 OK", BODY)
+        for extra in (answer, answer[:-3]):
+            self.check_rejected(answer + extra)
+
 
 class LoadPollerTests(unittest.TestCase):
     """Guard against a load report that is no answer, and one that ends the polling."""
