Break off uploads of the soak often enough to show cut answers

All endpoints now break off all large requests for about half of the time of the faults, and malformed heads come as often.

--- a/fakes/gateway_endpoint.py
+++ b/fakes/gateway_endpoint.py
@@ -15,7 +15,7 @@
 FILLER = b"x" * 16_384
 INTERIM_RESPONSES = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
 ERROR_STATUSES = {"error": "500 Error", "busy": "503 Busy", "teapot": "418 Teapot"}
-EARLY_FAULTS = ("early_reset", "early_close")
+EARLY_ENDS = ("reset", "close")
 MIN_UPLOAD_BYTES = 1 << 20  # of a request that can be answered early
 EARLY_PAUSE_SECONDS = 0.05  # from a part of an early response to its end
 # Status line and last line of the head of a response in chunks.
@@ -35,8 +35,6 @@
     - not run: shed (503 with X-Not-Run), late_refusal (the same, and a copy of it
       follows), misdirected (421)
     - run, error status: error (500), busy (503), teapot (418)
-    - before the body of a large request is read: early_reset, early_close (a part of a
-      response without a length, then a reset, or a close that resets)
     - head: unsigned (no X-Server-Stamp), other_request (id of another request),
       invalid_status (000), blank_in_name, folded_line (one that hides the chunks),
       endless_head, endless_interim (responses of status 100 without end), cut_head
@@ -46,6 +44,9 @@
     - stream: cut_in_event, cut_between_events, trickle (comment bytes for ever)
     - connection: reset, crash (reset, then refuse new connections), hang
 
+    ``early_end`` is one of EARLY_ENDS, or empty: while a large request is sent, a part
+    of a response without a length, then a reset, or a close that resets.
+
     A request whose prompt holds one of ``crashing_parts`` crashes the endpoint: it
     resets all connections and refuses new ones for ``crash_seconds``.
     """
@@ -73,6 +74,7 @@
         self.rate_limit = ""
         # Arrival of each request, in monotonic seconds, and its id.
         self.arrivals: list[tuple[float, str]] = []
+        self.early_end = ""
         self.leaving = ""  # value of Server-Leaving in every response, if any
         self.retry_after = ""  # value of Retry-After in refusals, if any
         self.declined = 0
@@ -150,12 +152,10 @@
         while (text := reader.readline().decode().strip()) != "":
             name, _, value = text.partition(":")
             headers[name.lower()] = value.strip()
-        fault = self.fault if self.faults_left > 0 else ""
         length = int(headers.get("content-length", 0))
-        if fault in EARLY_FAULTS and length >= MIN_UPLOAD_BYTES:
-            self.faults_left -= 1
+        if self.early_end and length >= MIN_UPLOAD_BYTES:
             self.arrivals.append((time.monotonic(), headers["x-request-id"]))
-            return self._end_early(sock, reader, headers, fault)
+            return self._end_early(sock, reader, headers)
         body = reader.read(length)
         if "x-request-id" not in headers:
             self.unidentified_requests.append(
@@ -166,7 +166,7 @@
                 sock, "400 No id", headers, b"", {"X-Not-Run": "1"}
             )
         self.arrivals.append((time.monotonic(), headers["x-request-id"]))
-        fault = "" if fault in EARLY_FAULTS else fault
+        fault = self.fault if self.faults_left > 0 else ""
         self.faults_left -= bool(fault)
         if fault == "shed":
             self.declined += 1
@@ -209,7 +209,7 @@
             return self._send_stream(sock, headers, fault)
         return self._send_whole_response(sock, headers, fault)
 
-    def _end_early(self, sock, reader, headers: dict, fault: str) -> bool:
+    def _end_early(self, sock, reader, headers: dict) -> bool:
         """Send a part of a response while the request is sent, then break off."""
         self.executed_requests.append(headers)
         reader.read(int(headers.get("content-length", 0)) // 16)
@@ -220,7 +220,7 @@
             f"X-Server-Stamp: {SIGNATURE}\r\n\r\n{part}".encode()
         )
         gevent.sleep(self._vary(EARLY_PAUSE_SECONDS))
-        if fault == "early_reset":
+        if self.early_end == "reset":
             prepare_reset(sock)
         return False
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 import gevent
 
-from fakes.gateway_endpoint import EARLY_FAULTS, MALFORMED_HEADS
+from fakes.gateway_endpoint import EARLY_ENDS, MALFORMED_HEADS
 from fakes.processes import SpawnedProcess
 from soak.system import SoakSystem
 
@@ -239,19 +239,35 @@
         return f"{endpoint.fault} {endpoint.id}"
 
 
-class BrokenAnswers(Fault):
-    """Makes an endpoint send answers that are no answers, or break off uploads."""
+class MalformedHeads(Fault):
+    """Makes an endpoint send heads that are not in the protocol."""
 
-    name = "broken answers"
+    name = "malformed heads"
 
     def inject(self) -> str:
-        """Let the next few answers of a random endpoint be broken."""
+        """Let the next few answers of a random endpoint have such heads."""
         endpoint = self._system.deployment.endpoints[self._random_endpoint()]
-        endpoint.fault = self._random.choice((*EARLY_FAULTS, *MALFORMED_HEADS))
+        endpoint.fault = self._random.choice(tuple(MALFORMED_HEADS))
         endpoint.faults_left = self._random.randint(1, 4)
         return f"{endpoint.fault} {endpoint.id}"
 
 
+class EarlyEnds(Fault):
+    """Makes all endpoints break off answers during uploads for a while."""
+
+    name = "early ends"
+
+    def inject(self) -> str:
+        """Let endpoints answer large requests early and reset or close."""
+        endpoints = list(self._system.deployment.endpoints.values())
+        for endpoint in endpoints:
+            endpoint.early_end = self._random.choice(EARLY_ENDS)
+        gevent.sleep(self._random_duration())
+        for endpoint in endpoints:
+            endpoint.early_end = ""
+        return ""
+
+
 class EndpointLimit(Fault):
     """Makes an endpoint name a limit of requests per second for a while."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,9 +22,10 @@
     EXIT_TIMEOUT_SECONDS,
     FAULTS,
     MAX_FAULT_SECONDS,
-    BrokenAnswers,
+    EarlyEnds,
     EndlessAnswers,
     EndpointLimit,
+    MalformedHeads,
     SilentConnections,
 )
 from soak.planned_work import MAX_ROLL_SECONDS, PLANNED_WORK, RollNodes
@@ -47,7 +48,7 @@
 MAX_PLANNED_INTERVAL_SECONDS = 2.0  # between two pieces of planned work
 SILENCES = 2  # of connections to the store, at the end of a run
 MAX_SILENCE_PAUSE_SECONDS = 3.0  # after the configuration that follows a silence
-MAX_BROKEN_INTERVAL_SECONDS = 2.0  # between two endpoints with broken answers
+MAX_BROKEN_INTERVAL_SECONDS = 1.0  # between two of broken answers
 MAX_RESTORE_INTERVAL_SECONDS = 4.0  # between two restores of the store
 
 
@@ -203,7 +204,8 @@
         rng = random.Random(f"{self._report.seed} broken answers")
         while time.monotonic() < until:
             gevent.sleep(rng.uniform(0.0, MAX_BROKEN_INTERVAL_SECONDS))
-            self._inject(BrokenAnswers(self._system, rng))
+            self._inject(MalformedHeads(self._system, rng))
+            self._inject(EarlyEnds(self._system, rng))
 
     def _silence_connections(self) -> None:
         """Silence connections to the store while only answers are endless.
--- a/soak/upload_callers.py
+++ b/soak/upload_callers.py
@@ -4,7 +4,7 @@
 from soak.callers import Caller, CallResult
 
 UPLOAD_KINDS = ("unsafe", "stream", "resume")
-MAX_INTERVAL_SECONDS = 1.0  # between a response and the next request
+MAX_INTERVAL_SECONDS = 0.3  # between a response and the next request
 
 
 class UploadCaller(Caller):
