--- a/soak/run.py
+++ b/soak/run.py
@@ -48,7 +48,7 @@
 MAX_PLANNED_INTERVAL_SECONDS = 2.0  # between two pieces of planned work
 SILENCES = 2  # of connections to the store, at the end of a run
 MAX_SILENCE_PAUSE_SECONDS = 3.0  # after the configuration that follows a silence
-MAX_BROKEN_INTERVAL_SECONDS = 1.0  # between two of broken answers
+MAX_BROKEN_INTERVAL_SECONDS = 1.0  # between rounds of broken answers
 MAX_RESTORE_INTERVAL_SECONDS = 4.0  # between two restores of the store
 
 
