--- a/review/lib3/nodes.py
+++ b/review/lib3/nodes.py
@@ -71,15 +71,15 @@
         self.ports = ports
         self.folder = folder
         self.process = None
-        self.settings = dict(
-            name=self.name,
-            ip=self.ip,
-            zone="abc"[number % 3],
-            ports=ports,
-            last=ports[3] + 15,
-            store=store,
-            cloud=cloud,
-        )
+        self.settings = {
+            "name": self.name,
+            "ip": self.ip,
+            "zone": "abc"[number % 3],
+            "ports": ports,
+            "last": ports[3] + 15,
+            "store": store,
+            "cloud": cloud,
+        }
 
     async def start(self, bootstrap=True):
         path = self.folder / f"{self.name}.toml"
--- a/review/lib3/scene.py
+++ b/review/lib3/scene.py
@@ -33,7 +33,7 @@
     def write(self, summary):
         text = [f"{seconds:8.3f} {line}" for seconds, line in sorted(self.lines)]
         self.path.write_text("\n".join([*summary, "", *text, ""]))
-        print("\n".join(summary))
+        sys.stdout.write("\n".join([*summary, ""]))
 
 
 def make_route(name, kind, service, timeout_ms, slo_ms, **more):
